Set up the workspace, the design page, shared types and ports

Cause: a new repository needs a design before code and interfaces that several parts can be written against.

--- /dev/null
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapters of the ports: store and instance list over HTTP, targets over HTTP, peers over tonic, data folder on disk.
--- /dev/null
+++ b/crates/sesamewall-batch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decides about batch jobs: segments, claims, outcomes, copies and their repair.
--- /dev/null
+++ b/crates/sesamewall-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiments on virtual time that measure decisions against plain alternatives.
--- /dev/null
+++ b/crates/sesamewall-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators command-line tool.
--- /dev/null
+++ b/crates/sesamewall-membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decides who is lead, who is live and which configuration is in force.
--- /dev/null
+++ b/crates/sesamewall-ports/src/fake/store.rs
@@ -0,0 +1,182 @@
+//! A store in memory, with faults that can be switched on while it runs.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+use crate::Expect;
+use crate::Store;
+use crate::StoreError;
+use crate::Versioned;
+
+const VALUE_LIMIT_BYTES: usize = 1 << 20;
+
+#[derive(Debug, Default)]
+struct State {
+    entries: BTreeMap<String, (Bytes, u64)>,
+    version: u64,
+    outage: bool,
+    lose_answers: u32,
+    reads: u64,
+    writes: u64,
+}
+
+/// A store in memory. It also serves as the embedded store of `sesamewalld --dev`.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl FakeStore {
+    /// Starts or ends an outage: all calls fail and nothing is written.
+    pub fn set_outage(&self, outage: bool) {
+        self.lock().outage = outage;
+        self.changed.notify_waiters();
+    }
+
+    /// Lets the next `count` writes take effect while their answers are lost.
+    pub fn lose_answers(&self, count: u32) {
+        self.lock().lose_answers = count;
+    }
+
+    /// Returns the number of reads (a watch counts as one) and writes so far.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.reads, state.writes)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn newer(&self, prefix: &str, after: u64) -> Result<Vec<Versioned>, StoreError> {
+        let state = self.lock();
+        if state.outage {
+            return Err(StoreError::Unavailable);
+        }
+        let mut found: Vec<Versioned> =
+            range(&state, prefix, "").filter(|entry| entry.version > after).collect();
+        found.sort_by_key(|entry| entry.version);
+        Ok(found)
+    }
+}
+
+fn range<'a>(
+    state: &'a State,
+    prefix: &'a str,
+    after: &'a str,
+) -> impl Iterator<Item = Versioned> + 'a {
+    state
+        .entries
+        .range(prefix.to_owned()..)
+        .take_while(move |(key, _)| key.starts_with(prefix))
+        .filter(move |(key, _)| key.as_str() > after)
+        .map(|(key, (value, version))| Versioned {
+            key: key.clone(),
+            value: value.clone(),
+            version: *version,
+        })
+}
+
+impl State {
+    fn read(&mut self) -> Result<(), StoreError> {
+        self.reads += 1;
+        if self.outage { Err(StoreError::Unavailable) } else { Ok(()) }
+    }
+
+    fn write(&mut self) -> Result<(), StoreError> {
+        self.writes += 1;
+        if self.outage { Err(StoreError::Unavailable) } else { Ok(()) }
+    }
+
+    fn answer<T>(&mut self, value: T) -> Result<T, StoreError> {
+        if self.lose_answers == 0 {
+            return Ok(value);
+        }
+        self.lose_answers -= 1;
+        Err(StoreError::Unclear)
+    }
+}
+
+#[async_trait]
+impl Store for FakeStore {
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
+        let mut state = self.lock();
+        state.read()?;
+        Ok(state.entries.get(key).map(|(value, version)| Versioned {
+            key: key.to_owned(),
+            value: value.clone(),
+            version: *version,
+        }))
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<Versioned>, StoreError> {
+        let mut state = self.lock();
+        state.read()?;
+        Ok(range(&state, prefix, after).take(limit).collect())
+    }
+
+    async fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<u64, StoreError> {
+        if value.len() > VALUE_LIMIT_BYTES {
+            return Err(StoreError::TooLarge);
+        }
+        let mut state = self.lock();
+        state.write()?;
+        let found = state.entries.get(key).map(|(_, version)| *version);
+        let holds = match expect {
+            Expect::Absent => found.is_none(),
+            Expect::Version(version) => found == Some(version),
+        };
+        if !holds {
+            return Err(StoreError::Conflict);
+        }
+        state.version += 1;
+        let version = state.version;
+        state.entries.insert(key.to_owned(), (value, version));
+        self.changed.notify_waiters();
+        state.answer(version)
+    }
+
+    async fn delete(&self, key: &str, version: u64) -> Result<(), StoreError> {
+        let mut state = self.lock();
+        state.write()?;
+        match state.entries.get(key) {
+            Some((_, found)) if *found == version => {}
+            _ => return Err(StoreError::Conflict),
+        }
+        state.entries.remove(key);
+        state.answer(())
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<Vec<Versioned>, StoreError> {
+        self.lock().read()?;
+        let end = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let notified = self.changed.notified();
+            let found = self.newer(prefix, after)?;
+            if !found.is_empty() {
+                return Ok(found);
+            }
+            if tokio::time::timeout_at(end, notified).await.is_err() {
+                return Ok(Vec::new());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-ports/src/instances.rs
@@ -0,0 +1,46 @@
+//! The port towards the platform's list of instances.
+
+use async_trait::async_trait;
+use serde::Deserialize;
+use serde::Serialize;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Result;
+
+use crate::PeerAddress;
+
+/// State of an instance in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedState {
+    /// In service.
+    Live,
+    /// About to stop.
+    Leaving,
+}
+
+/// One entry of the list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedInstance {
+    /// The instance.
+    pub name: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its addresses for peers.
+    pub address: PeerAddress,
+    /// Holds bulk data in a data folder.
+    #[serde(default)]
+    pub bulk: bool,
+    /// State; lags behind the truth by seconds.
+    pub state: ListedState,
+}
+
+/// The platform's list of instances.
+#[async_trait]
+pub trait InstanceList: Send + Sync {
+    /// Enters or refreshes this instance in the list.
+    async fn announce(&self, own: &ListedInstance) -> Result<()>;
+
+    /// Returns the list.
+    async fn list(&self) -> Result<Vec<ListedInstance>>;
+}
--- /dev/null
+++ b/crates/sesamewall-ports/src/target.rs
@@ -0,0 +1,64 @@
+//! The port towards targets.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::stream::BoxStream;
+
+/// A request to a target. It never carries a caller's credentials.
+#[derive(Clone, Debug)]
+pub struct TargetRequest {
+    /// Base URL of the target.
+    pub address: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers, already cleaned of credentials and hop-by-hop fields.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// Identifier of this attempt, which engines echo.
+    pub attempt: String,
+}
+
+/// Failure of a request to a target.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum TargetError {
+    /// No byte of the request was sent.
+    #[display("not sent: {detail}")]
+    NotSent {
+        /// What went wrong.
+        detail: String,
+    },
+    /// The connection ended before the answer was whole.
+    #[display("lost: {detail}")]
+    Lost {
+        /// What went wrong.
+        detail: String,
+    },
+    /// The answer carries another attempt's identifier.
+    #[display("the answer belongs to another request")]
+    Mismatch,
+}
+
+/// Body of an answer, piece by piece. An end of the stream without an error means that the
+/// transport ended in order.
+pub type AnswerStream = BoxStream<'static, Result<Bytes, TargetError>>;
+
+/// The head of an answer and its body.
+pub struct TargetAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: AnswerStream,
+}
+
+/// Sends requests to targets.
+#[async_trait]
+pub trait Target: Send + Sync {
+    /// Sends `request` and returns the head of the answer. Dropping the answer's body before its
+    /// end closes the connection, by which the target cancels the request.
+    async fn send(&self, request: TargetRequest) -> Result<TargetAnswer, TargetError>;
+}
--- /dev/null
+++ b/crates/sesamewall-protocol/src/outcome.rs
@@ -0,0 +1,19 @@
+//! What is known about the execution of a request.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Tells a caller whether its request was run by a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// No byte of the request reached a target, or the target said that it did not run it.
+    #[display("not-run")]
+    NotRun,
+    /// The target ran the request and answered.
+    #[display("run")]
+    Run,
+    /// The request was sent and its end is not known.
+    #[display("unknown")]
+    Unknown,
+}
--- /dev/null
+++ b/crates/sesamewall-protocol/src/peer/mod.rs
@@ -0,0 +1,38 @@
+//! Messages between instances. Each area defines its own message type.
+
+mod batch;
+mod membership;
+mod rate;
+mod record;
+mod schedule;
+
+pub use batch::*;
+pub use membership::*;
+pub use rate::*;
+pub use record::*;
+pub use schedule::*;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A message or reply on the peer link.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Rate grants.
+    Rate(RateMessage),
+    /// Slots on targets.
+    Schedule(ScheduleMessage),
+    /// Heartbeats, promises and configuration differences.
+    Membership(MembershipMessage),
+    /// Bulk data copies.
+    Batch(BatchMessage),
+    /// Decision records.
+    Record(RecordMessage),
+    /// The receiver could not handle the message.
+    Failed {
+        /// Numbered result code.
+        code: u16,
+        /// What went wrong.
+        message: String,
+    },
+}
--- /dev/null
+++ b/crates/sesamewall-protocol/src/peer/schedule.rs
@@ -0,0 +1,117 @@
+//! Messages of target admission.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AccountName;
+use crate::Class;
+use crate::ModelName;
+use crate::RequestId;
+use crate::TargetName;
+
+/// A message between an instance and the lead that owns admission to its targets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ScheduleMessage {
+    /// Asks for a slot; answered by `Slot`, `Denied` or, when it must wait, later.
+    Ask(SlotAsk),
+    /// Grants a slot.
+    Slot(Slot),
+    /// Denies a slot.
+    Denied {
+        /// Numbered result code.
+        code: u16,
+        /// The numbers that the rule saw.
+        numbers: Vec<(String, f64)>,
+    },
+    /// Reports the end of a request that had a slot.
+    Done(SlotDone),
+    /// Asks the holder to cancel a batch stream and to keep its tokens.
+    Yield {
+        /// Number of the slot to give back.
+        slot: u64,
+    },
+    /// Acknowledges a message that needs no other answer.
+    Ack,
+}
+
+/// Asks for a slot on a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlotAsk {
+    /// The request.
+    pub request: RequestId,
+    /// The client account, for fairness.
+    pub account: AccountName,
+    /// Weight of the account.
+    pub weight: f64,
+    /// Service class.
+    pub class: Class,
+    /// The model or service.
+    pub model: ModelName,
+    /// Expected work in tokens: prompt plus output.
+    pub work: u64,
+    /// Hashes of the prompt's prefix blocks, longest prefix last.
+    pub prefix: Vec<u64>,
+    /// Microseconds from now until the request is refused if it still waits.
+    pub wait_us: u64,
+    /// Targets that must not be used again for this request.
+    pub exclude: Vec<TargetName>,
+    /// Run alone on a target, since it was present at a crash.
+    pub isolated: bool,
+}
+
+/// A right to send one request to one target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slot {
+    /// Number of the slot, unique within the epoch.
+    pub slot: u64,
+    /// Epoch of the lead.
+    pub epoch: u64,
+    /// The request.
+    pub request: RequestId,
+    /// The target to send to.
+    pub target: TargetName,
+    /// Base URL of the target.
+    pub address: String,
+    /// Why this target was chosen.
+    pub reason: String,
+    /// Microseconds spent in the queue.
+    pub wait_us: u64,
+}
+
+/// Reports how a request ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SlotDone {
+    /// The slot.
+    pub slot: u64,
+    /// Epoch of the lead that granted it.
+    pub epoch: u64,
+    /// The target.
+    pub target: TargetName,
+    /// How it ended.
+    pub end: SlotEnd,
+    /// Microseconds from sending to the first token, if one came.
+    pub first_token_us: Option<u64>,
+    /// Prompt and output tokens in fact used.
+    pub work: u64,
+}
+
+/// How a request on a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SlotEnd {
+    /// Whole answer.
+    Whole,
+    /// The target refused it for overload.
+    Overloaded,
+    /// The target said that it is starting or cold.
+    Cold,
+    /// The target said that it is leaving.
+    Leaving,
+    /// The connection was refused, so no byte was sent.
+    Unreachable,
+    /// The connection broke while the request ran.
+    Crashed,
+    /// The target answered with an error of its own.
+    Failed,
+    /// The caller or the scheduler cancelled it.
+    Cancelled,
+}
--- /dev/null
+++ b/crates/sesamewall-protocol/src/record.rs
@@ -0,0 +1,78 @@
+//! Records of decisions, from which refusals and request paths are explained later.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::AccountName;
+use crate::InstanceName;
+use crate::RequestId;
+
+/// One step on the path of a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Decision {
+    /// The request was accepted at this instance.
+    Accepted {
+        /// Model or route that the request named.
+        route: String,
+    },
+    /// A rate token was spent.
+    RateSpent {
+        /// Microseconds that the request waited for the token.
+        wait_us: u64,
+    },
+    /// The request was given a slot on a target.
+    SlotGranted {
+        /// The target.
+        target: String,
+        /// Microseconds that the request waited in the queue.
+        wait_us: u64,
+        /// Why this target was chosen.
+        reason: String,
+    },
+    /// A target was tried and did not answer in full.
+    AttemptFailed {
+        /// The target.
+        target: String,
+        /// What went wrong.
+        reason: String,
+    },
+    /// The request was forwarded to another failure domain.
+    Forwarded {
+        /// The receiving instance.
+        instance: InstanceName,
+    },
+    /// The request was refused or failed.
+    Refused {
+        /// Numbered result code.
+        code: u16,
+        /// The rule that refused it.
+        rule: String,
+        /// The numbers that the rule saw.
+        numbers: Vec<(String, f64)>,
+        /// `not-run`, `run` or `unknown`.
+        outcome: crate::Outcome,
+    },
+    /// The whole answer was sent.
+    Completed {
+        /// HTTP status of the answer.
+        status: u16,
+        /// Tokens in the answer, if the target reported them.
+        tokens: u64,
+    },
+}
+
+/// A decision with its place and time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DecisionRecord {
+    /// Wall time in milliseconds since the Unix epoch, for people only.
+    pub at_ms: u64,
+    /// The instance that decided.
+    pub instance: InstanceName,
+    /// The request or item.
+    pub request: RequestId,
+    /// The client account, if it was known.
+    pub account: Option<AccountName>,
+    /// What was decided.
+    pub decision: Decision,
+}
--- /dev/null
+++ b/crates/sesamewall-protocol/src/resource.rs
@@ -0,0 +1,260 @@
+//! Resources that operators declare, and changes to them.
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::AccountName;
+use crate::DomainName;
+use crate::ModelName;
+use crate::TargetName;
+
+/// Number of a configuration change; the configuration with all changes up to it is in force.
+pub type Revision = u64;
+
+/// A rate and burst.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RateLimit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests that may come at once after a pause.
+    pub burst: f64,
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Account {
+    /// The account's name.
+    pub name: AccountName,
+    /// Limit for online requests.
+    pub online: RateLimit,
+    /// Limit for batch items; without it batch items are limited by fair share alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub batch: Option<RateLimit>,
+    /// Weight in fair queueing.
+    #[serde(default = "one")]
+    pub weight: f64,
+}
+
+/// A caller's key. Only the hash of the secret is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Public identifier of the key.
+    pub id: String,
+    /// The account that the key acts for.
+    pub account: AccountName,
+    /// SHA-256 of the secret, in hex.
+    pub hash: String,
+}
+
+/// A route to a plain HTTP service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The route's name.
+    pub name: String,
+    /// Host to match, without port.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub host: Option<String>,
+    /// Path prefix to match, starting with a slash.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prefix: Option<String>,
+    /// Target group to send to.
+    pub group: String,
+    /// Callers need no key.
+    #[serde(default)]
+    pub open: bool,
+    /// Methods that must not be repeated.
+    #[serde(default)]
+    pub once_methods: Vec<String>,
+    /// Path prefixes that must not be repeated.
+    #[serde(default)]
+    pub once_paths: Vec<String>,
+}
+
+/// What kind of back end a target group holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// Model engines.
+    Engine,
+    /// Plain HTTP services.
+    Service,
+}
+
+/// One target in a group.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetSpec {
+    /// The target's name.
+    pub name: TargetName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Base URL, for example `http://127.0.0.1:9001`.
+    pub address: String,
+    /// No new work goes to it.
+    #[serde(default)]
+    pub leaving: bool,
+    /// The target refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fenced: bool,
+}
+
+/// Targets that serve the same models.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TargetGroup {
+    /// The group's name.
+    pub name: String,
+    /// Kind of back end.
+    pub kind: TargetKind,
+    /// Models that callers may name; empty for plain services.
+    #[serde(default)]
+    pub models: Vec<ModelName>,
+    /// The targets.
+    pub targets: Vec<TargetSpec>,
+    /// Upper bound of concurrent requests on one target.
+    #[serde(default = "default_limit")]
+    pub limit: u32,
+}
+
+/// Whether a failure domain gets work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DomainMode {
+    /// The failure domain gets work.
+    In,
+    /// The failure domain gets no new work.
+    Out,
+}
+
+/// State of a failure domain as operators want it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FailureDomain {
+    /// The failure domain.
+    pub name: DomainName,
+    /// Whether it gets work.
+    pub mode: DomainMode,
+}
+
+/// A resource.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Resource {
+    /// A client account with its rate.
+    Account(Account),
+    /// A caller's key.
+    Key(Key),
+    /// A route to a plain service.
+    Route(Route),
+    /// A target group.
+    TargetGroup(TargetGroup),
+    /// State of a failure domain.
+    Domain(FailureDomain),
+}
+
+/// Kind of a resource.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    derive_more::Display,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum ResourceKind {
+    /// A client account.
+    #[display("account")]
+    Account,
+    /// A caller's key.
+    #[display("key")]
+    Key,
+    /// A route to a plain service.
+    #[display("route")]
+    Route,
+    /// A target group.
+    #[display("target-group")]
+    TargetGroup,
+    /// State of a failure domain.
+    #[display("domain")]
+    Domain,
+}
+
+impl Resource {
+    /// Returns the kind.
+    pub fn kind(&self) -> ResourceKind {
+        match self {
+            Self::Account(_) => ResourceKind::Account,
+            Self::Key(_) => ResourceKind::Key,
+            Self::Route(_) => ResourceKind::Route,
+            Self::TargetGroup(_) => ResourceKind::TargetGroup,
+            Self::Domain(_) => ResourceKind::Domain,
+        }
+    }
+
+    /// Returns the name, unique within the kind.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Account(account) => account.name.as_str(),
+            Self::Key(key) => &key.id,
+            Self::Route(route) => &route.name,
+            Self::TargetGroup(group) => &group.name,
+            Self::Domain(domain) => domain.name.as_str(),
+        }
+    }
+}
+
+/// One step of a change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Operation {
+    /// Creates or replaces a resource.
+    Put(Resource),
+    /// Deletes a resource.
+    Delete {
+        /// Kind of the resource.
+        kind: ResourceKind,
+        /// Name of the resource.
+        name: String,
+    },
+}
+
+/// An accepted configuration change. All operations of a change take effect together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Number of this change; it follows the change with the number one less.
+    pub revision: Revision,
+    /// Random token of the writer, by which it recognises its own write after an unclear answer.
+    pub token: String,
+    /// Who made the change.
+    pub author: String,
+    /// Wall time in milliseconds since the Unix epoch, for people only.
+    pub at_ms: u64,
+    /// The steps.
+    pub operations: Vec<Operation>,
+}
+
+/// Returns the hash under which a key's secret is stored: SHA-256 in hex. Secrets have 256 random
+/// bits, so a salted slow hash would add nothing.
+pub fn hash_key(secret: &str) -> String {
+    hex::encode(Sha256::digest(secret.as_bytes()))
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn default_limit() -> u32 {
+    64
+}
--- /dev/null
+++ b/crates/sesamewall-rate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decides fleet-wide rates by escrow between domain leads and grant holders.
--- /dev/null
+++ b/src/bin/sesamewall-standin.rs
@@ -0,0 +1,3 @@
+//! Entry point of `sesamewall-standin`.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/sesamewalld.rs
@@ -0,0 +1,3 @@
+//! Entry point of `sesamewalld`.
+
+fn main() {}
