--- /dev/null
+++ b/crates/sesamewall-server/src/config_view.rs
@@ -0,0 +1,61 @@
+//! The configuration in force at this instance, and the port through which it is changed.
+
+use std::sync::Arc;
+use std::sync::RwLock;
+
+use async_trait::async_trait;
+use sesamewall_membership::Configuration;
+use sesamewall_protocol::Change;
+use sesamewall_protocol::Operation;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::Revision;
+use tokio::sync::watch;
+
+/// Holds the configuration in force. Readers get an immutable snapshot.
+#[derive(Debug)]
+pub struct ConfigView {
+    current: RwLock<Arc<Configuration>>,
+    revision: watch::Sender<Revision>,
+}
+
+impl Default for ConfigView {
+    fn default() -> Self {
+        Self { current: RwLock::default(), revision: watch::channel(0).0 }
+    }
+}
+
+impl ConfigView {
+    /// Returns the configuration in force.
+    pub fn current(&self) -> Arc<Configuration> {
+        self.current.read().unwrap_or_else(std::sync::PoisonError::into_inner).clone()
+    }
+
+    /// Puts a configuration in force unless a later one already is.
+    pub fn set(&self, next: Arc<Configuration>) {
+        let revision = next.revision();
+        let mut current = self.current.write().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if revision <= current.revision() {
+            return;
+        }
+        *current = next;
+        self.revision.send_replace(revision);
+    }
+
+    /// Returns a receiver that sees each revision that comes into force.
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+}
+
+/// Accepts operators' changes.
+#[async_trait]
+pub trait ConfigWriter: Send + Sync {
+    /// Writes a change made against revision `against`. Returns the accepted change once the store
+    /// holds it and it is in force here. Nothing is applied on an error.
+    async fn submit(
+        &self,
+        author: &str,
+        against: Revision,
+        operations: Vec<Operation>,
+    ) -> Result<Change>;
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/node.rs
@@ -0,0 +1,51 @@
+//! What all services of one instance share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use sesamewall_ports::BulkStorage;
+use sesamewall_ports::Clock;
+use sesamewall_ports::InstanceList;
+use sesamewall_ports::ListedInstance;
+use sesamewall_ports::PeerLink;
+use sesamewall_ports::Store;
+use sesamewall_ports::Target;
+use slog::Logger;
+
+use crate::ConfigView;
+use crate::Directory;
+use crate::Metrics;
+use crate::Recorder;
+use crate::Settings;
+
+/// The ports and shared views of one instance.
+pub struct Node {
+    /// This instance as the instance list shows it.
+    pub own: ListedInstance,
+    /// Settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// The platform's instance list.
+    pub instances: Arc<dyn InstanceList>,
+    /// The link to other instances.
+    pub link: Arc<dyn PeerLink>,
+    /// The way to targets.
+    pub target: Arc<dyn Target>,
+    /// The data folder, if this instance has one.
+    pub bulk: Option<Arc<dyn BulkStorage>>,
+    /// The configuration in force.
+    pub config: ConfigView,
+    /// Live instances and leads.
+    pub directory: Directory,
+    /// Decision records.
+    pub recorder: Recorder,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Log for changes of state.
+    pub log: Logger,
+    /// The instance is shutting down and takes no new work.
+    pub draining: AtomicBool,
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/recorder.rs
@@ -0,0 +1,65 @@
+//! Collects decision records of this instance.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use sesamewall_ports::Clock;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Decision;
+use sesamewall_protocol::DecisionRecord;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::RequestId;
+
+/// Most records that wait to be sent to storage instances; the oldest are dropped and counted.
+const PENDING_LIMIT: usize = 65_536;
+
+/// Collects decision records until they are sent to storage instances.
+pub struct Recorder {
+    instance: InstanceName,
+    clock: Arc<dyn Clock>,
+    pending: Mutex<Pending>,
+}
+
+#[derive(Default)]
+struct Pending {
+    records: VecDeque<DecisionRecord>,
+    dropped: u64,
+}
+
+impl Recorder {
+    /// Creates a recorder for `instance`.
+    pub fn new(instance: InstanceName, clock: Arc<dyn Clock>) -> Self {
+        Self { instance, clock, pending: Mutex::default() }
+    }
+
+    /// Notes a decision about a request.
+    pub fn note(&self, request: &RequestId, account: Option<&AccountName>, decision: Decision) {
+        let record = DecisionRecord {
+            at_ms: self.clock.wall_ms(),
+            instance: self.instance.clone(),
+            request: request.clone(),
+            account: account.cloned(),
+            decision,
+        };
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        if pending.records.len() == PENDING_LIMIT {
+            pending.records.pop_front();
+            pending.dropped += 1;
+        }
+        pending.records.push_back(record);
+    }
+
+    /// Takes up to `limit` of the oldest records that wait.
+    pub fn take(&self, limit: usize) -> Vec<DecisionRecord> {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = limit.min(pending.records.len());
+        pending.records.drain(..count).collect()
+    }
+
+    /// Returns the number of records dropped at the bound.
+    pub fn dropped(&self) -> u64 {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner).dropped
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/settings.rs
@@ -0,0 +1,68 @@
+//! Settings of the daemon, read from a TOML file.
+
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Address for callers, as `IP:PORT`.
+    pub caller_addr: String,
+    /// Address for operators, as `IP:PORT`.
+    pub operator_addr: String,
+    /// Address for messages between instances, as `IP:PORT`.
+    pub peer_addr: String,
+    /// Address for requests forwarded from other failure domains, as `IP:PORT`.
+    pub forward_addr: String,
+    /// Base URL of the platform's store and instance list; empty with `--dev`.
+    pub platform_url: String,
+    /// Folder for bulk data; without it the instance keeps nothing on disk.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub data_dir: Option<PathBuf>,
+    /// SHA-256 of the operators' credential, in hex.
+    pub operator_hash: String,
+    /// Largest request body in bytes.
+    pub body_limit: usize,
+    /// Seconds in which a request body must arrive.
+    pub body_seconds: u64,
+    /// Milliseconds an online request waits for a target at most.
+    pub queue_ms: u64,
+    /// Seconds for which results and files stay readable.
+    pub retention_seconds: u64,
+    /// Milliseconds between readiness going false and the end of accepting, for the load balancer.
+    pub drain_ms: u64,
+    /// All failure domains of the fleet.
+    pub domains: Vec<String>,
+    /// Items that this instance runs at a time for batch jobs.
+    pub batch_workers: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            instance: "instance-1".to_owned(),
+            domain: "domain-1".to_owned(),
+            caller_addr: "127.0.0.1:8080".to_owned(),
+            operator_addr: "127.0.0.1:9090".to_owned(),
+            peer_addr: "127.0.0.1:0".to_owned(),
+            forward_addr: "127.0.0.1:0".to_owned(),
+            platform_url: String::new(),
+            data_dir: None,
+            operator_hash: String::new(),
+            body_limit: 8 << 20,
+            body_seconds: 30,
+            queue_ms: 10_000,
+            retention_seconds: 30 * 24 * 3600,
+            drain_ms: 5_000,
+            domains: vec!["domain-1".to_owned()],
+            batch_workers: 64,
+        }
+    }
+}
