Add adapters for store, instance list, targets and peers

Cause: the whole path needs real transports at the ports. Change: HTTP clients for store, instance list and targets with a connection pool for each class; a tonic service between instances with committed code.

--- /dev/null
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -0,0 +1,64 @@
+//! The HTTP client that the platform adapters share.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// How far a call came before it failed.
+#[derive(Debug)]
+pub enum CallError {
+    /// No connection; nothing was sent.
+    NotSent,
+    /// The request may have arrived.
+    Unclear,
+}
+
+/// A pooled HTTP/1.1 client.
+pub type HyperClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Returns a new client with its own connection pool.
+pub fn new_client() -> HyperClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .build(connector)
+}
+
+/// Sends one request and reads the whole answer within `limit`.
+pub async fn call(
+    client: &HyperClient,
+    method: Method,
+    url: String,
+    body: Bytes,
+    limit: Duration,
+) -> Result<Response<Bytes>, CallError> {
+    let request = Request::builder()
+        .method(method)
+        .uri(url)
+        .body(Full::new(body))
+        .map_err(|_| CallError::NotSent)?;
+    let exchange = async {
+        let answer = client.request(request).await.map_err(|error| {
+            if error.is_connect() { CallError::NotSent } else { CallError::Unclear }
+        })?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(|_| CallError::Unclear)?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    };
+    tokio::time::timeout(limit, exchange).await.unwrap_or(Err(CallError::Unclear))
+}
--- /dev/null
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -0,0 +1,94 @@
+//! Targets over HTTP/1.1.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::BodyStream;
+use http_body_util::Full;
+use hyper::body::Frame;
+use sesamewall_ports::Target;
+use sesamewall_ports::TargetAnswer;
+use sesamewall_ports::TargetError;
+use sesamewall_ports::TargetRequest;
+use sesamewall_protocol::Class;
+
+use crate::http_client;
+use crate::http_client::HyperClient;
+
+/// Header in which an engine echoes the identifier of the attempt.
+pub const ATTEMPT_HEADER: &str = "x-attempt-id";
+
+/// Targets over HTTP/1.1, with a connection pool for each class, so that a batch answer never
+/// occupies a connection that an online request could use.
+pub struct HttpTarget {
+    online: HyperClient,
+    batch: HyperClient,
+}
+
+impl Default for HttpTarget {
+    fn default() -> Self {
+        Self { online: http_client::new_client(), batch: http_client::new_client() }
+    }
+}
+
+fn build(request: TargetRequest) -> Result<Request<Full<Bytes>>, TargetError> {
+    let mut builder = Request::builder()
+        .method(request.method.as_str())
+        .uri(format!("{}{}", request.address.trim_end_matches('/'), request.path))
+        .header(ATTEMPT_HEADER, &request.attempt);
+    for (name, value) in &request.headers {
+        builder = builder.header(name, value);
+    }
+    builder
+        .body(Full::new(request.body))
+        .map_err(|error| TargetError::NotSent { detail: error.to_string() })
+}
+
+#[async_trait]
+impl Target for HttpTarget {
+    async fn send(&self, request: TargetRequest) -> Result<TargetAnswer, TargetError> {
+        let attempt = request.attempt.clone();
+        let client = match request.class {
+            Class::Online => &self.online,
+            Class::Batch => &self.batch,
+        };
+        let answer = client.request(build(request)?).await.map_err(|error| {
+            let detail = describe(&error);
+            match error.is_connect() {
+                true => TargetError::NotSent { detail },
+                false => TargetError::Lost { detail },
+            }
+        })?;
+        let (head, body) = answer.into_parts();
+        let echoed = head.headers.get(ATTEMPT_HEADER).map(http::HeaderValue::as_bytes);
+        if echoed.is_some_and(|echoed| echoed != attempt.as_bytes()) {
+            return Err(TargetError::Mismatch);
+        }
+        let headers = head
+            .headers
+            .iter()
+            .filter_map(|(name, value)| {
+                Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+            })
+            .collect();
+        let body =
+            BodyStream::new(body.map_err(|error| TargetError::Lost { detail: describe(&error) }))
+                .filter_map(|frame| async {
+                    frame.map(|frame| Frame::into_data(frame).ok()).transpose()
+                })
+                .boxed();
+        Ok(TargetAnswer { status: head.status.as_u16(), headers, body })
+    }
+}
+
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/crates/sesamewall-adapters/src/lib.rs
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -1,1 +1,17 @@
-//! Adapters of the ports: store and instance list over HTTP, targets over HTTP, peers over tonic, data folder on disk.
+//! Adapters of the ports: store and instance list over HTTP, targets over HTTP, peers over tonic,
+//! data folder on disk.
+
+mod generated;
+mod http_client;
+mod http_instances;
+mod http_store;
+mod http_target;
+mod tonic_peer;
+
+pub use http_instances::HttpInstances;
+pub use http_store::HttpStore;
+pub use http_store::StoredEntry;
+pub use http_target::ATTEMPT_HEADER;
+pub use http_target::HttpTarget;
+pub use tonic_peer::TonicPeerLink;
+pub use tonic_peer::serve_peers;
--- a/crates/sesamewall-ports/src/target.rs
+++ b/crates/sesamewall-ports/src/target.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::stream::BoxStream;
+use sesamewall_protocol::Class;
 
 /// A request to a target. It never carries a caller's credentials.
 #[derive(Clone, Debug)]
@@ -19,6 +20,8 @@
     pub body: Bytes,
     /// Identifier of this attempt, which engines echo.
     pub attempt: String,
+    /// Service class; classes share no connection.
+    pub class: Class,
 }
 
 /// Failure of a request to a target.
