--- /dev/null
+++ b/crates/sesamewall-membership/tests/main.rs
@@ -0,0 +1,6 @@
+#![allow(clippy::unwrap_used)]
+
+//! Tests of membership, one module per topic.
+
+mod configuration;
+mod fixtures;
--- a/crates/sesamewall-protocol/src/resource.rs
+++ b/crates/sesamewall-protocol/src/resource.rs
@@ -110,7 +110,8 @@
 pub struct TargetGroup {
     /// The group's name.
     pub name: String,
-    /// Kind of back end.
+    /// Kind of back end. Written as `type`, since `kind` is the resource's own tag.
+    #[serde(rename = "type")]
     pub kind: TargetKind,
     /// Models that callers may name; empty for plain services.
     #[serde(default)]
