Answer errors in the shape of the OpenAI API

Cause: callers of every route need the same error format, outcome and retry headers. Change: error_response turns the system's error into status, body and headers.

--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon: caller API, operator API, and the wiring of decision modules to adapters.
 
+mod answer;
 mod config_view;
 mod directory;
 mod item;
@@ -8,6 +9,7 @@
 mod recorder;
 mod settings;
 
+pub use answer::error_response;
 pub use config_view::ConfigView;
 pub use config_view::ConfigWriter;
 pub use directory::Directory;
