Add stand-ins for store, instance list, engines and a plain service

Cause: the whole path needs something to talk to. Change: sesamewall-standin with fault switches that can be set while it runs.

--- a/crates/sesamewall-adapters/src/http_target.rs
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -19,6 +19,8 @@
 
 /// Header in which an engine echoes the identifier of the attempt.
 pub const ATTEMPT_HEADER: &str = "x-attempt-id";
+/// Header with the number of tokens after which an engine's stream starts.
+pub const RESUME_HEADER: &str = "x-resume-from";
 
 /// Targets over HTTP/1.1, with a connection pool for each class, so that a batch answer never
 /// occupies a connection that an online request could use.
@@ -38,6 +40,9 @@
         .method(request.method.as_str())
         .uri(format!("{}{}", request.address.trim_end_matches('/'), request.path))
         .header(ATTEMPT_HEADER, &request.attempt);
+    if request.resume_from > 0 {
+        builder = builder.header(RESUME_HEADER, request.resume_from);
+    }
     for (name, value) in &request.headers {
         builder = builder.header(name, value);
     }
--- a/crates/sesamewall-adapters/src/lib.rs
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -13,5 +13,6 @@
 pub use http_store::StoredEntry;
 pub use http_target::ATTEMPT_HEADER;
 pub use http_target::HttpTarget;
+pub use http_target::RESUME_HEADER;
 pub use tonic_peer::TonicPeerLink;
 pub use tonic_peer::serve_peers;
--- a/crates/sesamewall-ports/src/target.rs
+++ b/crates/sesamewall-ports/src/target.rs
@@ -22,6 +22,8 @@
     pub attempt: String,
     /// Service class; classes share no connection.
     pub class: Class,
+    /// Tokens that an earlier attempt made; the engine's stream starts after them.
+    pub resume_from: u64,
 }
 
 /// Failure of a request to a target.
--- /dev/null
+++ b/crates/sesamewall-standin/src/engine/faults.rs
@@ -0,0 +1,26 @@
+//! Fault switches of an engine.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Faults of an engine, set while it runs. A field that is left out is off.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// A request whose body contains this text crashes the engine once it runs.
+    pub crash_marker: Option<String>,
+    /// Milliseconds before the head of each answer.
+    pub late_ms: u64,
+    /// Answers carry another attempt's identifier.
+    pub crossed: bool,
+    /// Streams end without their end marker after this many tokens.
+    pub cut_after: Option<u64>,
+    /// New requests are refused with the reason `leaving`.
+    pub leaving: bool,
+    /// The engine turns cold once, without warning.
+    pub cold_now: bool,
+    /// The engine crashes once.
+    pub crash_now: bool,
+    /// Every n-th cache event is not published.
+    pub event_gap: u64,
+}
--- /dev/null
+++ b/crates/sesamewall-standin/src/listen.rs
@@ -0,0 +1,83 @@
+//! A listener that can crash: all its connections end at once and the port stays closed for a while.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+/// A request to end all connections and to keep the port closed for a time.
+pub type Crash = Duration;
+
+/// A running listener.
+#[derive(Debug)]
+pub struct Listening {
+    /// The bound address.
+    pub address: SocketAddr,
+}
+
+/// Serves `router` on `address`. Each duration received from `crashes` ends all connections and
+/// closes the port for that time; `on_start` runs each time the port opens.
+///
+/// # Errors
+///
+/// Returns the I/O error of the first bind.
+pub async fn listen(
+    address: &str,
+    router: Router,
+    mut crashes: mpsc::Receiver<Crash>,
+    on_start: Arc<dyn Fn() + Send + Sync>,
+) -> std::io::Result<Listening> {
+    let listener = TcpListener::bind(address).await?;
+    let bound = listener.local_addr()?;
+    tokio::spawn(async move {
+        let mut listener = Some(listener);
+        loop {
+            let open = match listener.take() {
+                Some(open) => open,
+                None => match TcpListener::bind(bound).await {
+                    Ok(open) => open,
+                    Err(_) => {
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                        continue;
+                    }
+                },
+            };
+            on_start();
+            let down = serve(open, &router, &mut crashes).await;
+            tokio::time::sleep(down).await;
+            while crashes.try_recv().is_ok() {}
+        }
+    });
+    Ok(Listening { address: bound })
+}
+
+async fn serve(
+    listener: TcpListener,
+    router: &Router,
+    crashes: &mut mpsc::Receiver<Crash>,
+) -> Crash {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(crash) = crashes.recv() => return crash,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let _ = stream.set_nodelay(true);
+                let service = TowerToHyperService::new(router.clone());
+                connections.spawn(async move {
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-standin/src/service.rs
@@ -0,0 +1,111 @@
+//! A plain HTTP service that counts its calls and answers with what it received.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::body::Bytes;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::Method;
+use axum::http::Uri;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use axum::routing::get;
+use axum::routing::post;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use crate::Listening;
+use crate::listen::Crash;
+use crate::listen::listen;
+
+/// A plain service.
+pub struct PlainService {
+    calls: Mutex<BTreeMap<String, u64>>,
+    faults: Mutex<ServiceFaults>,
+    crash: mpsc::Sender<Crash>,
+}
+
+/// Faults of a plain service.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ServiceFaults {
+    /// Ends the connection after the call took effect and before the answer, this many times.
+    lose_answers: u32,
+    /// Milliseconds before each answer.
+    delay_ms: u64,
+}
+
+impl PlainService {
+    /// Starts a plain service on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the I/O error of the bind.
+    pub async fn start(address: &str) -> std::io::Result<Listening> {
+        let (crash, crashes) = mpsc::channel(8);
+        let service = Arc::new(Self { calls: Mutex::default(), faults: Mutex::default(), crash });
+        let router = Router::new()
+            .route("/standin/calls", get(calls))
+            .route("/standin/faults", post(set_faults))
+            .fallback(answer)
+            .with_state(service);
+        listen(address, router, crashes, Arc::new(|| ())).await
+    }
+}
+
+async fn calls(State(service): State<Arc<PlainService>>) -> Json<BTreeMap<String, u64>> {
+    Json(service.calls.lock().unwrap_or_else(PoisonError::into_inner).clone())
+}
+
+async fn set_faults(State(service): State<Arc<PlainService>>, Json(faults): Json<ServiceFaults>) {
+    *service.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+}
+
+async fn answer(
+    State(service): State<Arc<PlainService>>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let call = format!("{method} {uri}");
+    *service
+        .calls
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .entry(call.clone())
+        .or_default() += 1;
+    let (lose, delay) = {
+        let mut faults = service.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        let lose = faults.lose_answers > 0;
+        faults.lose_answers = faults.lose_answers.saturating_sub(1);
+        (lose, faults.delay_ms)
+    };
+    tokio::time::sleep(Duration::from_millis(delay)).await;
+    if lose {
+        let _ = service.crash.send(Duration::from_millis(1)).await;
+        std::future::pending::<()>().await;
+    }
+    let received: BTreeMap<String, Value> = headers
+        .iter()
+        .map(|(name, value)| {
+            (name.to_string(), Value::from(String::from_utf8_lossy(value.as_bytes())))
+        })
+        .collect();
+    let body = String::from_utf8_lossy(&body);
+    let echo = headers.get("x-attempt-id").cloned();
+    let mut answer =
+        Json(json!({ "call": call, "headers": received, "body": body })).into_response();
+    answer
+        .headers_mut()
+        .extend(echo.map(|echo| (axum::http::HeaderName::from_static("x-attempt-id"), echo)));
+    answer
+}
--- a/src/bin/sesamewall-standin.rs
+++ b/src/bin/sesamewall-standin.rs
@@ -1,3 +1,8 @@
 //! Entry point of `sesamewall-standin`.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    sesamewall_standin::main().await
+}
