--- /dev/null
+++ b/crates/sesamewall-server/src/caller/serve.rs
@@ -0,0 +1,53 @@
+//! Accepts HTTP connections with limits, and ends them in order at a shutdown.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+/// A connection whose request headers take longer is closed.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Open connections of one listener; further ones wait in the listen queue.
+const CONNECTION_LIMIT: usize = 16_384;
+
+/// Serves `router` until `stop` is cancelled, then waits until all requests have ended.
+pub async fn serve_http(listener: TcpListener, router: Router, stop: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    loop {
+        let permit = tokio::select! {
+            () = stop.cancelled() => break,
+            permit = permits.clone().acquire_owned() => permit,
+        };
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Accepting fails while the process has no free file descriptor.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(router.clone());
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/execute/call.rs
@@ -0,0 +1,67 @@
+//! One accepted request on its way to targets.
+
+use bytes::Bytes;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::RequestId;
+use tokio_util::sync::CancellationToken;
+
+/// One accepted request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Identifier of the request.
+    pub request: RequestId,
+    /// The client account; `None` on a route open to all.
+    pub account: Option<AccountName>,
+    /// Service class.
+    pub class: Class,
+    /// The model, or the target group of a plain route.
+    pub model: ModelName,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers without credentials and hop-by-hop fields.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// SHA-256 of the body, in hex.
+    pub digest: String,
+    /// Prompt tokens, estimated from the body's length.
+    pub prompt: u64,
+    /// Prompt and output tokens expected.
+    pub work: u64,
+    /// Hashes of the prompt's prefix blocks, longest prefix last.
+    pub prefix: Vec<u64>,
+    /// The call may be repeated after an unclear end.
+    pub idempotent: bool,
+    /// The request came from another failure domain and is not sent to a third one.
+    pub forwarded: bool,
+    /// Ends the request early.
+    pub cancel: CancellationToken,
+}
+
+/// One complete server-sent event of an answer, with its empty line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// The event's bytes.
+    pub bytes: Bytes,
+    /// This is the end marker.
+    pub last: bool,
+}
+
+impl Call {
+    /// Returns the class as metrics show it.
+    pub fn class_label(&self) -> &'static str {
+        match self.class {
+            Class::Online => "online",
+            Class::Batch => "batch",
+        }
+    }
+
+    /// Tells whether the call asks for a slot again when its wait has ended.
+    pub fn may_wait(&self) -> bool {
+        self.class == Class::Batch && !self.cancel.is_cancelled()
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -0,0 +1,242 @@
+//! What all calls of one instance share, and the steps before and after each attempt.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use sesamewall_ports::ListedInstance;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::Decision;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::Slot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_protocol::peer::SlotEnd;
+use sesamewall_schedule::GroupRetries;
+use sesamewall_schedule::RequestBudget;
+use sesamewall_schedule::RetrySettings;
+use tokio_util::sync::CancellationToken;
+
+use super::Call;
+use super::attempt::Failure;
+use super::suspects::Suspects;
+use crate::Node;
+use crate::gate::Placement;
+use crate::gate::RateGate;
+use crate::gate::SlotGate;
+use crate::gate::SlotLease;
+use crate::gate::SlotReport;
+use crate::gate::SlotSink;
+
+/// The account name under which open routes are queued.
+const OPEN_ACCOUNT: &str = "-open-";
+/// A batch item waits this long for a slot before it asks again.
+const BATCH_WAIT_US: u64 = 10_000_000;
+
+/// Runs calls.
+pub struct Executor {
+    /// What all services share.
+    pub node: Arc<Node>,
+    /// Crash marks of requests.
+    pub suspects: Suspects,
+    rate: Arc<dyn RateGate>,
+    slots: Arc<dyn SlotGate>,
+    retries: Mutex<HashMap<String, GroupRetries>>,
+}
+
+/// State of one call over its attempts.
+pub struct Attempts {
+    budget: RequestBudget,
+    exclude: Vec<TargetName>,
+    deadline: Time,
+    isolated: bool,
+    not_before: Time,
+}
+
+/// Does nothing at the end of a forwarded call, whose slot belongs to the other instance.
+struct ForwardSink;
+
+impl SlotSink for ForwardSink {
+    fn report(&self, _: &Slot, _: SlotReport) {}
+}
+
+impl Executor {
+    /// Creates an executor.
+    pub fn new(node: Arc<Node>, rate: Arc<dyn RateGate>, slots: Arc<dyn SlotGate>) -> Self {
+        Self { node, suspects: Suspects::default(), rate, slots, retries: Mutex::default() }
+    }
+
+    /// Starts a call: refuses requests that crash targets, then spends the account's rate.
+    pub async fn start(&self, call: &Call) -> Result<Attempts> {
+        let now = self.node.clock.now();
+        let account = account(call);
+        let clearance = self.suspects.check(&account, &call.digest, now)?;
+        if let (Some(account), false) = (&call.account, call.forwarded) {
+            self.rate.spend(account, call.class).await?;
+            let wait_us = micros(self.node.clock.now().since(now));
+            self.note(call, Decision::RateSpent { wait_us });
+        }
+        self.with_retries(call, GroupRetries::on_request);
+        Ok(Attempts {
+            budget: RequestBudget::new(&RetrySettings::default()),
+            exclude: Vec::new(),
+            deadline: now + std::time::Duration::from_millis(self.node.settings.queue_ms),
+            isolated: clearance.isolated,
+            not_before: clearance.from,
+        })
+    }
+
+    /// Waits for a slot for the next attempt.
+    pub async fn place(&self, call: &Call, attempts: &Attempts, made: u64) -> Result<SlotLease> {
+        // A suspect waits until the marks of other instances have arrived.
+        tokio::time::sleep(attempts.not_before.since(self.node.clock.now())).await;
+        let wait_us = match call.class {
+            Class::Online => micros(attempts.deadline.since(self.node.clock.now())),
+            Class::Batch => BATCH_WAIT_US,
+        };
+        let account = account(call);
+        let weight = self
+            .node
+            .config
+            .current()
+            .account(account.as_str())
+            .map_or(1.0, |account| account.weight);
+        let ask = SlotAsk {
+            request: call.request.clone(),
+            account,
+            weight,
+            class: call.class,
+            model: call.model.clone(),
+            work: call.work,
+            prompt: call.prompt + made,
+            urgent: false,
+            prefix: call.prefix.clone(),
+            wait_us,
+            exclude: attempts.exclude.clone(),
+            isolated: attempts.isolated,
+        };
+        let placement = tokio::select! {
+            () = call.cancel.cancelled() => return Err(Error::ShuttingDown),
+            placement = self.slots.acquire(ask, !call.forwarded) => placement?,
+        };
+        let lease = match placement {
+            Placement::Here(lease) => lease,
+            Placement::Forward(instance) => self.forward(call, &instance),
+        };
+        let slot = &lease.slot;
+        let decision = Decision::SlotGranted {
+            target: slot.target.to_string(),
+            wait_us: slot.wait_us,
+            reason: slot.reason.clone(),
+        };
+        self.note(call, decision);
+        Ok(lease)
+    }
+
+    fn forward(&self, call: &Call, instance: &ListedInstance) -> SlotLease {
+        self.note(call, Decision::Forwarded { instance: instance.name.clone() });
+        let slot = Slot {
+            slot: 0,
+            epoch: 0,
+            request: call.request.clone(),
+            target: TargetName::from(format!("instance {}", instance.name)),
+            address: format!("http://{}", instance.address.forward),
+            reason: format!("own failure domain cannot serve; forwarded to {}", instance.domain),
+            wait_us: 0,
+        };
+        SlotLease::new(slot, CancellationToken::new(), Arc::new(ForwardSink))
+    }
+
+    /// Decides after a failed attempt whether another one follows. `delivered` tells that a part
+    /// of the answer reached the caller and cannot be taken back.
+    pub fn retry(
+        &self,
+        call: &Call,
+        attempts: &mut Attempts,
+        slot: &Slot,
+        failure: Failure,
+        delivered: bool,
+    ) -> Result<()> {
+        let now = self.node.clock.now();
+        let target = slot.target.to_string();
+        let reason = failure.error.to_string();
+        self.note(call, Decision::AttemptFailed { target, reason });
+        if failure.end == SlotEnd::Crashed && slot.epoch > 0 {
+            let instance = &self.node.own.name;
+            self.suspects.crashed(&account(call), &call.digest, slot, instance, now);
+        }
+        let overload = failure.end == SlotEnd::Overloaded;
+        self.with_retries(call, |group| group.on_failure(overload, now));
+        let repeatable = failure.not_run || (call.idempotent && !delivered);
+        if !repeatable || call.cancel.is_cancelled() {
+            return Err(failure.error);
+        }
+        let clearance = self.suspects.check(&account(call), &call.digest, now)?;
+        attempts.isolated = clearance.isolated;
+        attempts.not_before = clearance.from;
+        let allowed = self.with_retries(call, |group| group.try_retry(&mut attempts.budget, now));
+        if allowed.is_err() {
+            return Err(failure.error);
+        }
+        attempts.exclude.push(slot.target.clone());
+        Ok(())
+    }
+
+    /// Notes the end of a call.
+    pub fn finish(&self, call: &Call, attempts: &Attempts, result: &Result<(u16, u64)>) {
+        let class = call.class_label();
+        let code = result.as_ref().map_or_else(Error::code, |_| 0);
+        self.node.metrics.requests.with_label_values(&[class, &code.to_string()]).inc();
+        match result {
+            Ok((status, tokens)) => {
+                if attempts.isolated {
+                    self.suspects.clear(&account(call), &call.digest, self.node.clock.now());
+                }
+                self.note(call, Decision::Completed { status: *status, tokens: *tokens });
+            }
+            Err(error) => self.refuse(call, error),
+        }
+    }
+
+    /// Notes a refusal or failure.
+    pub fn refuse(&self, call: &Call, error: &Error) {
+        let decision = Decision::Refused {
+            code: error.code(),
+            rule: error.rule().to_owned(),
+            numbers: error.numbers(),
+            outcome: error.outcome(),
+        };
+        self.note(call, decision);
+    }
+
+    /// Notes a decision about the call.
+    pub fn note(&self, call: &Call, decision: Decision) {
+        self.node.recorder.note(&call.request, call.account.as_ref(), decision);
+    }
+
+    fn with_retries<T>(&self, call: &Call, apply: impl FnOnce(&mut GroupRetries) -> T) -> T {
+        let mut groups = self.lock_retries();
+        let group = groups
+            .entry(call.model.to_string())
+            .or_insert_with(|| GroupRetries::new(RetrySettings::default()));
+        apply(group)
+    }
+
+    fn lock_retries(&self) -> MutexGuard<'_, HashMap<String, GroupRetries>> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn account(call: &Call) -> AccountName {
+    call.account.clone().unwrap_or_else(|| AccountName::from(OPEN_ACCOUNT))
+}
+
+/// Returns whole microseconds, saturating.
+pub fn micros(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/execute/mod.rs
@@ -0,0 +1,18 @@
+//! Runs accepted requests on targets: attempts, retries, resumed streams and records.
+
+mod attempt;
+mod call;
+mod engine_call;
+mod executor;
+pub mod forward;
+mod item_runner;
+mod plain_call;
+mod sse;
+mod suspects;
+
+pub use call::Call;
+pub use call::Event;
+pub use engine_call::Piece;
+pub use executor::Executor;
+pub use item_runner::BatchItemRunner;
+pub use plain_call::PlainAnswer;
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -1,22 +1,39 @@
 //! The daemon: caller API, operator API, and the wiring of decision modules to adapters.
 
 mod answer;
+mod caller;
 mod config_view;
+mod daemon;
+mod dev;
 mod directory;
+mod execute;
+mod gate;
 mod item;
+mod lead_targets;
+mod lead_view;
+mod main_entry;
+mod membership_service;
 mod metrics;
 mod node;
+mod peer_service;
+mod rate_service;
 mod recorder;
 mod settings;
+mod slot_service;
 
 pub use answer::error_response;
 pub use config_view::ConfigView;
 pub use config_view::ConfigWriter;
+pub use daemon::Instance;
+pub use daemon::Platform;
 pub use directory::Directory;
 pub use item::Caller;
 pub use item::ItemOutcome;
 pub use item::ItemRequest;
 pub use item::ItemRunner;
+pub use lead_view::LeadTerm;
+pub use lead_view::LeadView;
+pub use main_entry::main;
 pub use metrics::Metrics;
 pub use node::Node;
 pub use recorder::Recorder;
--- a/crates/sesamewall-server/src/node.rs
+++ b/crates/sesamewall-server/src/node.rs
@@ -14,6 +14,7 @@
 
 use crate::ConfigView;
 use crate::Directory;
+use crate::LeadView;
 use crate::Metrics;
 use crate::Recorder;
 use crate::Settings;
@@ -40,6 +41,8 @@
     pub config: ConfigView,
     /// Live instances and leads.
     pub directory: Directory,
+    /// The lead lease of this instance.
+    pub lead: LeadView,
     /// Decision records.
     pub recorder: Recorder,
     /// Metrics.
--- /dev/null
+++ b/crates/sesamewall-server/src/rate_service.rs
@@ -0,0 +1,372 @@
+//! Fleet-wide rates: the instance's side, which spends granted tokens, and the lead's side, which
+//! grants them.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_protocol::peer::RateAsk;
+use sesamewall_protocol::peer::RateGrant;
+use sesamewall_protocol::peer::RateMessage;
+use sesamewall_rate::Action;
+use sesamewall_rate::Grantor;
+use sesamewall_rate::GrantorSettings;
+use sesamewall_rate::Holder;
+use sesamewall_rate::HolderSettings;
+use sesamewall_rate::Inherited;
+use sesamewall_rate::Limits;
+use sesamewall_rate::REQUEST;
+use sesamewall_rate::Refusal;
+use sesamewall_rate::SHARE_UNIT;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::Node;
+use crate::gate::RateGate;
+
+const TICK: Duration = Duration::from_millis(5);
+const IDLE_TICK: Duration = Duration::from_millis(200);
+/// Ending of the key under which an account's batch items are counted.
+const BATCH_SUFFIX: &str = "#batch";
+
+type Verdict = std::result::Result<Duration, Refusal>;
+
+struct HolderSide {
+    holder: Holder,
+    tickets: HashMap<u64, oneshot::Sender<Verdict>>,
+    next_ticket: u64,
+    keys: HashSet<AccountName>,
+}
+
+struct LeadSide {
+    epoch: u64,
+    grantor: Grantor,
+    keys: HashSet<AccountName>,
+}
+
+/// Spends and, at the lead, grants tokens.
+pub struct RateService {
+    node: Arc<Node>,
+    own: Mutex<HolderSide>,
+    lead: Mutex<Option<LeadSide>>,
+    wake: Notify,
+}
+
+impl RateService {
+    /// Creates the service.
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        let domains = node.settings.domains.iter().map(|name| DomainName::from(name.as_str()));
+        let holder = Holder::new(
+            HolderSettings::default(),
+            rand::random(),
+            node.own.domain.clone(),
+            domains.collect(),
+        );
+        let own =
+            HolderSide { holder, tickets: HashMap::new(), next_ticket: 0, keys: HashSet::new() };
+        Arc::new(Self { node, own: Mutex::new(own), lead: Mutex::default(), wake: Notify::new() })
+    }
+
+    /// Starts the background tasks.
+    pub fn spawn(self: &Arc<Self>) {
+        let service = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let now = service.node.clock.now();
+                service.tick(now);
+                let busy = service.lock_own().holder.next_wake(now).is_some();
+                let pause = if busy { TICK } else { IDLE_TICK };
+                let _ = tokio::time::timeout(pause, service.wake.notified()).await;
+                if busy {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+        });
+    }
+
+    /// Handles a message of another instance.
+    pub fn handle(&self, message: RateMessage) -> RateMessage {
+        match message {
+            RateMessage::Ask(ask) => RateMessage::Grant(self.grant(&ask)),
+            grant @ RateMessage::Grant(_) => grant,
+        }
+    }
+
+    /// Applies the configuration in force.
+    pub fn configure(&self) {
+        let limits = self.limits();
+        let now = self.node.clock.now();
+        let mut own = self.lock_own();
+        for (key, limits) in &limits {
+            own.holder.set_limits(key, *limits);
+        }
+        let keys: HashSet<AccountName> = limits.iter().map(|(key, _)| key.clone()).collect();
+        let gone: Vec<AccountName> = own.keys.difference(&keys).cloned().collect();
+        for key in gone {
+            let actions = own.holder.remove(&key, now);
+            own.settle(actions);
+        }
+        own.keys = keys;
+        drop(own);
+        if let Some(lead) = self.lock_lead().as_mut() {
+            lead.configure(&limits, now);
+        }
+    }
+
+    /// Sets the floors that this lead inherited from other failure domains.
+    pub fn set_inherited(&self, inherited: Vec<(DomainName, Inherited)>) {
+        let term = self.node.lead.term();
+        if let Some(lead) = self.lock_lead().as_mut() {
+            let now = self.node.clock.now();
+            lead.grantor.set_floor(term.full_until, inherited.into_iter().collect(), now);
+        }
+    }
+
+    /// Hands back unspent tokens before the instance stops.
+    pub fn shut_down(self: &Arc<Self>) {
+        let now = self.node.clock.now();
+        let mut own = self.lock_own();
+        let actions = own.holder.shut_down(now);
+        let asks = own.settle(actions);
+        drop(own);
+        self.send(asks);
+    }
+
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.node.clock.now();
+        let mut lead = self.lock_lead();
+        let levels: Vec<serde_json::Value> = lead.as_mut().map_or_else(Vec::new, |lead| {
+            let mut keys: Vec<AccountName> = lead.keys.iter().cloned().collect();
+            keys.sort();
+            keys.iter()
+                .filter_map(|key| {
+                    let (level, outstanding, largest) = lead.grantor.levels(key, now)?;
+                    Some(serde_json::json!({ "account": key, "level": level,
+                        "outstanding": outstanding, "largest": largest }))
+                })
+                .collect()
+        });
+        let waiting = self.lock_own().tickets.len();
+        serde_json::json!({ "waiting": waiting, "buckets": levels })
+    }
+
+    fn limits(&self) -> Vec<(AccountName, Limits)> {
+        let configuration = self.node.config.current();
+        let revision = configuration.revision();
+        configuration
+            .accounts()
+            .flat_map(|account| {
+                let online = (account.name.clone(), Limits::new(account.online, revision));
+                let batch = account
+                    .batch
+                    .map(|limit| (batch_key(&account.name), Limits::new(limit, revision)));
+                std::iter::once(online).chain(batch)
+            })
+            .collect()
+    }
+
+    fn tick(self: &Arc<Self>, now: Time) {
+        let mut own = self.lock_own();
+        let actions = own.holder.tick(now);
+        let asks = own.settle(actions);
+        drop(own);
+        self.send(asks);
+        self.follow_lease(now);
+    }
+
+    /// Starts or ends the lead's side with the lead lease.
+    fn follow_lease(&self, now: Time) {
+        let term = self.node.lead.valid(now);
+        let mut lead = self.lock_lead();
+        match term {
+            None => *lead = None,
+            Some(term) if lead.as_ref().map(|lead| lead.epoch) != Some(term.epoch) => {
+                let domains = self.node.settings.domains.len().max(1) as u64;
+                let settings = GrantorSettings {
+                    epoch: term.epoch,
+                    share: SHARE_UNIT / domains,
+                    wait: self.node.settings.grant_wait(),
+                    ..GrantorSettings::default()
+                };
+                let grantor = Grantor::new(settings, now);
+                let mut side = LeadSide { epoch: term.epoch, grantor, keys: HashSet::new() };
+                side.configure(&self.limits(), now);
+                *lead = Some(side);
+            }
+            Some(_) => {
+                if let Some(lead) = lead.as_mut() {
+                    lead.grantor.tick(now);
+                }
+            }
+        }
+    }
+
+    fn grant(&self, ask: &RateAsk) -> RateGrant {
+        let now = self.node.clock.now();
+        self.follow_lease(now);
+        let term = self.node.lead.term();
+        match self.lock_lead().as_mut() {
+            Some(lead) => lead.grantor.ask(ask, now, term.valid_until),
+            None => Grantor::new(GrantorSettings::default(), now).ask(ask, now, Time::ZERO),
+        }
+    }
+
+    fn send(self: &Arc<Self>, asks: Vec<(DomainName, RateAsk)>) {
+        for (domain, ask) in asks {
+            let service = self.clone();
+            tokio::spawn(async move { service.ask(domain, ask).await });
+        }
+    }
+
+    async fn ask(self: &Arc<Self>, domain: DomainName, ask: RateAsk) {
+        let account = ask.account.clone();
+        let lead = self.node.directory.lead(&domain);
+        let grant = match lead {
+            Some(lead) if lead.name == self.node.own.name => Some(self.grant(&ask)),
+            Some(lead) => {
+                let message = PeerMessage::Rate(RateMessage::Ask(ask));
+                match self.node.link.exchange(&lead.address, message).await {
+                    Ok(PeerMessage::Rate(RateMessage::Grant(grant))) => Some(grant),
+                    _ => None,
+                }
+            }
+            None => None,
+        };
+        let now = self.node.clock.now();
+        let mut own = self.lock_own();
+        let actions = match grant {
+            Some(grant) => own.holder.on_grant(&domain, &grant, now),
+            None => own.holder.on_lead_unreachable(&domain, &account, now),
+        };
+        let asks = own.settle(actions);
+        drop(own);
+        self.send(asks);
+    }
+
+    fn lock_own(&self) -> MutexGuard<'_, HolderSide> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_lead(&self) -> MutexGuard<'_, Option<LeadSide>> {
+        self.lead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HolderSide {
+    /// Answers the decided tickets and returns the asks to send.
+    fn settle(&mut self, actions: Vec<Action>) -> Vec<(DomainName, RateAsk)> {
+        let mut asks = Vec::new();
+        for action in actions {
+            match action {
+                Action::Ask { lead, ask } => asks.push((lead, ask)),
+                Action::Spent { ticket, waited } => self.answer(ticket, Ok(waited)),
+                Action::Refused { ticket, refusal } => self.answer(ticket, Err(refusal)),
+            }
+        }
+        asks
+    }
+
+    fn answer(&mut self, ticket: u64, verdict: Verdict) {
+        if let Some(sender) = self.tickets.remove(&ticket) {
+            // The caller may have disconnected; its token is spent all the same.
+            let _ = sender.send(verdict);
+        }
+    }
+}
+
+impl LeadSide {
+    fn configure(&mut self, limits: &[(AccountName, Limits)], now: Time) {
+        let keys: HashSet<AccountName> = limits.iter().map(|(key, _)| key.clone()).collect();
+        for gone in self.keys.difference(&keys) {
+            self.grantor.remove(gone);
+        }
+        for (key, limits) in limits {
+            self.grantor.set_limits(key, *limits, now);
+        }
+        self.keys = keys;
+    }
+}
+
+fn batch_key(account: &AccountName) -> AccountName {
+    AccountName::from(format!("{account}{BATCH_SUFFIX}"))
+}
+
+fn refused(account: &AccountName, refusal: &Refusal) -> Error {
+    let mut numbers = vec![
+        ("rate_per_second".to_owned(), refusal.limits.rate as f64 / 1e6),
+        ("burst".to_owned(), refusal.limits.burst as f64 / REQUEST as f64),
+    ];
+    let levels = refusal
+        .levels
+        .iter()
+        .map(|(domain, level)| (format!("level_{domain}"), *level as f64 / REQUEST as f64));
+    numbers.extend(levels);
+    numbers.extend(refusal.unreachable.iter().map(|domain| (format!("unreachable_{domain}"), 1.0)));
+    let account = account.to_string();
+    match refusal.levels.len() <= refusal.unreachable.len() {
+        true => Error::RateUnavailable { account, numbers },
+        false => Error::RateExceeded { account, retry_ms: refusal.retry_ms, numbers },
+    }
+}
+
+#[async_trait]
+impl RateGate for Arc<RateService> {
+    async fn spend(&self, account: &AccountName, class: Class) -> Result<()> {
+        let key = match class {
+            Class::Online => account.clone(),
+            Class::Batch => batch_key(account),
+        };
+        loop {
+            let (sender, receiver) = oneshot::channel();
+            let asks = {
+                let mut own = self.lock_own();
+                let ticket = own.next_ticket;
+                own.next_ticket += 1;
+                own.tickets.insert(ticket, sender);
+                let now = self.node.clock.now();
+                match own.holder.request(&key, ticket, now) {
+                    Some(actions) => own.settle(actions),
+                    None => {
+                        own.tickets.remove(&ticket);
+                        // Batch items without a rate of their own are limited by fair share alone.
+                        return match class {
+                            Class::Batch => Ok(()),
+                            Class::Online => Err(Error::RateUnavailable {
+                                account: account.to_string(),
+                                numbers: Vec::new(),
+                            }),
+                        };
+                    }
+                }
+            };
+            self.send(asks);
+            self.wake.notify_one();
+            match (receiver.await, class) {
+                (Ok(Ok(_)), _) => return Ok(()),
+                // A batch item waits for its token; its job was accepted already.
+                (Ok(Err(refusal)), Class::Batch) => {
+                    let pause = refusal.retry_ms.clamp(10, 1000);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                }
+                (Ok(Err(refusal)), Class::Online) => return Err(refused(account, &refusal)),
+                (Err(_), _) => {
+                    let detail = "rate decision was dropped".to_owned();
+                    return Err(Error::Internal { detail });
+                }
+            }
+        }
+    }
+}
--- a/crates/sesamewall-server/src/settings.rs
+++ b/crates/sesamewall-server/src/settings.rs
@@ -1,9 +1,11 @@
 //! Settings of the daemon, read from a TOML file.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use sesamewall_rate::GRANT_WAIT;
 
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,3 +68,32 @@
         }
     }
 }
+
+impl Settings {
+    /// Returns the time for which a new lead grants no rate tokens: with a single instance and its
+    /// embedded store there are no earlier grants to wait for.
+    pub fn grant_wait(&self) -> Duration {
+        match self.platform_url.is_empty() {
+            true => Duration::ZERO,
+            false => GRANT_WAIT,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::SettingsInvalid` with file, line and key.
+    pub fn load(file: &str) -> sesamewall_protocol::Result<Self> {
+        let failed = |detail: String| sesamewall_protocol::Error::SettingsInvalid {
+            file: file.to_owned(),
+            line: 0,
+            key: String::new(),
+            detail,
+        };
+        let text = std::fs::read_to_string(file).map_err(|error| failed(error.to_string()))?;
+        toml::from_str(&text).map_err(|error| failed(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -0,0 +1,485 @@
+//! Slots on targets: the instance's side, which asks and reports, and the lead's side, which runs
+//! the scheduler of the failure domain.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use sesamewall_ports::ListedInstance;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::DomainMode;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::Numbers;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::peer::HeldSlot;
+use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_protocol::peer::ScheduleMessage;
+use sesamewall_protocol::peer::Slot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_protocol::peer::SlotDone;
+use sesamewall_protocol::peer::SlotEnd;
+use sesamewall_schedule::Action;
+use sesamewall_schedule::Scheduler;
+use sesamewall_schedule::Settings as ScheduleSettings;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::Node;
+use crate::gate::Placement;
+use crate::gate::SlotGate;
+use crate::gate::SlotLease;
+use crate::gate::SlotReport;
+use crate::gate::SlotSink;
+use crate::lead_targets;
+
+const TICK: Duration = Duration::from_millis(25);
+/// Pause before a lead that did not answer is asked again.
+const LEAD_PAUSE: Duration = Duration::from_millis(100);
+/// Period in which an instance reports all its slots, which repairs lost reports.
+const SYNC_PERIOD: Duration = Duration::from_secs(2);
+const REPORT_TRIES: u32 = 3;
+
+/// Result codes by which the own failure domain says that it cannot serve.
+const CANNOT_SERVE: [u16; 3] = [4001, 4003, 8003];
+
+type SlotKey = (u64, u64);
+
+struct Held {
+    slot: HeldSlot,
+    yielded: CancellationToken,
+}
+
+struct LeadSide {
+    epoch: u64,
+    scheduler: Scheduler,
+    waiting: HashMap<RequestId, oneshot::Sender<ScheduleMessage>>,
+}
+
+/// Asks for slots and, at the lead, grants them.
+pub struct SlotService {
+    node: Arc<Node>,
+    held: Mutex<HashMap<SlotKey, Held>>,
+    lead: Mutex<Option<LeadSide>>,
+}
+
+impl SlotService {
+    /// Creates the service.
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        Arc::new(Self { node, held: Mutex::default(), lead: Mutex::default() })
+    }
+
+    /// Starts the background tasks.
+    pub fn spawn(self: &Arc<Self>) {
+        let service = self.clone();
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(TICK);
+            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            let mut last_sync = service.node.clock.now();
+            loop {
+                ticks.tick().await;
+                service.tick();
+                let now = service.node.clock.now();
+                if now.since(last_sync) >= SYNC_PERIOD {
+                    last_sync = now;
+                    service.clone().sync();
+                }
+            }
+        });
+    }
+
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.node.clock.now();
+        let held = self.lock_held().len();
+        let lead = self.lock_lead();
+        let targets: Vec<String> = lead.as_ref().map_or_else(Vec::new, |lead| {
+            lead.scheduler.targets(now).iter().map(|view| format!("{view:?}")).collect()
+        });
+        let outstanding = lead.as_ref().map(|lead| lead.scheduler.outstanding());
+        serde_json::json!({ "held": held, "outstanding": outstanding, "targets": targets })
+    }
+
+    /// Handles a message of another instance.
+    pub async fn handle(
+        self: &Arc<Self>,
+        from: InstanceName,
+        message: ScheduleMessage,
+    ) -> ScheduleMessage {
+        match message {
+            ScheduleMessage::Ask(ask) => self.ask_here(ask, &from).await,
+            ScheduleMessage::Done(done) => {
+                self.at_lead(|lead, now| lead.scheduler.on_done(&done, now));
+                ScheduleMessage::Ack
+            }
+            ScheduleMessage::Cancel { request } => {
+                self.at_lead(|lead, now| {
+                    lead.waiting.remove(&request);
+                    lead.scheduler.on_cancel(&request, now)
+                });
+                ScheduleMessage::Ack
+            }
+            ScheduleMessage::Held(held) => {
+                self.at_lead(|lead, now| lead.scheduler.on_sync(&from, &held, now));
+                ScheduleMessage::Ack
+            }
+            ScheduleMessage::Sync => ScheduleMessage::Held(self.held_slots()),
+            ScheduleMessage::Yield { slot, epoch } => {
+                self.yield_slot(slot, epoch);
+                ScheduleMessage::Ack
+            }
+            ScheduleMessage::Cache(hint) => {
+                self.at_lead(|lead, _| {
+                    lead.scheduler.on_hint(&hint);
+                    Vec::new()
+                });
+                ScheduleMessage::Ack
+            }
+            _ => ScheduleMessage::Ack,
+        }
+    }
+
+    /// Tells the scheduler that an instance of the failure domain is lost.
+    pub fn instance_lost(self: &Arc<Self>, instance: &InstanceName) {
+        self.at_lead(|lead, now| lead.scheduler.on_instance_lost(instance, now));
+    }
+
+    /// Applies the configuration in force.
+    pub fn configure(self: &Arc<Self>) {
+        let configuration = self.node.config.current();
+        let config = lead_targets::targets_of(&configuration, &self.node.own.domain);
+        self.at_lead(|lead, now| lead.scheduler.on_config(&config, now));
+    }
+
+    async fn ask_here(self: &Arc<Self>, ask: SlotAsk, from: &InstanceName) -> ScheduleMessage {
+        let request = ask.request.clone();
+        let (sender, receiver) = oneshot::channel();
+        let known = self.at_lead(|lead, now| {
+            lead.waiting.insert(request.clone(), sender);
+            lead.scheduler.on_ask(ask, from, now)
+        });
+        match (known, receiver.await) {
+            (true, Ok(answer)) => answer,
+            _ => ScheduleMessage::Denied { request, code: 8003, numbers: Vec::new() },
+        }
+    }
+
+    /// Applies `decide` at the lead's side and carries out its actions. Returns false if this
+    /// instance is not lead.
+    fn at_lead(
+        self: &Arc<Self>,
+        decide: impl FnOnce(&mut LeadSide, sesamewall_protocol::Time) -> Vec<Action>,
+    ) -> bool {
+        let now = self.node.clock.now();
+        let mut guard = self.lock_lead();
+        let Some(lead) = guard.as_mut() else { return false };
+        lead.scheduler.set_valid_until(self.node.lead.term().valid_until);
+        let mut actions = decide(lead, now);
+        while let Some(action) = actions.pop() {
+            actions.extend(self.act(lead, action, now));
+        }
+        true
+    }
+
+    fn act(
+        self: &Arc<Self>,
+        lead: &mut LeadSide,
+        action: Action,
+        now: sesamewall_protocol::Time,
+    ) -> Vec<Action> {
+        match action {
+            Action::Grant { slot, .. } => {
+                let sender = lead.waiting.remove(&slot.request);
+                let unsent = match sender {
+                    Some(sender) => sender.send(ScheduleMessage::Slot(slot)).err(),
+                    None => Some(ScheduleMessage::Slot(slot)),
+                };
+                // The asking instance has withdrawn, so the slot is returned at once.
+                match unsent {
+                    Some(ScheduleMessage::Slot(slot)) => {
+                        let report =
+                            SlotReport { end: SlotEnd::Cancelled, first_token_us: None, work: 0 };
+                        lead.scheduler.on_done(&done(&slot, report), now)
+                    }
+                    _ => Vec::new(),
+                }
+            }
+            Action::Deny { request, code, numbers, .. } => {
+                if let Some(sender) = lead.waiting.remove(&request) {
+                    let _ = sender.send(ScheduleMessage::Denied { request, code, numbers });
+                }
+                Vec::new()
+            }
+            Action::Yield { to, slot, epoch, .. } => {
+                if to == self.node.own.name {
+                    self.yield_slot(slot, epoch);
+                } else if let Some(peer) = self.node.directory.find(&to) {
+                    self.send(peer, ScheduleMessage::Yield { slot, epoch }, 1);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    fn tick(self: &Arc<Self>) {
+        let now = self.node.clock.now();
+        let term = self.node.lead.valid(now);
+        let epoch = self.lock_lead().as_ref().map(|lead| lead.epoch);
+        match term {
+            None if epoch.is_some() => *self.lock_lead() = None,
+            None => {}
+            Some(term) if epoch != Some(term.epoch) => self.take_over(term.epoch),
+            Some(_) => {
+                self.at_lead(|lead, now| lead.scheduler.on_tick(now));
+            }
+        }
+    }
+
+    fn take_over(self: &Arc<Self>, epoch: u64) {
+        let now = self.node.clock.now();
+        let domain = &self.node.own.domain;
+        let instances: Vec<InstanceName> = self
+            .node
+            .directory
+            .instances()
+            .into_iter()
+            .filter(|instance| instance.domain == *domain)
+            .map(|instance| instance.name)
+            .collect();
+        let scheduler = Scheduler::new(ScheduleSettings::default(), epoch, instances.clone(), now);
+        *self.lock_lead() = Some(LeadSide { epoch, scheduler, waiting: HashMap::new() });
+        self.configure();
+        for name in instances {
+            let service = self.clone();
+            tokio::spawn(async move { service.ask_held(&name).await });
+        }
+    }
+
+    /// Asks an instance for the slots that earlier leads granted to it.
+    async fn ask_held(self: &Arc<Self>, name: &InstanceName) {
+        if *name == self.node.own.name {
+            let held = self.held_slots();
+            self.at_lead(|lead, now| lead.scheduler.on_sync(name, &held, now));
+            return;
+        }
+        let Some(peer) = self.node.directory.find(name) else { return };
+        let message = PeerMessage::Schedule(ScheduleMessage::Sync);
+        let reply = self.node.link.exchange(&peer.address, message).await;
+        if let Ok(PeerMessage::Schedule(ScheduleMessage::Held(held))) = reply {
+            self.at_lead(|lead, now| lead.scheduler.on_sync(name, &held, now));
+        }
+    }
+
+    /// Reports all slots to the lead.
+    fn sync(self: Arc<Self>) {
+        let Some(lead) = self.node.directory.lead(&self.node.own.domain) else { return };
+        let held = self.held_slots();
+        if lead.name == self.node.own.name {
+            self.at_lead(|side, now| side.scheduler.on_sync(&lead.name, &held, now));
+        } else {
+            self.send(lead, ScheduleMessage::Held(held), 1);
+        }
+    }
+
+    fn held_slots(&self) -> Vec<HeldSlot> {
+        self.lock_held().values().map(|held| held.slot.clone()).collect()
+    }
+
+    fn yield_slot(&self, slot: u64, epoch: u64) {
+        if let Some(held) = self.lock_held().get(&(epoch, slot)) {
+            held.yielded.cancel();
+        }
+    }
+
+    fn send(self: &Arc<Self>, peer: ListedInstance, message: ScheduleMessage, tries: u32) {
+        let link = self.node.link.clone();
+        tokio::spawn(async move {
+            for _ in 0..tries {
+                let message = PeerMessage::Schedule(message.clone());
+                if link.exchange(&peer.address, message).await.is_ok() {
+                    return;
+                }
+                tokio::time::sleep(LEAD_PAUSE).await;
+            }
+        });
+    }
+
+    async fn ask_lead(self: &Arc<Self>, ask: &SlotAsk) -> Result<ScheduleMessage> {
+        let domain = &self.node.own.domain;
+        let Some(lead) = self.node.directory.lead(domain) else {
+            return Err(Error::NotLead { domain: domain.to_string() });
+        };
+        let withdrawal = Withdrawal::new(self.clone(), lead.clone(), ask.request.clone());
+        let reply = if lead.name == self.node.own.name {
+            Ok(self.ask_here(ask.clone(), &lead.name).await)
+        } else {
+            let message = PeerMessage::Schedule(ScheduleMessage::Ask(ask.clone()));
+            match self.node.link.exchange(&lead.address, message).await {
+                Ok(PeerMessage::Schedule(reply)) => Ok(reply),
+                Ok(_) => Err(Error::NotLead { domain: domain.to_string() }),
+                Err(error) => Err(error),
+            }
+        };
+        if reply.is_ok() {
+            withdrawal.disarm();
+        }
+        reply
+    }
+
+    fn lease(self: &Arc<Self>, slot: Slot, ask: &SlotAsk) -> SlotLease {
+        let yielded = CancellationToken::new();
+        let held = HeldSlot {
+            slot: slot.slot,
+            epoch: slot.epoch,
+            request: slot.request.clone(),
+            account: ask.account.clone(),
+            class: ask.class,
+            model: ask.model.clone(),
+            target: slot.target.clone(),
+            work: ask.work,
+            prompt: ask.prompt,
+            isolated: ask.isolated,
+        };
+        let entry = Held { slot: held, yielded: yielded.clone() };
+        self.lock_held().insert((slot.epoch, slot.slot), entry);
+        SlotLease::new(slot, yielded, Arc::new(self.clone()))
+    }
+
+    /// Returns an instance of another failure domain that can serve the model.
+    fn elsewhere(&self, model: &ModelName) -> Option<ListedInstance> {
+        let configuration = self.node.config.current();
+        let group = configuration
+            .group_for_model(model.as_str())
+            .or_else(|| configuration.group(model.as_str()))?;
+        let own = &self.node.own.domain;
+        let serves = |instance: &ListedInstance| {
+            instance.domain != *own
+                && configuration.domain_mode(instance.domain.as_str()) == DomainMode::In
+                && group
+                    .targets
+                    .iter()
+                    .any(|target| target.domain == instance.domain && !target.leaving)
+        };
+        let candidates: Vec<ListedInstance> =
+            self.node.directory.instances().into_iter().filter(serves).collect();
+        let with_lead: Vec<&ListedInstance> = candidates
+            .iter()
+            .filter(|instance| self.node.directory.lead(&instance.domain).is_some())
+            .collect();
+        let index = rand::random_range(0..with_lead.len().max(1));
+        with_lead.get(index).copied().cloned()
+    }
+
+    fn lock_held(&self) -> MutexGuard<'_, HashMap<SlotKey, Held>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_lead(&self) -> MutexGuard<'_, Option<LeadSide>> {
+        self.lead.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Withdraws an ask at the lead when the asking future is dropped.
+struct Withdrawal {
+    service: Arc<SlotService>,
+    lead: ListedInstance,
+    request: Option<RequestId>,
+}
+
+impl Withdrawal {
+    fn new(service: Arc<SlotService>, lead: ListedInstance, request: RequestId) -> Self {
+        Self { service, lead, request: Some(request) }
+    }
+
+    fn disarm(mut self) {
+        self.request = None;
+    }
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        let Some(request) = self.request.take() else { return };
+        if self.lead.name != self.service.node.own.name {
+            self.service.send(self.lead.clone(), ScheduleMessage::Cancel { request }, 1);
+            return;
+        }
+        self.service.at_lead(|lead, now| {
+            lead.waiting.remove(&request);
+            lead.scheduler.on_cancel(&request, now)
+        });
+    }
+}
+
+#[async_trait]
+impl SlotGate for Arc<SlotService> {
+    async fn acquire(&self, ask: SlotAsk, may_forward: bool) -> Result<Placement> {
+        let start = self.node.clock.now();
+        let limit = Duration::from_micros(ask.wait_us);
+        loop {
+            let configuration = self.node.config.current();
+            let out = configuration.domain_mode(self.node.own.domain.as_str()) == DomainMode::Out;
+            let refusal = match self.ask_lead(&ask).await {
+                Ok(ScheduleMessage::Slot(slot)) => {
+                    return Ok(Placement::Here(self.lease(slot, &ask)));
+                }
+                Ok(ScheduleMessage::Denied { code, numbers, .. }) => Some((code, numbers)),
+                Ok(_) | Err(_) => None,
+            };
+            let code = refusal.as_ref().map_or(8003, |(code, _)| *code);
+            let unable = CANNOT_SERVE.contains(&code);
+            if unable
+                && may_forward
+                && let Some(instance) = self.elsewhere(&ask.model)
+            {
+                return Ok(Placement::Forward(instance));
+            }
+            let waited = self.node.clock.now().since(start);
+            // A missing lead is replaced within seconds; all else is the lead's decision.
+            if code != 8003 || out || waited >= limit {
+                return Err(refused(&ask, code, refusal.map(|(_, numbers)| numbers)));
+            }
+            tokio::time::sleep(LEAD_PAUSE).await;
+        }
+    }
+}
+
+fn refused(ask: &SlotAsk, code: u16, numbers: Option<Numbers>) -> Error {
+    let model = ask.model.to_string();
+    let numbers = numbers.unwrap_or_default();
+    match code {
+        4001 => Error::QueueFull { model, numbers },
+        4002 => Error::QueueTimeout { model, numbers },
+        _ if ask.class == Class::Batch => Error::QueueTimeout { model, numbers },
+        _ => Error::NoTarget { model },
+    }
+}
+
+fn done(slot: &Slot, report: SlotReport) -> SlotDone {
+    SlotDone {
+        slot: slot.slot,
+        epoch: slot.epoch,
+        target: slot.target.clone(),
+        end: report.end,
+        first_token_us: report.first_token_us,
+        work: report.work,
+    }
+}
+
+impl SlotSink for Arc<SlotService> {
+    fn report(&self, slot: &Slot, report: SlotReport) {
+        self.lock_held().remove(&(slot.epoch, slot.slot));
+        let done = done(slot, report);
+        let Some(lead) = self.node.directory.lead(&self.node.own.domain) else { return };
+        if lead.name == self.node.own.name {
+            self.at_lead(|side, now| side.scheduler.on_done(&done, now));
+        } else {
+            self.send(lead, ScheduleMessage::Done(done), REPORT_TRIES);
+        }
+    }
+}
--- a/src/bin/sesamewalld.rs
+++ b/src/bin/sesamewalld.rs
@@ -1,3 +1,8 @@
 //! Entry point of `sesamewalld`.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    sesamewall_server::main().await
+}
