--- a/crates/sesamewall-protocol/src/peer/schedule.rs
+++ b/crates/sesamewall-protocol/src/peer/schedule.rs
@@ -18,6 +18,8 @@
     Slot(Slot),
     /// Denies a slot.
     Denied {
+        /// The request.
+        request: RequestId,
         /// Numbered result code.
         code: u16,
         /// The numbers that the rule saw.
@@ -29,7 +31,22 @@
     Yield {
         /// Number of the slot to give back.
         slot: u64,
+        /// Epoch of the lead that granted the slot.
+        epoch: u64,
     },
+    /// Withdraws an ask that still waits, since the caller disconnected.
+    Cancel {
+        /// The request.
+        request: RequestId,
+    },
+    /// Asks an instance for all slots that it holds.
+    Sync,
+    /// Reports all slots that an instance holds, whichever lead granted them.
+    Held(Vec<HeldSlot>),
+    /// Reports blocks that a target's prefix cache gained and lost.
+    Cache(CacheHint),
+    /// Passes on crash marks of poison requests.
+    Marks(Vec<CrashMark>),
     /// Acknowledges a message that needs no other answer.
     Ack,
 }
@@ -49,6 +66,13 @@
     pub model: ModelName,
     /// Expected work in tokens: prompt plus output.
     pub work: u64,
+    /// Prompt tokens, including kept output tokens of a resumed stream; a cancelled stream computes
+    /// these again.
+    #[serde(default)]
+    pub prompt: u64,
+    /// The batch item is past its latest start time; it goes before other batch work.
+    #[serde(default)]
+    pub urgent: bool,
     /// Hashes of the prompt's prefix blocks, longest prefix last.
     pub prefix: Vec<u64>,
     /// Microseconds from now until the request is refused if it still waits.
@@ -115,3 +139,58 @@
     /// The caller or the scheduler cancelled it.
     Cancelled,
 }
+
+/// A slot that an instance holds, as it reports it to a lead.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeldSlot {
+    /// The slot.
+    pub slot: u64,
+    /// Epoch of the lead that granted it.
+    pub epoch: u64,
+    /// The request.
+    pub request: RequestId,
+    /// The client account.
+    pub account: AccountName,
+    /// Service class.
+    pub class: Class,
+    /// The model or service.
+    pub model: ModelName,
+    /// The target.
+    pub target: TargetName,
+    /// Expected work in tokens.
+    pub work: u64,
+    /// Prompt tokens.
+    pub prompt: u64,
+    /// The request runs alone on the target.
+    pub isolated: bool,
+}
+
+/// Changes of a target's prefix cache. Hints arrive late and can be missing.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CacheHint {
+    /// The target.
+    pub target: TargetName,
+    /// Number of the event, rising by one at the target; a jump shows a gap.
+    pub sequence: u64,
+    /// Hashes of blocks now cached.
+    pub added: Vec<u64>,
+    /// Hashes of blocks no longer cached.
+    pub removed: Vec<u64>,
+}
+
+/// Tells that a request was running at a target's crash.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashMark {
+    /// The client account.
+    pub account: AccountName,
+    /// SHA-256 of the request body, in hex.
+    pub body: String,
+    /// Unique name of the attempt that crashed, the same in every copy of the mark.
+    pub attempt: String,
+    /// The target that crashed.
+    pub target: TargetName,
+    /// Microseconds since the crash.
+    pub age_us: u64,
+    /// The request later completed alone, so the mark no longer counts.
+    pub cleared: bool,
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/src/fair_queue.rs
@@ -0,0 +1,322 @@
+//! Orders waiting requests by account with start-time fair queueing.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Time;
+
+/// Virtual time of one token at weight 1, so that weights keep their precision in integers.
+const TOKEN_SCALE: f64 = 1024.0;
+/// Entries of one account that are examined when its first ones cannot be served, which bounds the
+/// cost of one decision.
+const MAX_LOOK: usize = 8;
+const MIN_PRUNE: usize = 1024;
+
+/// Order of service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// By virtual start time of the account.
+    Fair,
+    /// By arrival; the baseline of experiments.
+    Arrival,
+}
+
+/// Settings of a queue.
+#[derive(Clone, Debug)]
+pub struct QueueSettings {
+    /// Order of service.
+    pub order: Order,
+    /// Largest number of entries.
+    pub max_entries: usize,
+    /// Largest waiting work in seconds of the measured service rate.
+    pub max_seconds: f64,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self { order: Order::Fair, max_entries: 1024, max_seconds: 4.0 }
+    }
+}
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub struct Entry<T> {
+    /// The request.
+    pub request: RequestId,
+    /// The client account.
+    pub account: AccountName,
+    /// Weight of the account.
+    pub weight: f64,
+    /// Expected work in tokens.
+    pub work: u64,
+    /// Goes before other entries of its account.
+    pub urgent: bool,
+    /// Arrival.
+    pub arrived: Time,
+    /// End of the wait.
+    pub deadline: Time,
+    /// What the caller stores with the entry.
+    pub item: T,
+}
+
+#[derive(Debug)]
+struct Backlog<T> {
+    tag: u128,
+    order: u128,
+    weight: f64,
+    work: u64,
+    entries: VecDeque<Entry<T>>,
+}
+
+/// Holds the waiting requests of one class and model. The account with the smallest virtual start
+/// time is served first (P. Goyal, H. Vin and H. Cheng, "Start-time Fair Queuing: A Scheduling
+/// Algorithm for Integrated Services Packet Switching Networks", SIGCOMM 1996). Work is counted in
+/// tokens.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    settings: QueueSettings,
+    accounts: HashMap<AccountName, Backlog<T>>,
+    order: BTreeSet<(u128, AccountName)>,
+    owners: HashMap<RequestId, AccountName>,
+    clock: u128,
+    work: u64,
+    rate: Option<f64>,
+    sampled: Time,
+    busy_us: u64,
+    served: u64,
+    prune_at: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            accounts: HashMap::new(),
+            order: BTreeSet::new(),
+            owners: HashMap::new(),
+            clock: 0,
+            work: 0,
+            rate: None,
+            sampled: Time::ZERO,
+            busy_us: 0,
+            served: 0,
+            prune_at: MIN_PRUNE,
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// Tells whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.owners.is_empty()
+    }
+
+    /// Tells whether `request` waits.
+    pub fn contains(&self, request: &RequestId) -> bool {
+        self.owners.contains_key(request)
+    }
+
+    /// Returns the waiting work in tokens.
+    pub fn work(&self) -> u64 {
+        self.work
+    }
+
+    /// Returns the measured service rate in tokens a second, once the queue was busy for a second.
+    pub fn rate(&self) -> Option<f64> {
+        self.rate
+    }
+
+    /// Iterates over the waiting requests in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry<T>> {
+        self.accounts.values().flat_map(|backlog| backlog.entries.iter())
+    }
+
+    /// Adds a request. Returns the entries that were refused to keep the bound: the newest ones of
+    /// the account with the largest backlog relative to its weight, possibly `entry` itself.
+    pub fn push(&mut self, entry: Entry<T>, now: Time) -> Vec<Entry<T>> {
+        self.measure(now);
+        self.prune();
+        let clock = self.clock;
+        let account = entry.account.clone();
+        self.owners.insert(entry.request.clone(), account.clone());
+        self.work += entry.work;
+        let backlog = self.accounts.entry(account.clone()).or_insert_with(|| Backlog {
+            tag: 0,
+            order: 0,
+            weight: 1.0,
+            work: 0,
+            entries: VecDeque::new(),
+        });
+        backlog.weight = if entry.weight.is_finite() { entry.weight.clamp(1e-3, 1e6) } else { 1.0 };
+        backlog.work += entry.work;
+        let idle = backlog.entries.is_empty();
+        if entry.urgent {
+            let place = backlog.entries.iter().take_while(|other| other.urgent).count();
+            backlog.entries.insert(place, entry);
+        } else {
+            backlog.entries.push_back(entry);
+        }
+        if idle {
+            backlog.tag = backlog.tag.max(clock);
+            self.enlist(&account);
+        }
+        let mut refused = Vec::new();
+        while self.is_over() {
+            match self.refuse() {
+                Some(entry) => refused.push(entry),
+                None => break,
+            }
+        }
+        refused
+    }
+
+    /// Removes and returns the next request that `serves` accepts.
+    pub fn pop(
+        &mut self,
+        now: Time,
+        mut serves: impl FnMut(&Entry<T>) -> bool,
+    ) -> Option<Entry<T>> {
+        self.measure(now);
+        let (account, index) = self.order.iter().find_map(|(_, account)| {
+            let entries = &self.accounts.get(account)?.entries;
+            let index = entries.iter().take(MAX_LOOK).position(&mut serves)?;
+            Some((account.clone(), index))
+        })?;
+        let tag = self.accounts.get(&account)?.tag;
+        self.clock = self.clock.max(tag);
+        let entry = self.take(&account, index, true)?;
+        self.served += entry.work;
+        Some(entry)
+    }
+
+    /// Removes a request that timed out or whose caller disconnected.
+    pub fn remove(&mut self, request: &RequestId, now: Time) -> Option<Entry<T>> {
+        self.measure(now);
+        let account = self.owners.get(request)?.clone();
+        let entries = &self.accounts.get(&account)?.entries;
+        let index = entries.iter().position(|entry| &entry.request == request)?;
+        self.take(&account, index, false)
+    }
+
+    /// Removes and returns all requests for which `gone` returns true.
+    pub fn remove_where(&mut self, now: Time, gone: impl Fn(&Entry<T>) -> bool) -> Vec<Entry<T>> {
+        let mut names: Vec<_> =
+            self.iter().filter(|entry| gone(entry)).map(|entry| entry.request.clone()).collect();
+        names.sort();
+        names.iter().filter_map(|request| self.remove(request, now)).collect()
+    }
+
+    /// Corrects the account's service when a request of `expected` tokens in fact used `real`.
+    pub fn correct(&mut self, account: &AccountName, expected: u64, real: u64) {
+        let Some(backlog) = self.accounts.get_mut(account) else { return };
+        let weight = backlog.weight;
+        let listed = !backlog.entries.is_empty();
+        if listed {
+            self.order.remove(&(backlog.order, account.clone()));
+        }
+        if real >= expected {
+            backlog.tag += cost(real - expected, weight);
+        } else {
+            backlog.tag = backlog.tag.saturating_sub(cost(expected - real, weight));
+        }
+        if listed {
+            self.enlist(account);
+        }
+    }
+
+    fn enlist(&mut self, account: &AccountName) {
+        let Some(backlog) = self.accounts.get_mut(account) else { return };
+        backlog.order = match (self.settings.order, backlog.entries.front()) {
+            (Order::Arrival, Some(entry)) => u128::from(entry.arrived.as_micros()),
+            _ => backlog.tag,
+        };
+        self.order.insert((backlog.order, account.clone()));
+    }
+
+    fn take(&mut self, account: &AccountName, index: usize, served: bool) -> Option<Entry<T>> {
+        let backlog = self.accounts.get_mut(account)?;
+        self.order.remove(&(backlog.order, account.clone()));
+        let entry = backlog.entries.remove(index)?;
+        backlog.work -= entry.work;
+        self.work -= entry.work;
+        self.owners.remove(&entry.request);
+        if served {
+            backlog.tag += cost(entry.work, backlog.weight);
+        }
+        if !backlog.entries.is_empty() {
+            self.enlist(account);
+        }
+        Some(entry)
+    }
+
+    fn is_over(&self) -> bool {
+        let seconds = self.rate.is_some_and(|rate| {
+            self.len() > 1 && self.work as f64 > rate * self.settings.max_seconds
+        });
+        self.len() > self.settings.max_entries || seconds
+    }
+
+    fn refuse(&mut self) -> Option<Entry<T>> {
+        if self.settings.order == Order::Arrival {
+            let newest = self.iter().max_by_key(|entry| (entry.arrived, entry.request.clone()))?;
+            let request = newest.request.clone();
+            let account = self.owners.get(&request)?.clone();
+            let entries = &self.accounts.get(&account)?.entries;
+            let index = entries.iter().position(|entry| entry.request == request)?;
+            return self.take(&account, index, false);
+        }
+        let (account, _) = self
+            .order
+            .iter()
+            .filter_map(|(_, account)| {
+                let backlog = self.accounts.get(account)?;
+                Some((account, backlog.work as f64 / backlog.weight))
+            })
+            .max_by(|left, right| left.1.total_cmp(&right.1).then(left.0.cmp(right.0)))?;
+        let account = account.clone();
+        let last = self.accounts.get(&account)?.entries.len().checked_sub(1)?;
+        self.take(&account, last, false)
+    }
+
+    /// Measures the service rate over the time in which something waited, since the rate of an idle
+    /// queue says nothing about what the targets can serve.
+    fn measure(&mut self, now: Time) {
+        let elapsed = now.since(self.sampled).as_micros() as u64;
+        self.sampled = now;
+        if self.is_empty() {
+            self.busy_us = 0;
+            self.served = 0;
+            return;
+        }
+        self.busy_us += elapsed;
+        if self.busy_us >= 1_000_000 {
+            let sample = self.served as f64 * 1e6 / self.busy_us as f64;
+            // A second without any service is a stall of the targets, not their rate.
+            if sample > 0.0 {
+                self.rate = Some(self.rate.map_or(sample, |rate| rate + 0.5 * (sample - rate)));
+            }
+            self.busy_us = 0;
+            self.served = 0;
+        }
+    }
+
+    fn prune(&mut self) {
+        if self.accounts.len() < self.prune_at {
+            return;
+        }
+        let clock = self.clock;
+        self.accounts.retain(|_, backlog| !backlog.entries.is_empty() || backlog.tag > clock);
+        self.prune_at = MIN_PRUNE.max(2 * self.accounts.len());
+    }
+}
+
+fn cost(work: u64, weight: f64) -> u128 {
+    (work as f64 * TOKEN_SCALE / weight) as u128
+}
--- a/crates/sesamewall-schedule/src/lib.rs
+++ b/crates/sesamewall-schedule/src/lib.rs
@@ -1,1 +1,42 @@
 //! Decides admission to targets, queueing, fairness, batch yielding, routing, retries and ejection.
+
+mod dispatch;
+mod ejection;
+mod fair_queue;
+mod fleet;
+mod headroom;
+mod limit;
+mod poison;
+mod retry;
+mod route;
+mod scheduler;
+mod state;
+
+pub use ejection::Ejection;
+pub use ejection::EjectionSettings;
+pub use fair_queue::Entry;
+pub use fair_queue::FairQueue;
+pub use fair_queue::Order;
+pub use fair_queue::QueueSettings;
+pub use headroom::Headroom;
+pub use limit::LimitSettings;
+pub use limit::TargetLimit;
+pub use poison::PoisonMarks;
+pub use poison::PoisonSettings;
+pub use poison::Verdict;
+pub use poison::body_hash;
+pub use retry::GroupRetries;
+pub use retry::RequestBudget;
+pub use retry::RetrySettings;
+pub use route::CacheHints;
+pub use route::Candidate;
+pub use route::Choice;
+pub use route::RouteSettings;
+pub use route::choose;
+pub use scheduler::Scheduler;
+pub use state::Action;
+pub use state::Config;
+pub use state::Policy;
+pub use state::Settings;
+pub use state::TargetInfo;
+pub use state::TargetView;
--- /dev/null
+++ b/crates/sesamewall-schedule/src/limit.rs
@@ -0,0 +1,157 @@
+//! Learns how many concurrent requests one target can handle.
+
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+
+/// Settings of the learned limit.
+#[derive(Clone, Debug)]
+pub struct LimitSettings {
+    /// Concurrent requests allowed on a cold target.
+    pub cold_limit: u32,
+    /// Starts targets cold; without it every target starts at its upper bound.
+    pub ramp: bool,
+    /// Time to first token over the baseline from which the limit is decreased.
+    pub slow_ratio: f64,
+    /// Time to first token over the baseline from which a target counts as cold.
+    pub cold_ratio: f64,
+    /// Factor of one decrease.
+    pub decrease: f64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self { cold_limit: 1, ramp: true, slow_ratio: 2.0, cold_ratio: 4.0, decrease: 0.8 }
+    }
+}
+
+/// Holds the concurrency limit of one target. A cold target doubles its limit after each complete
+/// response at the current limit. A warm target follows additive increase and multiplicative
+/// decrease (D. Chiu and R. Jain, "Analysis of the Increase and Decrease Algorithms for Congestion
+/// Avoidance in Computer Networks", 1989).
+#[derive(Clone, Debug)]
+pub struct TargetLimit {
+    settings: LimitSettings,
+    limit: f64,
+    max: u32,
+    cold: bool,
+    step: u64,
+    baseline_us: Option<f64>,
+    smooth_us: f64,
+    slow_streak: u32,
+    decreased: Time,
+}
+
+impl TargetLimit {
+    /// Creates the limit of a target that was not seen before, with `max` as upper bound.
+    pub fn new(settings: LimitSettings, max: u32) -> Self {
+        let max = max.max(1);
+        let cold = settings.ramp;
+        let limit = if cold { settings.cold_limit.min(max) } else { max };
+        Self {
+            settings,
+            limit: f64::from(limit),
+            max,
+            cold,
+            step: 0,
+            baseline_us: None,
+            smooth_us: 0.0,
+            slow_streak: 0,
+            decreased: Time::ZERO,
+        }
+    }
+
+    /// Returns the number of requests that may run at once.
+    pub fn limit(&self) -> usize {
+        self.limit as usize
+    }
+
+    /// Tells whether the target is cold or still on its ramp.
+    pub fn is_cold(&self) -> bool {
+        self.cold
+    }
+
+    /// Returns the number of the current limit period. Only a request granted in this period at the
+    /// full limit proves that the target handles the limit.
+    pub fn step(&self) -> u64 {
+        self.step
+    }
+
+    /// Changes the upper bound.
+    pub fn set_max(&mut self, max: u32) {
+        self.max = max.max(1);
+        self.limit = self.limit.min(f64::from(self.max));
+    }
+
+    /// Starts the ramp again after a sign that the target is cold.
+    pub fn turn_cold(&mut self) {
+        self.step += 1;
+        self.slow_streak = 0;
+        self.smooth_us = self.baseline_us.unwrap_or(0.0);
+        if self.settings.ramp {
+            self.cold = true;
+            self.limit = f64::from(self.settings.cold_limit.min(self.max));
+        }
+    }
+
+    /// Records a time to first token of `micros` microseconds. Returns true when the target turned
+    /// cold by it.
+    pub fn on_first_token(&mut self, micros: u64, now: Time) -> bool {
+        let sample = micros.max(1) as f64;
+        let Some(baseline) = self.baseline_us else {
+            self.baseline_us = Some(sample);
+            self.smooth_us = sample;
+            return false;
+        };
+        // A ramping target is slower than its baseline by nature, so only a warm one turns cold.
+        let slow = sample > self.settings.cold_ratio * baseline;
+        self.slow_streak = if slow && !self.cold { self.slow_streak + 1 } else { 0 };
+        if self.slow_streak >= 2 {
+            self.turn_cold();
+            return true;
+        }
+        // The baseline falls quickly to faster samples and rises slowly, so that a long overload
+        // does not become the new normal.
+        let gain = if sample < baseline { 0.3 } else { 0.002 };
+        self.baseline_us = Some(baseline + gain * (sample - baseline));
+        // The slow first response of a cold target must not end its ramp alone.
+        let bounded = sample.min(self.settings.cold_ratio * baseline);
+        self.smooth_us += 0.2 * (bounded - self.smooth_us);
+        let pause = Duration::from_micros(2 * self.smooth_us as u64);
+        if self.smooth_us > self.settings.slow_ratio * baseline && now.since(self.decreased) > pause
+        {
+            self.cold = false;
+            self.limit = (self.limit * self.settings.decrease).max(1.0);
+            self.decreased = now;
+        }
+        false
+    }
+
+    /// Records that the target handled its limit in the period `step`: a request granted at the full
+    /// limit completed.
+    pub fn on_complete(&mut self, step: u64) {
+        let max = f64::from(self.max);
+        if self.cold && step == self.step {
+            self.limit = (self.limit * 2.0).min(max);
+            self.step += 1;
+            self.cold = self.limit < max;
+        } else if !self.cold && !self.is_slow() {
+            self.limit = (self.limit + 1.0 / self.limit).min(max);
+        }
+    }
+
+    /// Records an overload response.
+    pub fn on_overload(&mut self, now: Time) {
+        if now.since(self.decreased) > Duration::from_micros(2 * self.smooth_us as u64) {
+            self.limit = (self.limit * self.settings.decrease).max(1.0);
+            self.decreased = now;
+            self.step += 1;
+            // An overload response at a limit below the bound ends the doubling.
+            self.cold = self.cold && self.limit < 2.0;
+        }
+    }
+
+    fn is_slow(&self) -> bool {
+        self.baseline_us.is_some_and(|baseline| self.smooth_us > 1.5 * baseline)
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/src/poison.rs
@@ -0,0 +1,226 @@
+//! Limits how many targets one request can crash.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::CrashMark;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Returns the hash under which crash marks of a request body are kept: SHA-256 in hex.
+pub fn body_hash(body: &[u8]) -> String {
+    hex::encode(Sha256::digest(body))
+}
+
+/// Settings of poison requests.
+#[derive(Clone, Debug)]
+pub struct PoisonSettings {
+    /// Marks from which a request runs alone.
+    pub isolate_at: usize,
+    /// Marks from which a request is refused.
+    pub refuse_at: usize,
+    /// Age at which a mark no longer counts.
+    pub mark_life: Duration,
+    /// Time from learning of a mark until the request may run alone, and until the failure is
+    /// answered. Marks of other instances arrive meanwhile, so a caller that sends the request again
+    /// meets an instance that knows them.
+    pub settle: Duration,
+    /// Marks of one target within this time come from one crash.
+    pub same_crash: Duration,
+    /// Largest number of marks.
+    pub max_marks: usize,
+}
+
+impl Default for PoisonSettings {
+    fn default() -> Self {
+        Self {
+            isolate_at: 1,
+            refuse_at: 2,
+            mark_life: Duration::from_secs(3600),
+            settle: Duration::from_secs(2),
+            same_crash: Duration::from_secs(1),
+            max_marks: 10_000,
+        }
+    }
+}
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Run it like any other.
+    Run,
+    /// Run it alone on a target, not before this time.
+    Isolate {
+        /// Earliest start.
+        from: Time,
+    },
+    /// Refuse it.
+    Refuse {
+        /// Number of crashes.
+        crashes: u32,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Mark {
+    target: TargetName,
+    at: Time,
+    learned: Time,
+    cleared: bool,
+}
+
+type Key = (AccountName, String);
+
+/// Keeps the crash marks that an instance knows.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonMarks {
+    settings: PoisonSettings,
+    marks: HashMap<Key, HashMap<String, Mark>>,
+    count: usize,
+}
+
+impl PoisonMarks {
+    /// Creates an empty set.
+    pub fn new(settings: PoisonSettings) -> Self {
+        Self { settings, marks: HashMap::new(), count: 0 }
+    }
+
+    /// Returns the number of marks, cleared ones included.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Tells whether there are no marks.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Decides about a request.
+    pub fn verdict(&self, account: &AccountName, body: &str, now: Time) -> Verdict {
+        let crashes = self.crashes(account, body, now);
+        match crashes {
+            _ if crashes >= self.settings.refuse_at => Verdict::Refuse { crashes: crashes as u32 },
+            _ if crashes >= self.settings.isolate_at => {
+                Verdict::Isolate { from: self.settled_at(account, body).unwrap_or(now) }
+            }
+            _ => Verdict::Run,
+        }
+    }
+
+    /// Returns the time until which a failure of the request is not answered, if it has marks.
+    pub fn settled_at(&self, account: &AccountName, body: &str) -> Option<Time> {
+        let marks = self.marks.get(&(account.clone(), body.to_owned()))?;
+        let learned = marks.values().filter(|mark| !mark.cleared).map(|mark| mark.learned).max()?;
+        Some(learned + self.settings.settle)
+    }
+
+    /// Returns the number of crashes at which the request was running in the last hour.
+    pub fn crashes(&self, account: &AccountName, body: &str, now: Time) -> usize {
+        let Some(marks) = self.marks.get(&(account.clone(), body.to_owned())) else { return 0 };
+        let mut live: Vec<_> = marks
+            .values()
+            .filter(|mark| !mark.cleared && now.since(mark.at) < self.settings.mark_life)
+            .map(|mark| (&mark.target, mark.at))
+            .collect();
+        live.sort();
+        let same = |pair: &&[(&TargetName, Time)]| {
+            pair[0].0 == pair[1].0 && pair[1].1.since(pair[0].1) < self.settings.same_crash
+        };
+        live.len() - live.windows(2).filter(same).count()
+    }
+
+    /// Merges a mark, made here (with age 0) or by another instance. A copy changes nothing; a
+    /// cleared mark stays cleared. Returns true when it is news.
+    pub fn merge(&mut self, mark: &CrashMark, now: Time) -> bool {
+        let age = Duration::from_micros(mark.age_us);
+        if age >= self.settings.mark_life {
+            return false;
+        }
+        let key = (mark.account.clone(), mark.body.clone());
+        let marks = self.marks.entry(key).or_default();
+        if let Some(known) = marks.get_mut(&mark.attempt) {
+            let news = mark.cleared && !known.cleared;
+            if news {
+                known.cleared = true;
+                known.learned = now;
+            }
+            return news;
+        }
+        marks.insert(
+            mark.attempt.clone(),
+            Mark {
+                target: mark.target.clone(),
+                at: now - age,
+                learned: now,
+                cleared: mark.cleared,
+            },
+        );
+        self.count += 1;
+        if self.count > self.settings.max_marks {
+            self.drop_oldest();
+        }
+        true
+    }
+
+    /// Clears the marks of a request that completed successfully alone.
+    pub fn clear(&mut self, account: &AccountName, body: &str, now: Time) {
+        if let Some(marks) = self.marks.get_mut(&(account.clone(), body.to_owned())) {
+            for mark in marks.values_mut().filter(|mark| !mark.cleared) {
+                mark.cleared = true;
+                mark.learned = now;
+            }
+        }
+    }
+
+    /// Returns the marks learned or cleared within `window`, for the next heartbeats. A mark is sent
+    /// in several heartbeats, so that a lost one does no harm.
+    pub fn recent(&self, window: Duration, now: Time) -> Vec<CrashMark> {
+        let mut recent: Vec<_> = self
+            .marks
+            .iter()
+            .flat_map(|(key, marks)| marks.iter().map(move |(attempt, mark)| (key, attempt, mark)))
+            .filter(|(_, _, mark)| now.since(mark.learned) <= window)
+            .map(|((account, body), attempt, mark)| CrashMark {
+                account: account.clone(),
+                body: body.clone(),
+                attempt: attempt.clone(),
+                target: mark.target.clone(),
+                age_us: now.since(mark.at).as_micros() as u64,
+                cleared: mark.cleared,
+            })
+            .collect();
+        recent.sort_by(|left, right| left.attempt.cmp(&right.attempt));
+        recent
+    }
+
+    /// Drops expired marks.
+    pub fn on_tick(&mut self, now: Time) {
+        let life = self.settings.mark_life;
+        self.marks.retain(|_, marks| {
+            marks.retain(|_, mark| now.since(mark.at) < life);
+            !marks.is_empty()
+        });
+        self.count = self.marks.values().map(HashMap::len).sum();
+    }
+
+    fn drop_oldest(&mut self) {
+        let oldest = self
+            .marks
+            .iter()
+            .flat_map(|(key, marks)| {
+                marks.iter().map(move |(attempt, mark)| (mark.at, attempt, key))
+            })
+            .min()
+            .map(|(_, attempt, key)| (key.clone(), attempt.clone()));
+        if let Some((key, attempt)) = oldest {
+            if let Some(marks) = self.marks.get_mut(&key) {
+                marks.remove(&attempt);
+            }
+            self.marks.retain(|_, marks| !marks.is_empty());
+            self.count -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/src/scheduler.rs
@@ -0,0 +1,401 @@
+//! Decides admission to all targets of one failure domain.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use sesamewall_protocol::Class;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::Numbers;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::CacheHint;
+use sesamewall_protocol::peer::HeldSlot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_protocol::peer::SlotDone;
+use sesamewall_protocol::peer::SlotEnd;
+
+use crate::Action;
+use crate::Config;
+use crate::Entry;
+use crate::FairQueue;
+use crate::Policy;
+use crate::Settings;
+use crate::TargetView;
+use crate::fleet::Fleet;
+use crate::state::SlotKey;
+use crate::state::SlotState;
+use crate::state::Waiting;
+
+pub(crate) const QUEUE_FULL: u16 = 4001;
+pub(crate) const QUEUE_TIMEOUT: u16 = 4002;
+pub(crate) const NO_TARGET: u16 = 4003;
+pub(crate) const NOT_LEAD: u16 = 8003;
+
+pub(crate) type Queues = [FairQueue<Waiting>; 2];
+
+/// Grants slots on the targets of one failure domain. The lead of the failure domain owns it and
+/// sends the returned actions; an `Action` to an instance is harmless when it arrives twice.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) fleet: Fleet,
+    pub(crate) queues: BTreeMap<ModelName, Queues>,
+    pub(crate) slots: BTreeMap<SlotKey, SlotState>,
+    pub(crate) by_request: HashMap<RequestId, SlotKey>,
+    pub(crate) epoch: u64,
+    pub(crate) valid_until: Time,
+    pub(crate) next_slot: u64,
+    waiting_for: BTreeSet<InstanceName>,
+    sync_end: Time,
+}
+
+impl Scheduler {
+    /// Creates the state of a lead that starts at `now` with `epoch`. `instances` are the live
+    /// instances of the failure domain, which must report their slots first; it is empty when the
+    /// failure domain starts for the first time.
+    pub fn new(
+        settings: Settings,
+        epoch: u64,
+        instances: impl IntoIterator<Item = InstanceName>,
+        now: Time,
+    ) -> Self {
+        let waiting_for: BTreeSet<_> = instances.into_iter().collect();
+        let sync_end = now + settings.sync_wait;
+        let syncing = !waiting_for.is_empty() && sync_end > now;
+        Self {
+            fleet: Fleet::new(settings, syncing),
+            queues: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            by_request: HashMap::new(),
+            epoch,
+            valid_until: Time::ZERO,
+            next_slot: 1,
+            waiting_for,
+            sync_end,
+        }
+    }
+
+    /// Sets the end of the lead's lease. Without a later end nothing is granted from then on.
+    pub fn set_valid_until(&mut self, valid_until: Time) {
+        self.valid_until = valid_until;
+    }
+
+    /// Applies a configuration.
+    pub fn on_config(&mut self, config: &Config, now: Time) -> Vec<Action> {
+        self.fleet.configure(config);
+        let mut actions = self.deny_unservable(now);
+        self.queues.retain(|model, queues| {
+            self.fleet.models.contains_key(model) || queues.iter().any(|queue| !queue.is_empty())
+        });
+        self.dispatch_all(now, &mut actions);
+        actions
+    }
+
+    /// Handles an ask of the instance `from`. An ask that is repeated gets the same slot.
+    pub fn on_ask(&mut self, ask: SlotAsk, from: &InstanceName, now: Time) -> Vec<Action> {
+        if now >= self.valid_until {
+            return vec![deny(&ask, from, NOT_LEAD, Vec::new(), "the lead's lease has ended")];
+        }
+        if !self.fleet.can_serve(&ask, now) {
+            let excluded = ("excluded".to_owned(), ask.exclude.len() as f64);
+            let reason = "no target in service may run the request";
+            return vec![deny(&ask, from, NO_TARGET, vec![excluded], reason)];
+        }
+        if let Some(grant) = self.repeated_grant(&ask, from) {
+            return vec![grant];
+        }
+        if ask.class == Class::Online {
+            self.fleet.headroom.entry(ask.model.clone()).or_default().on_arrival(now);
+        }
+        let model = ask.model.clone();
+        let index = self.queue_index(ask.class);
+        let wait = Duration::from_micros(ask.wait_us).min(self.fleet.settings.max_wait);
+        let entry = Entry {
+            request: ask.request.clone(),
+            account: ask.account.clone(),
+            weight: ask.weight,
+            work: ask.work.max(1),
+            urgent: ask.urgent && ask.class == Class::Batch,
+            arrived: now,
+            deadline: now + wait,
+            item: Waiting { ask, from: from.clone() },
+        };
+        let queue = &mut self.queues_of(&model)[index];
+        queue.remove(&entry.request, now);
+        let refused = queue.push(entry, now);
+        let numbers = numbers_of(queue);
+        let mut actions = Vec::new();
+        for entry in refused {
+            let reason = "the queue is full and the account has the largest backlog";
+            self.drop_reservation(&entry.request);
+            actions.push(deny_entry(&entry, QUEUE_FULL, numbers.clone(), reason));
+        }
+        self.dispatch(&model, now, &mut actions);
+        actions
+    }
+
+    /// Handles the end of a request. A repeated report changes nothing.
+    pub fn on_done(&mut self, done: &SlotDone, now: Time) -> Vec<Action> {
+        let key = (done.epoch, done.slot);
+        let Some(slot) = self.slots.get(&key).cloned() else { return Vec::new() };
+        self.fleet.learn(&slot, done, now);
+        if let Some(state) = self.fleet.targets.get_mut(&slot.target) {
+            state.confirm(key, done.end == SlotEnd::Whole);
+        }
+        self.release(key);
+        let index = self.queue_index(slot.class);
+        if let Some(queues) = self.queues.get_mut(&slot.model) {
+            queues[index].correct(&slot.account, slot.work, done.work);
+        }
+        let mut actions = Vec::new();
+        if done.end == SlotEnd::Leaving {
+            actions = self.deny_unservable(now);
+        }
+        self.dispatch_target(&slot, now, &mut actions);
+        actions
+    }
+
+    /// Handles a caller's disconnect while its request waits. A request that has its slot ends with
+    /// `on_done`.
+    pub fn on_cancel(&mut self, request: &RequestId, now: Time) -> Vec<Action> {
+        for queues in self.queues.values_mut() {
+            for queue in queues {
+                queue.remove(request, now);
+            }
+        }
+        let mut actions = Vec::new();
+        if self.drop_reservation(request) {
+            self.dispatch_all(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Applies a cache hint of a target.
+    pub fn on_hint(&mut self, hint: &CacheHint) {
+        if self.fleet.targets.contains_key(&hint.target) {
+            self.fleet.hints.on_hint(hint);
+        }
+    }
+
+    /// Applies the list of all slots that an instance holds. Slots that it does not list are
+    /// returned, unless their grant can still be on its way.
+    pub fn on_sync(
+        &mut self,
+        instance: &InstanceName,
+        held: &[HeldSlot],
+        now: Time,
+    ) -> Vec<Action> {
+        let listed: BTreeSet<SlotKey> = held.iter().map(|slot| (slot.epoch, slot.slot)).collect();
+        let grace = self.fleet.settings.held_grace;
+        let gone: Vec<_> = self
+            .slots
+            .iter()
+            .filter(|(key, slot)| &slot.holder == instance && !listed.contains(*key))
+            .filter(|(_, slot)| now.since(slot.granted) >= grace)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in gone {
+            self.release(key);
+        }
+        for slot in held {
+            self.count_held(instance, slot, now);
+        }
+        self.waiting_for.remove(instance);
+        self.fleet.syncing &= !self.waiting_for.is_empty();
+        let mut actions = Vec::new();
+        self.dispatch_all(now, &mut actions);
+        actions
+    }
+
+    /// Handles the loss of an instance. Its waiting requests are dropped; its slots are counted for
+    /// `lost_hold`, since the targets may still run them.
+    pub fn on_instance_lost(&mut self, instance: &InstanceName, now: Time) -> Vec<Action> {
+        let expires = now + self.fleet.settings.lost_hold;
+        for slot in self.slots.values_mut().filter(|slot| &slot.holder == instance) {
+            slot.expires.get_or_insert(expires);
+        }
+        let mut gone = Vec::new();
+        for queue in self.queues.values_mut().flatten() {
+            gone.extend(queue.remove_where(now, |entry| &entry.item.from == instance));
+        }
+        for entry in gone {
+            self.drop_reservation(&entry.request);
+        }
+        let mut actions = Vec::new();
+        self.dispatch_all(now, &mut actions);
+        actions
+    }
+
+    /// Handles timeouts; called about every 50 ms.
+    pub fn on_tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = self.end_waits(now);
+        let expired: Vec<_> = self
+            .slots
+            .iter()
+            .filter(|(_, slot)| slot.expires.is_some_and(|at| at <= now))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in expired {
+            self.release(key);
+        }
+        if now >= self.sync_end {
+            self.fleet.syncing = false;
+        }
+        self.fleet.update_ejection(now);
+        self.resend_yields(now, &mut actions);
+        self.dispatch_all(now, &mut actions);
+        actions
+    }
+
+    /// Returns the state of all targets.
+    pub fn targets(&self, now: Time) -> Vec<TargetView> {
+        self.fleet.views(now)
+    }
+
+    /// Returns the number of requests of a class that wait for a model.
+    pub fn waiting(&self, class: Class, model: &ModelName) -> usize {
+        let index = self.queue_index(class);
+        self.queues.get(model).map_or(0, |queues| queues[index].len())
+    }
+
+    /// Returns the number of slots granted and not returned.
+    pub fn outstanding(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub(crate) fn queue_index(&self, class: Class) -> usize {
+        let shared = self.fleet.settings.policy == Policy::SharedQueue;
+        usize::from(class == Class::Batch && !shared)
+    }
+
+    /// Stops counting a slot and returns it.
+    pub(crate) fn release(&mut self, key: SlotKey) -> Option<SlotState> {
+        let slot = self.slots.remove(&key)?;
+        if self.by_request.get(&slot.request) == Some(&key) {
+            self.by_request.remove(&slot.request);
+        }
+        if let Some(state) = self.fleet.targets.get_mut(&slot.target) {
+            state.remove(key, &slot);
+        }
+        self.fleet.targets.retain(|_, state| state.present || state.outstanding > 0);
+        Some(slot)
+    }
+
+    pub(crate) fn drop_reservation(&mut self, request: &RequestId) -> bool {
+        let mine = self.fleet.reserved.as_ref().is_some_and(|(_, owner)| owner == request);
+        if mine {
+            self.fleet.reserved = None;
+        }
+        mine
+    }
+
+    fn queues_of(&mut self, model: &ModelName) -> &mut Queues {
+        let settings = &self.fleet.settings.queue;
+        self.queues
+            .entry(model.clone())
+            .or_insert_with(|| [0, 1].map(|_| FairQueue::new(settings.clone())))
+    }
+
+    /// Returns the slot again when the instance asks again, for example after a lost reply.
+    fn repeated_grant(&self, ask: &SlotAsk, from: &InstanceName) -> Option<Action> {
+        let slot = self.slots.get(self.by_request.get(&ask.request)?)?;
+        let usable = &slot.holder == from
+            && slot.yield_sent.is_none()
+            && !ask.exclude.contains(&slot.target);
+        let slot = slot.grant.clone().filter(|_| usable)?;
+        Some(Action::Grant { to: from.clone(), slot })
+    }
+
+    fn count_held(&mut self, instance: &InstanceName, held: &HeldSlot, now: Time) {
+        let key = (held.epoch, held.slot);
+        if let Some(slot) = self.slots.get_mut(&key) {
+            slot.expires = None;
+            if let Some(state) = self.fleet.targets.get_mut(&held.target) {
+                state.confirm(key, false);
+            }
+            return;
+        }
+        if held.epoch == self.epoch {
+            // This lead granted the slot and its end was already reported.
+            return;
+        }
+        let slot = SlotState {
+            request: held.request.clone(),
+            account: held.account.clone(),
+            class: held.class,
+            model: held.model.clone(),
+            target: held.target.clone(),
+            holder: instance.clone(),
+            work: held.work,
+            prompt: held.prompt,
+            isolated: held.isolated,
+            granted: now,
+            yield_sent: None,
+            expires: None,
+            grant: None,
+        };
+        self.fleet.target_mut(&held.target).add(key, &slot);
+        self.by_request.insert(held.request.clone(), key);
+        self.slots.insert(key, slot);
+    }
+
+    fn end_waits(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut ended = Vec::new();
+        for queue in self.queues.values_mut().flatten() {
+            let entries = queue.remove_where(now, |entry| entry.deadline <= now);
+            let numbers = numbers_of(queue);
+            for entry in entries {
+                let reason = "no target became free in time";
+                actions.push(deny_entry(&entry, QUEUE_TIMEOUT, numbers.clone(), reason));
+                ended.push(entry.request);
+            }
+        }
+        for request in ended {
+            self.drop_reservation(&request);
+        }
+        actions
+    }
+
+    /// Denies waiting requests that no target in service may run any more.
+    fn deny_unservable(&mut self, now: Time) -> Vec<Action> {
+        let mut entries = Vec::new();
+        let fleet = &self.fleet;
+        for queue in self.queues.values_mut().flatten() {
+            entries.extend(queue.remove_where(now, |entry| !fleet.can_serve(&entry.item.ask, now)));
+        }
+        let unusable = |name| !fleet.in_service(name, now);
+        if fleet.reserved.as_ref().is_some_and(|(name, _)| unusable(name)) {
+            self.fleet.reserved = None;
+        }
+        let mut actions = Vec::new();
+        for entry in entries {
+            self.drop_reservation(&entry.request);
+            let reason = "no target in service may run the request";
+            actions.push(deny_entry(&entry, NO_TARGET, Vec::new(), reason));
+        }
+        actions
+    }
+}
+
+fn numbers_of(queue: &FairQueue<Waiting>) -> Numbers {
+    let rate = queue.rate().unwrap_or(0.0);
+    [
+        ("queue_entries", queue.len() as f64),
+        ("queue_tokens", queue.work() as f64),
+        ("tokens_per_second", rate),
+    ]
+    .map(|(name, number)| (name.to_owned(), number))
+    .to_vec()
+}
+
+fn deny_entry(entry: &Entry<Waiting>, code: u16, numbers: Numbers, reason: &str) -> Action {
+    deny(&entry.item.ask, &entry.item.from, code, numbers, reason)
+}
+
+fn deny(ask: &SlotAsk, to: &InstanceName, code: u16, numbers: Numbers, reason: &str) -> Action {
+    let reason = reason.to_owned();
+    Action::Deny { to: to.clone(), request: ask.request.clone(), code, numbers, reason }
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/tests/admission.rs
@@ -0,0 +1,261 @@
+//! Guards against overload of targets, batch work in front of online work, and work for targets
+//! that are out of service.
+
+use std::time::Duration;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+
+use sesamewall_protocol::Class;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::SlotDone;
+use sesamewall_protocol::peer::SlotEnd;
+use sesamewall_schedule::Action;
+use sesamewall_schedule::Config;
+use sesamewall_schedule::LimitSettings;
+use sesamewall_schedule::Policy;
+use sesamewall_schedule::QueueSettings;
+use sesamewall_schedule::Scheduler;
+use sesamewall_schedule::Settings;
+use sesamewall_schedule::TargetLimit;
+
+use crate::world::Without;
+use crate::world::World;
+use crate::world::ask;
+use crate::world::instance;
+use crate::world::model;
+use crate::world::target;
+
+pub fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn breaches(settings: Settings, without: Without, faults: bool, operator: bool) -> Vec<String> {
+    let mut all = Vec::new();
+    for seed in 0..20 {
+        let mut world = World::new(settings.clone(), without, seed);
+        world.run(600, faults, operator);
+        all.append(&mut world.breaches);
+    }
+    all
+}
+
+proptest! {
+    #![proptest_config(config(60))]
+
+    /// Guards against more requests on a target than its ramp and limit allow, and against online
+    /// requests behind batch streams, without faults.
+    #[test]
+    fn bounds_hold(seed: u64) {
+        let mut world = World::new(Settings::default(), Without::default(), seed);
+        world.run(400, false, false);
+        prop_assert_eq!(&world.breaches, &Vec::<String>::new());
+    }
+
+    /// Guards the same bounds with lost reports, cold targets, lead changes and lost instances.
+    #[test]
+    fn bounds_hold_with_faults(seed: u64) {
+        let mut world = World::new(Settings::default(), Without::default(), seed);
+        world.run(600, true, false);
+        prop_assert_eq!(&world.breaches, &Vec::<String>::new());
+    }
+
+    /// Guards against new work for leaving targets and a failure domain out of service.
+    #[test]
+    fn out_of_service_gets_nothing(seed: u64) {
+        let mut world = World::new(Settings::default(), Without::default(), seed);
+        world.run(600, false, true);
+        prop_assert_eq!(&world.breaches, &Vec::<String>::new());
+    }
+
+    /// Guards against slots that stay counted for ever after a lost report.
+    #[test]
+    fn lost_reports_are_repaired(seed: u64) {
+        let mut world = World::new(Settings::default(), Without::default(), seed);
+        world.run(300, true, false);
+        world.drain();
+        prop_assert_eq!(world.lead.outstanding(), 0);
+    }
+}
+
+#[test]
+fn checks_notice_a_missing_ramp() {
+    let limit = LimitSettings { ramp: false, ..LimitSettings::default() };
+    let settings = Settings { limit, ..Settings::default() };
+    let found = breaches(settings, Without::default(), true, false);
+    assert!(found.iter().any(|text| text.contains("at ramp")), "{found:?}");
+}
+
+#[test]
+fn checks_notice_a_missing_sync() {
+    let settings = Settings { sync_wait: Duration::ZERO, ..Settings::default() };
+    let without = Without { sync: true, ..Without::default() };
+    let mut world = World::new(settings, without, 1);
+    world.change_lead_under_load();
+    let found = world.breaches;
+    assert!(found.iter().any(|text| text.contains("over the bound")), "{found:?}");
+    let mut world = World::new(Settings::default(), Without::default(), 1);
+    world.change_lead_under_load();
+    assert_eq!(world.breaches, Vec::<String>::new());
+    let mut world = World::new(Settings::default(), without, 1);
+    world.run(300, true, false);
+    world.drain();
+    assert!(world.lead.outstanding() > 0);
+}
+
+#[test]
+fn checks_notice_missing_yields() {
+    let settings = Settings { policy: Policy::FixedSplit { batch: 0.5 }, ..Settings::default() };
+    let found = breaches(settings, Without::default(), false, false);
+    assert!(found.iter().any(|text| text.contains("online requests wait")), "{found:?}");
+}
+
+#[test]
+fn checks_notice_missing_configuration() {
+    let without = Without { config: true, ..Without::default() };
+    let found = breaches(Settings::default(), without, false, true);
+    assert!(found.iter().any(|text| text.contains("out of service")), "{found:?}");
+}
+
+fn lead(targets: usize, ramp: bool) -> Scheduler {
+    let limit = LimitSettings { ramp, ..LimitSettings::default() };
+    let mut lead = Scheduler::new(Settings { limit, ..Settings::default() }, 1, [], Time::ZERO);
+    lead.set_valid_until(Time::from_millis(100_000));
+    let targets = (0..targets).map(target).collect();
+    lead.on_config(&Config { targets, domain_out: false }, Time::ZERO);
+    lead
+}
+
+/// Guards against a cancellation of more streams than online requests wait, against the choice of a
+/// long stream, and against a slot beyond the limit while the stream still runs.
+#[test]
+fn one_cancel_serves_one_wait() {
+    let mut lead = lead(1, false);
+    let mut at = Time::from_millis(1);
+    for index in 0..7 {
+        at = Time::from_millis(1000 * (index + 1));
+        lead.on_ask(ask(&format!("b{index}"), "a", Class::Batch, 100), &instance(0), at);
+    }
+    let first = lead.on_ask(ask("o1", "a", Class::Online, 100), &instance(0), at);
+    assert!(matches!(first[..], [Action::Grant { .. }]), "{first:?}");
+    let second = lead.on_ask(ask("o2", "a", Class::Online, 100), &instance(0), at);
+    let [Action::Yield { slot, epoch, request, .. }] = &second[..] else { panic!("{second:?}") };
+    assert_eq!(request.as_str(), "b6", "the shortest stream has least work to repeat");
+    assert_eq!(lead.on_ask(ask("b9", "a", Class::Batch, 100), &instance(0), at), Vec::new());
+    let done = SlotDone {
+        slot: *slot,
+        epoch: *epoch,
+        target: target(0).name,
+        end: SlotEnd::Cancelled,
+        first_token_us: None,
+        work: 60,
+    };
+    let granted = lead.on_done(&done, at);
+    let [Action::Grant { slot, .. }] = &granted[..] else { panic!("{granted:?}") };
+    assert_eq!(slot.request.as_str(), "o2");
+}
+
+/// Guards against grants after the lease ended.
+#[test]
+fn no_grant_after_the_lease() {
+    let mut lead = lead(1, true);
+    let late = Time::from_millis(100_000);
+    let actions = lead.on_ask(ask("r", "a", Class::Online, 1), &instance(0), late);
+    assert!(matches!(actions[..], [Action::Deny { code: 8003, .. }]), "{actions:?}");
+    let early = Time::from_millis(99_000);
+    let actions = lead.on_ask(ask("r", "a", Class::Online, 1), &instance(0), early);
+    assert!(matches!(actions[..], [Action::Grant { .. }]), "{actions:?}");
+}
+
+/// Guards against other work beside an isolated request, and against a second isolated request that
+/// takes another target.
+#[test]
+fn isolated_runs_alone() {
+    let mut lead = lead(2, false);
+    let now = Time::from_millis(1);
+    for index in 0..4 {
+        lead.on_ask(ask(&format!("r{index}"), "a", Class::Online, 100), &instance(0), now);
+    }
+    let isolated = |name: &str| {
+        let mut ask = ask(name, "a", Class::Online, 100);
+        ask.isolated = true;
+        ask
+    };
+    assert_eq!(lead.on_ask(isolated("p1"), &instance(0), now), Vec::new());
+    assert_eq!(lead.on_ask(isolated("p2"), &instance(0), now), Vec::new());
+    let mut granted = Vec::new();
+    for slot in 1..5 {
+        let name = target(usize::from(slot % 2 == 0)).name;
+        let done = SlotDone {
+            slot,
+            epoch: 1,
+            target: name,
+            end: SlotEnd::Whole,
+            first_token_us: Some(1000),
+            work: 100,
+        };
+        granted.extend(lead.on_done(&done, now));
+    }
+    let [Action::Grant { slot, .. }] = &granted[..] else { panic!("{granted:?}") };
+    assert_eq!(slot.request.as_str(), "p1");
+    let other = lead.on_ask(ask("r9", "a", Class::Online, 100), &instance(0), now);
+    let [Action::Grant { slot: beside, .. }] = &other[..] else { panic!("{other:?}") };
+    assert_ne!(beside.target, slot.target);
+}
+
+/// Guards against unbounded queues, waits past the deadline and waits of disconnected callers.
+#[test]
+fn queues_are_bounded() {
+    let mut lead = lead(1, true);
+    lead = {
+        let queue = QueueSettings { max_entries: 3, ..QueueSettings::default() };
+        let mut small =
+            Scheduler::new(Settings { queue, ..Settings::default() }, 1, [], Time::ZERO);
+        small.set_valid_until(Time::from_millis(100_000));
+        small.on_config(&Config { targets: vec![target(0)], domain_out: false }, Time::ZERO);
+        drop(std::mem::replace(&mut lead, small));
+        lead
+    };
+    let now = Time::from_millis(1);
+    lead.on_ask(ask("r0", "small", Class::Online, 10), &instance(0), now);
+    lead.on_ask(ask("r1", "small", Class::Online, 10), &instance(0), now);
+    lead.on_ask(ask("r2", "large", Class::Online, 10), &instance(0), now);
+    lead.on_ask(ask("r3", "large", Class::Online, 10), &instance(0), now);
+    let actions = lead.on_ask(ask("r4", "small", Class::Online, 5), &instance(0), now);
+    let [Action::Deny { request, code: 4001, .. }] = &actions[..] else { panic!("{actions:?}") };
+    assert_eq!(request.as_str(), "r3");
+    lead.on_cancel(&"r2".into(), now);
+    assert_eq!(lead.waiting(Class::Online, &model()), 2);
+    let actions = lead.on_tick(now + Duration::from_secs(10));
+    assert_eq!(actions.len(), 2);
+    assert!(actions.iter().all(|action| matches!(action, Action::Deny { code: 4002, .. })));
+}
+
+/// Guards against a warm target that turns cold unnoticed, and against a single slow response that
+/// empties a warm target.
+#[test]
+fn slow_first_tokens_turn_a_target_cold() {
+    let mut limit = TargetLimit::new(LimitSettings::default(), 4);
+    let now = Time::from_millis(1);
+    for _ in 0..2 {
+        assert!(limit.is_cold());
+        limit.on_complete(limit.step() + 1);
+        limit.on_complete(limit.step());
+    }
+    assert!(!limit.is_cold() && limit.limit() == 4);
+    limit.on_first_token(100_000, now);
+    assert!(!limit.on_first_token(500_000, now));
+    assert!(!limit.on_first_token(100_000, now));
+    assert!(!limit.on_first_token(500_000, now));
+    assert!(limit.on_first_token(500_000, now));
+    assert!(limit.is_cold() && limit.limit() == 1);
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/tests/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the scheduling decisions.
+#![allow(clippy::unwrap_used)]
+
+mod admission;
+mod ejection;
+mod fairness;
+mod poison;
+mod retry;
+mod route;
+mod world;
--- /dev/null
+++ b/crates/sesamewall-schedule/tests/world.rs
@@ -0,0 +1,414 @@
+//! Drives a scheduler with random events and checks its grants against what targets really run.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use sesamewall_protocol::Class;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::HeldSlot;
+use sesamewall_protocol::peer::Slot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_protocol::peer::SlotDone;
+use sesamewall_protocol::peer::SlotEnd;
+use sesamewall_schedule::Action;
+use sesamewall_schedule::Config;
+use sesamewall_schedule::Scheduler;
+use sesamewall_schedule::Settings;
+use sesamewall_schedule::TargetInfo;
+
+pub const MAX_LIMIT: u32 = 8;
+
+/// Mechanisms that a test takes out to show that the checks notice.
+#[derive(Clone, Copy, Default)]
+pub struct Without {
+    pub sync: bool,
+    pub config: bool,
+    pub lost_hold: bool,
+}
+
+struct Running {
+    held: HeldSlot,
+    holder: usize,
+    since: Time,
+    /// The target runs it, but its instance is gone.
+    orphan: bool,
+    known_to: u64,
+    proof: Option<u64>,
+}
+
+#[derive(Clone, Copy)]
+struct Ramp {
+    allowed: usize,
+    step: u64,
+}
+
+pub struct World {
+    pub now: Time,
+    pub breaches: Vec<String>,
+    pub lead: Scheduler,
+    pub yields: usize,
+    settings: Settings,
+    without: Without,
+    rng: ChaCha8Rng,
+    epoch: u64,
+    synced: Vec<bool>,
+    sync_end: Time,
+    running: BTreeMap<(u64, u64), Running>,
+    asks: BTreeMap<RequestId, SlotAsk>,
+    ramps: BTreeMap<TargetName, Ramp>,
+    config: Config,
+    next: u64,
+}
+
+pub fn model() -> ModelName {
+    ModelName::from("m")
+}
+
+pub fn target(index: usize) -> TargetInfo {
+    TargetInfo {
+        name: TargetName::from(format!("t{index}")),
+        address: format!("http://127.0.0.1:{}", 9000 + index),
+        models: vec![model()],
+        max_limit: MAX_LIMIT,
+        leaving: false,
+    }
+}
+
+pub fn instance(index: usize) -> InstanceName {
+    InstanceName::from(format!("i{index}"))
+}
+
+pub fn ask(name: &str, account: &str, class: Class, work: u64) -> SlotAsk {
+    SlotAsk {
+        request: RequestId::from(name),
+        account: account.into(),
+        weight: 1.0,
+        class,
+        model: model(),
+        work,
+        prompt: work / 2,
+        urgent: false,
+        prefix: Vec::new(),
+        wait_us: 10_000_000,
+        exclude: Vec::new(),
+        isolated: false,
+    }
+}
+
+impl World {
+    pub fn new(settings: Settings, without: Without, seed: u64) -> Self {
+        let config = Config { targets: (0..3).map(target).collect(), domain_out: false };
+        let now = Time::from_millis(1000);
+        let mut lead = Scheduler::new(settings.clone(), 1, [], now);
+        lead.set_valid_until(Time::from_micros(u64::MAX));
+        lead.on_config(&config, now);
+        let mut world = Self {
+            now,
+            breaches: Vec::new(),
+            lead,
+            yields: 0,
+            settings,
+            without,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            epoch: 1,
+            synced: vec![true; 2],
+            sync_end: now,
+            running: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            ramps: BTreeMap::new(),
+            config,
+            next: 0,
+        };
+        world.reset_ramps();
+        world
+    }
+
+    /// Runs `steps` random events. `faults` adds lost messages, cold targets, lead changes and lost
+    /// instances; `operator` adds leaving targets and the failure domain going out.
+    pub fn run(&mut self, steps: usize, faults: bool, operator: bool) {
+        for _ in 0..steps {
+            self.now = self.now + Duration::from_millis(self.rng.random_range(0..120));
+            match self.rng.random_range(0..100) {
+                0..20 => self.ask(Class::Online),
+                20..40 => self.ask(Class::Batch),
+                40..75 => self.finish(SlotEnd::Whole, false),
+                75..78 if faults => self.finish(SlotEnd::Whole, true),
+                78..80 if faults => self.finish(SlotEnd::Cold, false),
+                80 if faults => self.finish(SlotEnd::Crashed, false),
+                81 if faults => self.change_lead(),
+                82 if faults => self.lose_instance(),
+                83..86 if operator => self.reconfigure(),
+                86..92 => self.sync(),
+                _ => {
+                    let actions = self.lead.on_tick(self.now);
+                    self.apply(actions);
+                }
+            }
+            self.check_online_wait();
+        }
+    }
+
+    /// Replaces the lead while long requests run, and lets new ones come.
+    pub fn change_lead_under_load(&mut self) {
+        for step in 0..400 {
+            self.now = self.now + Duration::from_millis(50);
+            if step == 200 {
+                self.change_lead();
+            }
+            let recent = self.running.iter().filter(|(key, _)| key.0 == self.epoch).nth(1);
+            match (step % 4, recent.map(|(key, _)| *key)) {
+                (0, Some(key)) if self.running.len() < 20 || step > 200 => {
+                    self.end(key, SlotEnd::Whole, false);
+                }
+                (1, _) => self.sync(),
+                _ => self.ask(Class::Online),
+            }
+        }
+    }
+
+    /// Ends all work and lets instances report, after which no slot may be counted.
+    pub fn drain(&mut self) {
+        for _ in 0..2000 {
+            self.finish(SlotEnd::Whole, false);
+        }
+        self.running.retain(|_, running| !running.orphan);
+        for _ in 0..200 {
+            self.now = self.now + Duration::from_millis(100);
+            self.sync();
+            let actions = self.lead.on_tick(self.now);
+            self.apply(actions);
+            self.finish(SlotEnd::Whole, false);
+        }
+    }
+
+    fn ask(&mut self, class: Class) {
+        self.next += 1;
+        let account = format!("a{}", self.next % 3);
+        let ask = ask(&format!("r{}", self.next), &account, class, 100);
+        let from = instance(self.rng.random_range(0..2));
+        self.asks.insert(ask.request.clone(), ask.clone());
+        let actions = self.lead.on_ask(ask, &from, self.now);
+        self.apply(actions);
+    }
+
+    fn finish(&mut self, end: SlotEnd, lost: bool) {
+        let keys: Vec<_> = self.running.keys().copied().collect();
+        if !keys.is_empty() {
+            let key = keys[self.rng.random_range(0..keys.len())];
+            self.end(key, end, lost);
+        }
+    }
+
+    fn end(&mut self, key: (u64, u64), end: SlotEnd, lost: bool) {
+        let Some(running) = self.running.remove(&key) else { return };
+        if lost || running.orphan {
+            return;
+        }
+        let name = running.held.target.clone();
+        if let Some(ramp) = self.ramps.get_mut(&name).filter(|_| running.known_to == self.epoch) {
+            match end {
+                SlotEnd::Whole if running.proof == Some(ramp.step) => {
+                    *ramp = Ramp { allowed: ramp.allowed * 2, step: ramp.step + 1 };
+                }
+                SlotEnd::Cold | SlotEnd::Crashed => {
+                    *ramp = Ramp { allowed: 1, step: ramp.step + 1 };
+                }
+                _ => {}
+            }
+        }
+        let done = SlotDone {
+            slot: key.1,
+            epoch: key.0,
+            target: name,
+            end,
+            first_token_us: (end == SlotEnd::Whole).then_some(100_000),
+            work: 100,
+        };
+        let actions = self.lead.on_done(&done, self.now);
+        self.apply(actions);
+        let again = self.lead.on_done(&done, self.now);
+        assert_eq!(again, Vec::new(), "a repeated report must change nothing");
+    }
+
+    fn apply(&mut self, actions: Vec<Action>) {
+        let mut cancelled = Vec::new();
+        for action in actions {
+            match action {
+                Action::Grant { to, slot } => self.start(to, slot),
+                Action::Yield { slot, epoch, .. } => {
+                    self.yields += 1;
+                    cancelled.push((epoch, slot));
+                }
+                Action::Deny { request, .. } => {
+                    self.asks.remove(&request);
+                }
+            }
+        }
+        for key in cancelled {
+            // Some cancellations are lost; the scheduler sends them again.
+            if self.rng.random_range(0..4) > 0 {
+                self.end(key, SlotEnd::Cancelled, false);
+            }
+        }
+    }
+
+    fn start(&mut self, to: InstanceName, slot: Slot) {
+        let ask = self.asks.remove(&slot.request).unwrap();
+        let key = (slot.epoch, slot.slot);
+        let on_target = self.running.values().filter(|other| other.held.target == slot.target);
+        let (mut all, mut known) = (1, 1);
+        for other in on_target {
+            all += 1;
+            known += usize::from(other.known_to == self.epoch);
+        }
+        let ramp = self.ramps[&slot.target];
+        if known > ramp.allowed {
+            self.breach(format!("{known} on {} at ramp {}", slot.target, ramp.allowed));
+        }
+        let bound = MAX_LIMIT as usize + usize::from(self.now < self.sync_end);
+        if all > bound {
+            self.breach(format!("{all} on {} over the bound", slot.target));
+        }
+        let info = self.config.targets.iter().find(|info| info.name == slot.target);
+        if self.config.domain_out || info.is_none_or(|info| info.leaving) {
+            self.breach(format!("{} got a slot while out of service", slot.target));
+        }
+        let held = HeldSlot {
+            slot: slot.slot,
+            epoch: slot.epoch,
+            request: slot.request,
+            account: ask.account,
+            class: ask.class,
+            model: ask.model,
+            target: slot.target,
+            work: ask.work,
+            prompt: ask.prompt,
+            isolated: false,
+        };
+        let holder = usize::from(to == instance(1));
+        let proof = (known >= ramp.allowed).then_some(ramp.step);
+        let since = self.now;
+        let known_to = self.epoch;
+        let running = Running { held, holder, since, orphan: false, known_to, proof };
+        self.running.insert(key, running);
+    }
+
+    fn change_lead(&mut self) {
+        self.epoch += 1;
+        let instances = [instance(0), instance(1)];
+        self.lead = Scheduler::new(self.settings.clone(), self.epoch, instances, self.now);
+        self.lead.set_valid_until(Time::from_micros(u64::MAX));
+        self.lead.on_config(&self.config, self.now);
+        self.synced = vec![false; 2];
+        self.sync_end = self.now + Duration::from_secs(3);
+        self.asks.clear();
+        self.reset_ramps();
+    }
+
+    fn reset_ramps(&mut self) {
+        let fresh = Ramp { allowed: 1, step: self.epoch << 32 };
+        self.ramps = self.config.targets.iter().map(|info| (info.name.clone(), fresh)).collect();
+    }
+
+    fn lose_instance(&mut self) {
+        let lost = self.rng.random_range(0..2);
+        let mut actions = Vec::new();
+        for running in self.running.values_mut().filter(|running| running.holder == lost) {
+            running.orphan = true;
+            running.since = self.now;
+        }
+        if !self.without.lost_hold {
+            actions = self.lead.on_instance_lost(&instance(lost), self.now);
+        }
+        // The engines notice the closed connections within the stated time.
+        self.apply(actions);
+    }
+
+    fn sync(&mut self) {
+        let now = self.now;
+        self.running.retain(|_, running| {
+            !running.orphan || now.since(running.since) < Duration::from_secs(9)
+        });
+        if self.without.sync {
+            return;
+        }
+        let index = self.rng.random_range(0..2);
+        let mine = |running: &&mut Running| running.holder == index && !running.orphan;
+        let mut held = Vec::new();
+        for running in self.running.values_mut().filter(mine) {
+            running.known_to = self.epoch;
+            held.push(running.held.clone());
+        }
+        if held.is_empty() && self.running.values().any(|running| running.orphan) {
+            // A lost instance reports nothing; its successor has another name.
+            return;
+        }
+        if self.running.values().any(|running| running.orphan && running.holder == index) {
+            return;
+        }
+        let actions = self.lead.on_sync(&instance(index), &held, self.now);
+        self.synced[index] = true;
+        if self.synced.iter().all(|synced| *synced) {
+            self.sync_end = self.now.min(self.sync_end);
+        }
+        self.apply(actions);
+    }
+
+    fn reconfigure(&mut self) {
+        match self.rng.random_range(0..6) {
+            0 => self.config.domain_out = !self.config.domain_out,
+            _ => {
+                let index = self.rng.random_range(0..self.config.targets.len());
+                self.config.targets[index].leaving ^= true;
+            }
+        }
+        // Every return starts cold.
+        let fresh =
+            Ramp { allowed: 1, step: self.ramps.values().map(|ramp| ramp.step).max().unwrap() + 1 };
+        if !self.without.config {
+            let before: Vec<_> =
+                self.lead.targets(self.now).into_iter().map(|view| view.in_service).collect();
+            let actions = self.lead.on_config(&self.config, self.now);
+            let after = self.lead.targets(self.now);
+            for (view, was) in after.iter().zip(before) {
+                if view.in_service && !was {
+                    self.ramps.insert(view.name.clone(), fresh);
+                }
+            }
+            self.apply(actions);
+        }
+    }
+
+    /// Checks that no online request waits while a batch stream that could be cancelled runs.
+    fn check_online_wait(&mut self) {
+        let waiting = self.lead.waiting(Class::Online, &model()) as i64;
+        let views = self.lead.targets(self.now);
+        let usable: Vec<_> = views.iter().filter(|view| view.in_service).collect();
+        let room = |limit: usize, outstanding: usize| limit as i64 - outstanding as i64;
+        let coming: i64 = usable
+            .iter()
+            .map(|view| room(view.limit, view.outstanding - view.yielding).max(0))
+            .sum();
+        let possible = usable.iter().any(|view| {
+            let rest = view.outstanding - view.yielding - view.batch;
+            view.batch > 0
+                && room(view.limit, rest) > 0
+                && room(view.limit, view.outstanding - view.yielding) <= 0
+        });
+        if waiting > coming && possible {
+            self.breach(format!("{waiting} online requests wait, {coming} slots come back"));
+        }
+    }
+
+    fn breach(&mut self, text: String) {
+        self.breaches.push(format!("{:?}: {text}", self.now));
+    }
+}
