--- a/crates/sesamewall-schedule/src/dispatch.rs
+++ b/crates/sesamewall-schedule/src/dispatch.rs
@@ -136,12 +136,14 @@
             prompt: ask.prompt,
             isolated: ask.isolated,
             granted: now,
-            proof: full.then(|| state.limit.step()),
             yield_sent: None,
             expires: None,
             grant: Some(grant.clone()),
         };
         state.add(key, &slot);
+        if full {
+            state.start_proof(key);
+        }
         self.by_request.insert(ask.request, key);
         self.slots.insert(key, slot);
         Action::Grant { to: from, slot: grant }
--- a/crates/sesamewall-schedule/src/fleet.rs
+++ b/crates/sesamewall-schedule/src/fleet.rs
@@ -220,10 +220,8 @@
             SlotEnd::Whole => {
                 state.lost_in_a_row = 0;
                 state.avoid_until = Time::ZERO;
-                let cold =
-                    done.first_token_us.is_some_and(|us| state.limit.on_first_token(us, now));
-                if !cold {
-                    state.limit.on_complete(slot.proof);
+                if let Some(micros) = done.first_token_us {
+                    state.limit.on_first_token(micros, now);
                 }
             }
             SlotEnd::Overloaded => state.limit.on_overload(now),
--- a/crates/sesamewall-schedule/src/limit.rs
+++ b/crates/sesamewall-schedule/src/limit.rs
@@ -127,20 +127,16 @@
         false
     }
 
-    /// Records a complete response. `proof` is the period in which the request was granted at the
-    /// full limit, if it was.
-    pub fn on_complete(&mut self, proof: Option<u64>) {
+    /// Records that the target handled its limit in the period `step`: a request granted at the full
+    /// limit completed.
+    pub fn on_complete(&mut self, step: u64) {
         let max = f64::from(self.max);
-        match proof {
-            Some(step) if self.cold && step == self.step => {
-                self.limit = (self.limit * 2.0).min(max);
-                self.step += 1;
-                self.cold = self.limit < max;
-            }
-            Some(_) if !self.cold && !self.is_slow() => {
-                self.limit = (self.limit + 1.0 / self.limit).min(max);
-            }
-            _ => {}
+        if self.cold && step == self.step {
+            self.limit = (self.limit * 2.0).min(max);
+            self.step += 1;
+            self.cold = self.limit < max;
+        } else if !self.cold && !self.is_slow() {
+            self.limit = (self.limit + 1.0 / self.limit).min(max);
         }
     }
 
--- a/crates/sesamewall-schedule/src/scheduler.rs
+++ b/crates/sesamewall-schedule/src/scheduler.rs
@@ -138,8 +138,13 @@
 
     /// Handles the end of a request. A repeated report changes nothing.
     pub fn on_done(&mut self, done: &SlotDone, now: Time) -> Vec<Action> {
-        let Some(slot) = self.release((done.epoch, done.slot)) else { return Vec::new() };
+        let key = (done.epoch, done.slot);
+        let Some(slot) = self.slots.get(&key).cloned() else { return Vec::new() };
         self.fleet.learn(&slot, done, now);
+        if let Some(state) = self.fleet.targets.get_mut(&slot.target) {
+            state.confirm(key, done.end == SlotEnd::Whole);
+        }
+        self.release(key);
         let index = self.queue_index(slot.class);
         if let Some(queues) = self.queues.get_mut(&slot.model) {
             queues[index].correct(&slot.account, slot.work, done.work);
@@ -307,6 +312,9 @@
         let key = (held.epoch, held.slot);
         if let Some(slot) = self.slots.get_mut(&key) {
             slot.expires = None;
+            if let Some(state) = self.fleet.targets.get_mut(&held.target) {
+                state.confirm(key, false);
+            }
             return;
         }
         if held.epoch == self.epoch {
@@ -324,7 +332,6 @@
             prompt: held.prompt,
             isolated: held.isolated,
             granted: now,
-            proof: None,
             yield_sent: None,
             expires: None,
             grant: None,
--- a/crates/sesamewall-schedule/src/state.rs
+++ b/crates/sesamewall-schedule/src/state.rs
@@ -1,5 +1,6 @@
 //! Settings, actions and records of the admission state machine.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -184,8 +185,6 @@
     pub(crate) prompt: u64,
     pub(crate) isolated: bool,
     pub(crate) granted: Time,
-    /// Limit period in which the slot was granted at the full limit.
-    pub(crate) proof: Option<u64>,
     pub(crate) yield_sent: Option<Time>,
     /// End of counting after the holder was lost.
     pub(crate) expires: Option<Time>,
@@ -200,6 +199,16 @@
     }
 }
 
+/// Evidence that a target handles its limit: a request granted at the full limit. It counts when the
+/// request completed and each other slot counted at that time has proved to be in use, by its end or
+/// by a report of its holder. A slot whose end report was lost is not in use.
+#[derive(Clone, Debug)]
+pub(crate) struct Proof {
+    step: u64,
+    unconfirmed: BTreeSet<SlotKey>,
+    complete: bool,
+}
+
 /// State of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct TargetState {
@@ -209,6 +218,8 @@
     pub(crate) outstanding: usize,
     pub(crate) work: u64,
     pub(crate) batch_total: usize,
+    slots: BTreeSet<SlotKey>,
+    proofs: BTreeMap<SlotKey, Proof>,
     /// Batch slots that can still be cancelled.
     pub(crate) batch: BTreeSet<SlotKey>,
     pub(crate) yielding: usize,
@@ -227,6 +238,8 @@
             outstanding: 0,
             work: 0,
             batch_total: 0,
+            slots: BTreeSet::new(),
+            proofs: BTreeMap::new(),
             batch: BTreeSet::new(),
             yielding: 0,
             isolated: None,
@@ -240,6 +253,7 @@
     pub(crate) fn add(&mut self, key: SlotKey, slot: &SlotState) {
         self.outstanding += 1;
         self.work += slot.work;
+        self.slots.insert(key);
         if slot.class == Class::Batch {
             self.batch_total += 1;
             self.batch.insert(key);
@@ -249,8 +263,40 @@
         }
     }
 
-    /// Stops counting a slot.
+    /// Notes that a slot was granted at the full limit.
+    pub(crate) fn start_proof(&mut self, key: SlotKey) {
+        let step = self.limit.step();
+        self.proofs.retain(|_, proof| proof.step == step);
+        let mut unconfirmed =
+            if self.limit.is_cold() { self.slots.clone() } else { BTreeSet::new() };
+        unconfirmed.remove(&key);
+        self.proofs.insert(key, Proof { step, unconfirmed, complete: false });
+    }
+
+    /// Notes that a slot is or was in use, and whether its request completed.
+    pub(crate) fn confirm(&mut self, key: SlotKey, complete: bool) {
+        if complete && let Some(proof) = self.proofs.get_mut(&key) {
+            proof.complete = true;
+        }
+        let step = self.limit.step();
+        let mut proven = false;
+        self.proofs.retain(|_, proof| {
+            proof.unconfirmed.remove(&key);
+            let ready = proof.complete && proof.unconfirmed.is_empty();
+            proven |= ready && proof.step == step;
+            !ready && proof.step == step
+        });
+        if proven {
+            self.limit.on_complete(step);
+        }
+    }
+
+    /// Stops counting a slot. Without `confirm` before, the slot proves nothing.
     pub(crate) fn remove(&mut self, key: SlotKey, slot: &SlotState) {
+        self.slots.remove(&key);
+        self.proofs.retain(|owner, proof| {
+            !proof.unconfirmed.contains(&key) && (*owner != key || proof.complete)
+        });
         self.outstanding -= 1;
         self.work -= slot.work;
         if slot.class == Class::Batch {
