Add the rate escrow and its simulation

Cause: section 3.2 of the design had no code. Change: token bucket, grantor, holder and floor lease as pure state machines, and a simulated fleet with a checker of rate and burst.

--- /dev/null
+++ b/crates/sesamewall-bench/src/rate_simulation/fleet.rs
@@ -0,0 +1,385 @@
+//! Events of the simulated fleet.
+
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::RateAsk;
+use sesamewall_protocol::peer::RateGrant;
+use sesamewall_rate::Action;
+use sesamewall_rate::Backup;
+use sesamewall_rate::Floor;
+use sesamewall_rate::FloorRecord;
+use sesamewall_rate::FloorWrite;
+use sesamewall_rate::Grantor;
+use sesamewall_rate::Holder;
+use sesamewall_rate::Limits;
+
+use super::Fate;
+use super::History;
+use super::Network;
+use super::Sabotage;
+use super::Simulation;
+use super::Step;
+
+pub(super) const LEASE: Duration = Duration::from_secs(3);
+const TAKEOVER: Duration = Duration::from_millis(3500);
+const HOLDER_TICK: Duration = Duration::from_millis(1);
+
+pub(super) enum Event {
+    Step(Step),
+    Ask(usize, usize, RateAsk),
+    Grant(usize, u64, usize, RateGrant),
+    Unreachable(usize, u64, usize, AccountName),
+    HolderTick(usize, u64),
+    LeadTick(usize),
+    Succeed(usize),
+    StoreCall(Call),
+    StoreReply(Call, Answer),
+    AskPromise(usize, (usize, u64), Time),
+    Promise((usize, u64), Time, Duration),
+}
+
+#[derive(Clone, Copy)]
+pub(super) struct Call {
+    pub(super) lead: (usize, u64),
+    pub(super) kind: Kind,
+    pub(super) sent: Time,
+}
+
+#[derive(Clone, Copy)]
+pub(super) enum Kind {
+    Renew,
+    Home(FloorWrite),
+    Backup(FloorWrite),
+}
+
+#[derive(Clone, Copy)]
+pub(super) enum Answer {
+    Done(u64),
+    Conflict,
+    Floor(FloorRecord, u64),
+    Lead(u64),
+}
+
+pub(super) struct Instance {
+    pub(super) alive: bool,
+    pub(super) incarnation: u64,
+    pub(super) paused_until: Time,
+    pub(super) clock_behind: Duration,
+    pub(super) holder: Holder,
+    pub(super) limits: Vec<Limits>,
+    pub(super) lead: Option<Lead>,
+    pub(super) ticking: bool,
+}
+
+pub(super) struct Lead {
+    pub(super) domain: usize,
+    pub(super) epoch: u64,
+    pub(super) grantor: Grantor,
+    pub(super) floor: Floor,
+    pub(super) backup: Backup,
+    pub(super) valid_until: Time,
+    pub(super) renewed: Time,
+    pub(super) home_call: Option<Time>,
+    pub(super) backup_call: Option<Time>,
+}
+
+pub(super) struct Fleet {
+    pub(super) simulation: Simulation,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) now: Time,
+    pub(super) queue: BinaryHeap<Reverse<(Time, u64)>>,
+    pub(super) events: HashMap<u64, Event>,
+    pub(super) next: u64,
+    pub(super) instances: Vec<Instance>,
+    pub(super) leads: Vec<(usize, u64)>,
+    pub(super) cut: Vec<bool>,
+    pub(super) lead_records: Vec<u64>,
+    pub(super) floor_records: Vec<(FloorRecord, u64)>,
+    pub(super) names: Vec<AccountName>,
+    pub(super) domains: Vec<DomainName>,
+    pub(super) history: History,
+}
+
+/// Runs the schedule until `end` and returns the history.
+pub fn simulate(simulation: Simulation, steps: Vec<(Time, Step)>, end: Time) -> History {
+    let mut fleet = Fleet::new(simulation);
+    for (at, step) in steps {
+        fleet.push(at, Event::Step(step));
+    }
+    while let Some(Reverse((at, id))) = fleet.queue.pop() {
+        if at > end {
+            break;
+        }
+        fleet.now = at;
+        if let Some(event) = fleet.events.remove(&id) {
+            fleet.handle(event);
+        }
+    }
+    fleet.history
+}
+
+impl Fleet {
+    fn new(simulation: Simulation) -> Self {
+        let (domains, accounts) = (simulation.domains, simulation.limits.len());
+        let mut fleet = Self {
+            rng: ChaCha8Rng::seed_from_u64(simulation.seed),
+            now: Time::ZERO,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next: 0,
+            instances: Vec::new(),
+            leads: vec![(usize::MAX, 0); domains],
+            cut: vec![false; domains],
+            lead_records: vec![0; domains],
+            floor_records: vec![(FloorRecord::default(), 0); domains],
+            names: (0..accounts).map(|i| AccountName::from(format!("a{i}"))).collect(),
+            domains: (0..domains).map(|i| DomainName::from(format!("d{i}"))).collect(),
+            history: History { asks: vec![0; accounts], ..History::default() },
+            simulation,
+        };
+        for i in 0..fleet.simulation.instances {
+            let limits = fleet.simulation.limits.clone();
+            let instance = fleet.instance(i, limits);
+            fleet.instances.push(instance);
+        }
+        for domain in 0..domains {
+            fleet.succeed(domain);
+        }
+        fleet
+    }
+
+    pub(super) fn instance(&mut self, i: usize, limits: Vec<Limits>) -> Instance {
+        let own = self.domains[i % self.domains.len()].clone();
+        let incarnation = self.rng.random();
+        let mut settings = self.simulation.holder.clone();
+        if self.simulation.sabotage == Sabotage::Expiry {
+            settings.grant_life = Duration::from_secs(1 << 20);
+        }
+        let mut holder = Holder::new(settings, incarnation, own, self.domains.clone());
+        for (name, limits) in self.names.iter().zip(&limits) {
+            holder.set_limits(name, *limits);
+        }
+        let (paused_until, clock_behind) = (Time::ZERO, Duration::ZERO);
+        let (alive, ticking, lead) = (true, false, None);
+        Instance {
+            alive,
+            incarnation,
+            paused_until,
+            clock_behind,
+            holder,
+            limits,
+            lead,
+            ticking,
+        }
+    }
+
+    pub(super) fn push(&mut self, at: Time, event: Event) {
+        self.next += 1;
+        self.events.insert(self.next, event);
+        self.queue.push(Reverse((at, self.next)));
+    }
+
+    /// Returns the clock of an instance.
+    pub(super) fn clock(&self, i: usize) -> Time {
+        self.now - self.instances[i].clock_behind
+    }
+
+    pub(super) fn send(&mut self, from: usize, to: usize, event: impl Fn() -> Event) {
+        let domains = self.domains.len();
+        let network = self.simulation.network;
+        let (a, b) = (from % domains, to % domains);
+        if a != b && (self.cut[a] || self.cut[b]) || self.chance(network.dropped) {
+            return;
+        }
+        let copies = if self.chance(network.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = self.delay(network);
+            self.push(self.now + delay, event());
+        }
+    }
+
+    pub(super) fn delay(&mut self, network: Network) -> Duration {
+        let longest = u64::try_from(network.max_delay.as_micros()).unwrap_or(0);
+        let extra = if self.chance(network.delayed) { self.rng.random_range(0..=longest) } else { 0 };
+        self.simulation.latency + Duration::from_micros(extra)
+    }
+
+    pub(super) fn chance(&mut self, thousandths: u32) -> bool {
+        thousandths > 0 && self.rng.random_range(0..1000) < thousandths
+    }
+
+    /// Returns true if the instance is alive and not paused.
+    pub(super) fn ready(&self, i: usize) -> bool {
+        self.instances[i].alive && self.instances[i].paused_until <= self.now
+    }
+
+    fn handle(&mut self, event: Event) {
+        let target = match &event {
+            Event::Ask(_, i, _) | Event::Grant(i, ..) | Event::Unreachable(i, ..) => Some(*i),
+            Event::HolderTick(i, _) | Event::LeadTick(i) => Some(*i),
+            Event::StoreReply(call, _) => Some(call.lead.0),
+            Event::AskPromise(i, ..) | Event::Promise((i, _), ..) => Some(*i),
+            _ => None,
+        };
+        if let Some(i) = target.filter(|i| !self.ready(*i)) {
+            if self.instances[i].alive {
+                self.push(self.instances[i].paused_until, event);
+            }
+            return;
+        }
+        match event {
+            Event::Step(step) => self.step(step),
+            Event::Ask(from, to, ask) => self.on_ask(from, to, ask),
+            Event::Grant(to, incarnation, domain, grant) => {
+                if self.instances[to].incarnation == incarnation {
+                    self.on_grant(to, domain, grant);
+                }
+            }
+            Event::Unreachable(to, incarnation, domain, account) => {
+                if self.instances[to].incarnation == incarnation {
+                    let (now, lead) = (self.clock(to), self.domains[domain].clone());
+                    let holder = &mut self.instances[to].holder;
+                    let actions = holder.on_lead_unreachable(&lead, &account, now);
+                    self.act(to, actions);
+                }
+            }
+            Event::HolderTick(i, incarnation) => {
+                if self.instances[i].incarnation == incarnation {
+                    self.instances[i].ticking = false;
+                    let now = self.clock(i);
+                    let actions = self.instances[i].holder.tick(now);
+                    self.act(i, actions);
+                }
+            }
+            Event::LeadTick(i) => self.lead_tick(i),
+            Event::Succeed(domain) => self.succeed(domain),
+            Event::StoreCall(call) => self.store_call(call),
+            Event::StoreReply(call, answer) => self.store_reply(call, answer),
+            Event::AskPromise(to, home, sent) => self.on_ask_promise(to, home, sent),
+            Event::Promise(home, sent, clear) => self.on_promise(home, sent, clear),
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Request { account, instance } => self.request(account, instance),
+            Step::Kill(i) => {
+                self.instances[i].alive = false;
+                self.instances[i].lead = None;
+                let domain = i % self.domains.len();
+                if self.leads[domain].0 == i {
+                    self.push(self.now + TAKEOVER, Event::Succeed(domain));
+                }
+            }
+            Step::Start(i) => {
+                let limits = self.instances[i].limits.clone();
+                self.instances[i] = self.instance(i, limits);
+                let domain = i % self.domains.len();
+                if self.instances[self.leads[domain].0].lead.is_none() {
+                    self.push(self.now + TAKEOVER, Event::Succeed(domain));
+                }
+            }
+            Step::Pause(i, time) => self.pause(i, time),
+            Step::Freeze(i, time) => {
+                self.pause(i, time);
+                self.instances[i].clock_behind += time;
+            }
+            Step::Partition(domain, cut) => self.cut[domain] = cut,
+            Step::Limits(i, account, limits) => self.apply(i, account, limits),
+        }
+    }
+
+    fn pause(&mut self, i: usize, time: Duration) {
+        self.instances[i].paused_until = self.now + time;
+        let domain = i % self.domains.len();
+        if time > LEASE && self.leads[domain].0 == i {
+            self.push(self.now + TAKEOVER + Duration::from_secs(1), Event::Succeed(domain));
+        }
+    }
+
+    fn apply(&mut self, i: usize, account: usize, limits: Limits) {
+        let (now, name) = (self.clock(i), self.names[account].clone());
+        let instance = &mut self.instances[i];
+        instance.limits[account] = limits;
+        instance.holder.set_limits(&name, limits);
+        if let Some(lead) = &mut instance.lead {
+            lead.grantor.set_limits(&name, limits, now);
+        }
+        self.history.applied.push((self.now, i, account, limits));
+    }
+
+    fn request(&mut self, account: usize, instance: usize) {
+        let ticket = self.history.requests.len() as u64;
+        self.history.requests.push((self.now, account, Fate::Lost));
+        let count = self.instances.len();
+        let choice = (instance..instance + count).map(|i| i % count).find(|i| self.ready(*i));
+        let Some(i) = choice else { return };
+        let now = self.clock(i);
+        let name = self.names[account].clone();
+        let actions = self.instances[i].holder.request(&name, ticket, now);
+        self.act(i, actions.unwrap_or_default());
+    }
+
+    fn act(&mut self, i: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Spent { ticket, waited } => {
+                    self.history.requests[ticket as usize].2 = Fate::Admitted(self.now, waited);
+                }
+                Action::Refused { ticket, .. } => {
+                    self.history.requests[ticket as usize].2 = Fate::Refused;
+                }
+                Action::Ask { lead, ask } => self.ask(i, &lead, ask),
+            }
+        }
+        let instance = &mut self.instances[i];
+        let now = self.now - instance.clock_behind;
+        if !instance.ticking && instance.holder.next_wake(now).is_some() {
+            instance.ticking = true;
+            let incarnation = instance.incarnation;
+            self.push(self.now + HOLDER_TICK, Event::HolderTick(i, incarnation));
+        }
+    }
+
+    fn ask(&mut self, i: usize, lead: &DomainName, ask: RateAsk) {
+        let account = self.names.iter().position(|name| *name == ask.account).unwrap_or(0);
+        self.history.asks[account] += 1;
+        let domain = self.domains.iter().position(|name| name == lead).unwrap_or(0);
+        let to = self.leads[domain].0;
+        if !self.instances[to].alive {
+            let incarnation = self.instances[i].incarnation;
+            let account = ask.account;
+            let at = self.now + self.simulation.latency * 2;
+            return self.push(at, Event::Unreachable(i, incarnation, domain, account));
+        }
+        self.send(i, to, || Event::Ask(i, to, ask.clone()));
+    }
+
+    fn on_ask(&mut self, from: usize, to: usize, ask: RateAsk) {
+        let now = self.clock(to);
+        let Some(lead) = &mut self.instances[to].lead else { return };
+        let unbound = self.simulation.sabotage == Sabotage::LeadLease;
+        let valid_until = if unbound { now + LEASE } else { lead.valid_until };
+        let domain = lead.domain;
+        let grant = lead.grantor.ask(&ask, now, valid_until);
+        self.send(to, from, || Event::Grant(from, ask.incarnation, domain, grant.clone()));
+    }
+
+    fn on_grant(&mut self, to: usize, domain: usize, mut grant: RateGrant) {
+        if self.simulation.sabotage == Sabotage::Counters {
+            grant.granted_total *= 2;
+        }
+        let (now, lead) = (self.clock(to), self.domains[domain].clone());
+        let actions = self.instances[to].holder.on_grant(&lead, &grant, now);
+        self.act(to, actions);
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-rate/src/floor.rs
@@ -0,0 +1,333 @@
+//! Floor lease of a failure domain: full, reserve, or claimed by the backup lead.
+//!
+//! The home lead writes `lead/<domain>` and then reads `floor/<domain>`; the backup lead writes
+//! `floor/<domain>` and then reads `lead/<domain>`. So at least one of them sees the other, and the
+//! upper part of the floor is never in force at both.
+
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::GRANT_WAIT;
+
+/// Part of the rates that a lead holds for another failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Inherited {
+    /// Share in billionths.
+    pub share: u64,
+    /// Start of the refill, after the grants of the other lead have ended.
+    pub from: Time,
+    /// End of the claim.
+    pub until: Time,
+}
+
+/// The store record `floor/<domain>`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FloorRecord {
+    /// Epoch of the backup lead that claims the upper part of the floor.
+    pub claimant: Option<u64>,
+    /// True if the home lead asks for its floor.
+    pub return_requested: bool,
+}
+
+/// A store call that the floor lease needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FloorWrite {
+    /// Reads `floor/<domain>`.
+    ReadFloor,
+    /// Reads `lead/<domain>`.
+    ReadLead,
+    /// Writes `floor/<domain>` if its version is `expect` (0: the record is absent).
+    Write {
+        /// Version that the writer saw.
+        expect: u64,
+        /// New record.
+        record: FloorRecord,
+    },
+}
+
+/// Times of the floor lease.
+#[derive(Clone, Copy, Debug)]
+pub struct FloorSettings {
+    /// Length of the lease, of a promise and of a claim.
+    pub lease: Duration,
+    /// Silence after which the other side's lease, promise or claim has ended.
+    pub silence: Duration,
+    /// Time after which the grants of the other side have ended.
+    pub wait: Duration,
+    /// Time between two renewals of a claim.
+    pub renewal: Duration,
+}
+
+impl Default for FloorSettings {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(3),
+            silence: Duration::from_millis(3500),
+            wait: GRANT_WAIT,
+            renewal: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Decides at the home lead whether its full floor is in force.
+#[derive(Debug)]
+pub struct Floor {
+    settings: FloorSettings,
+    lease_until: Time,
+    from: Option<Time>,
+    version: Option<u64>,
+    pending: Option<Pending>,
+    claim: Option<SeenClaim>,
+}
+
+/// A store confirmation after a lapse, which counts once the floor record was read.
+#[derive(Debug)]
+struct Pending {
+    confirmed: Time,
+    until: Time,
+}
+
+#[derive(Debug)]
+struct SeenClaim {
+    version: u64,
+    since: Time,
+    record: FloorRecord,
+}
+
+impl Floor {
+    /// Returns the machine of a new lead, which has the reserve only.
+    pub fn new(settings: FloorSettings) -> Self {
+        let lease_until = Time::ZERO;
+        Self { settings, lease_until, from: None, version: None, pending: None, claim: None }
+    }
+
+    /// Takes in that the renewal of `lead/<domain>` sent at `sent` was confirmed by the store.
+    pub fn on_renewed(&mut self, sent: Time, now: Time) {
+        let until = sent + self.settings.lease;
+        if now < self.lease_until {
+            self.lease_until = self.lease_until.max(until);
+            return;
+        }
+        match &mut self.pending {
+            Some(pending) if now < pending.until => pending.until = pending.until.max(until),
+            _ => self.pending = Some(Pending { confirmed: now, until }),
+        }
+    }
+
+    /// Takes in a promise asked for at `sent`; the backup lead knows that the floor has not been
+    /// claimed for `clear_for`.
+    pub fn on_promised(&mut self, sent: Time, clear_for: Duration, now: Time) {
+        if now >= self.lease_until || self.from.is_none() {
+            let from = now + self.settings.wait.saturating_sub(clear_for);
+            self.from = Some(from);
+            self.version = None;
+        }
+        self.lease_until = self.lease_until.max(sent + self.settings.lease);
+    }
+
+    /// Takes in the floor record, read by a call that began at `started`. The version of an absent
+    /// record is 0.
+    pub fn on_floor_read(&mut self, record: FloorRecord, version: u64, started: Time, now: Time) {
+        if record.claimant.is_some() {
+            let same = self.claim.as_ref().filter(|claim| claim.version == version);
+            let since = same.map_or(now, |claim| claim.since);
+            self.claim = Some(SeenClaim { version, since, record });
+            if now >= self.lease_until {
+                self.version = None;
+                self.from = None;
+            }
+            return;
+        }
+        self.claim = None;
+        if let Some(pending) = self.pending.take_if(|pending| started >= pending.confirmed) {
+            if self.version != Some(version) || self.from.is_none() {
+                self.from = Some(now + self.settings.wait);
+            }
+            self.version = Some(version);
+            self.lease_until = self.lease_until.max(pending.until);
+        }
+    }
+
+    /// Takes in that `record` was written with the new `version`.
+    pub fn on_floor_written(&mut self, record: FloorRecord, version: u64) {
+        match &mut self.claim {
+            Some(claim) if record.claimant.is_some() => {
+                claim.version = version;
+                claim.record = record;
+            }
+            _ => self.claim = None,
+        }
+    }
+
+    /// Takes in that a write found another version, or that its outcome is unclear.
+    pub fn on_conflict(&mut self) {
+        self.claim = None;
+    }
+
+    /// Returns the store call that is due, at most one.
+    pub fn tick(&self, now: Time) -> Option<FloorWrite> {
+        self.pending.as_ref().filter(|pending| now < pending.until)?;
+        let Some(claim) = &self.claim else { return Some(FloorWrite::ReadFloor) };
+        let record = FloorRecord { return_requested: true, ..claim.record };
+        if now >= claim.since + self.settings.silence {
+            let record = FloorRecord::default();
+            return Some(FloorWrite::Write { expect: claim.version, record });
+        }
+        if !claim.record.return_requested {
+            return Some(FloorWrite::Write { expect: claim.version, record });
+        }
+        Some(FloorWrite::ReadFloor)
+    }
+
+    /// Returns the end of the full floor, or zero while only the reserve is in force.
+    pub fn full_until(&self, now: Time) -> Time {
+        match self.from {
+            Some(from) if from <= now => self.lease_until,
+            _ => Time::ZERO,
+        }
+    }
+}
+
+/// Decides at the backup lead whether it holds the upper part of another failure domain's floor.
+#[derive(Debug)]
+pub struct Backup {
+    settings: FloorSettings,
+    epoch: u64,
+    share: u64,
+    lead_version: Option<u64>,
+    unchanged_since: Time,
+    promised_until: Time,
+    floor: Option<(u64, FloorRecord)>,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Idle { clear_since: Time },
+    Claiming,
+    Verifying { claimed: Time, until: Time },
+    Held { from: Time, until: Time, renewed: Time },
+    Releasing { since: Time },
+}
+
+impl Backup {
+    /// Returns the machine of a backup lead that took over at `now` with `epoch`; `share` is the
+    /// upper part of the other floor.
+    pub fn new(settings: FloorSettings, epoch: u64, share: u64, now: Time) -> Self {
+        Self {
+            settings,
+            epoch,
+            share,
+            lead_version: None,
+            unchanged_since: now,
+            promised_until: now + settings.silence,
+            floor: None,
+            state: State::Idle { clear_since: now },
+        }
+    }
+
+    /// Promises not to claim, and returns for how long the floor has not been claimed by this lead.
+    /// Returns `None` if it is claimed or may be.
+    pub fn promise(&mut self, now: Time) -> Option<Duration> {
+        let State::Idle { clear_since } = self.state else { return None };
+        self.promised_until = now + self.settings.silence;
+        Some(now.since(clear_since))
+    }
+
+    /// Takes in the version of `lead/<domain>`, read by a call that began at `started`.
+    pub fn on_lead_read(&mut self, version: u64, started: Time, now: Time) {
+        let same = self.lead_version == Some(version);
+        if !same {
+            self.lead_version = Some(version);
+            self.unchanged_since = now;
+        }
+        match self.state {
+            State::Verifying { .. } if !same => self.state = State::Releasing { since: now },
+            State::Verifying { claimed, until } if started >= claimed => {
+                let from = claimed + self.settings.wait;
+                self.state = State::Held { from, until, renewed: claimed };
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the floor record.
+    pub fn on_floor_read(&mut self, record: FloorRecord, version: u64, now: Time) {
+        self.floor = Some((version, record));
+        let mine = record.claimant == Some(self.epoch);
+        self.state = match self.state {
+            State::Claiming if !mine => State::Idle { clear_since: now },
+            State::Releasing { since } if !mine => State::Idle { clear_since: since },
+            State::Held { .. } | State::Verifying { .. } if !mine || record.return_requested => {
+                State::Releasing { since: now }
+            }
+            state => state,
+        };
+    }
+
+    /// Takes in that `record`, sent at `sent`, was written with the new `version`.
+    pub fn on_floor_written(&mut self, record: FloorRecord, version: u64, sent: Time, now: Time) {
+        self.floor = Some((version, record));
+        let until = sent + self.settings.lease;
+        let claimed = record.claimant == Some(self.epoch);
+        self.state = match self.state {
+            State::Claiming if claimed => State::Verifying { claimed: now, until },
+            State::Verifying { claimed, .. } => State::Verifying { claimed, until },
+            State::Held { from, .. } if claimed => State::Held { from, until, renewed: now },
+            State::Releasing { since } if !claimed => State::Idle { clear_since: since },
+            state => state,
+        };
+    }
+
+    /// Takes in that a write found another version. A fresh read decides what follows.
+    pub fn on_conflict(&mut self) {
+        self.floor = None;
+    }
+
+    /// Returns the store call that is due, at most one. The caller makes one call at a time and
+    /// reports its outcome; after an unclear outcome it reports a conflict.
+    pub fn tick(&mut self, now: Time) -> Option<FloorWrite> {
+        if let State::Held { until, .. } | State::Verifying { until, .. } = self.state
+            && now >= until
+        {
+            self.state = State::Releasing { since: now };
+        }
+        let Some((version, record)) = self.floor else { return Some(FloorWrite::ReadFloor) };
+        let claim = FloorRecord { claimant: Some(self.epoch), return_requested: false };
+        let write = |record| Some(FloorWrite::Write { expect: version, record });
+        match self.state {
+            State::Idle { .. } if self.may_claim(now) => {
+                self.state = State::Claiming;
+                write(claim)
+            }
+            State::Idle { .. } => Some(FloorWrite::ReadLead),
+            State::Claiming => write(claim),
+            State::Verifying { .. } => Some(FloorWrite::ReadLead),
+            State::Held { renewed, .. } if now >= renewed + self.settings.renewal => write(claim),
+            State::Held { .. } => Some(FloorWrite::ReadFloor),
+            State::Releasing { .. } if record.claimant == Some(self.epoch) => {
+                write(FloorRecord::default())
+            }
+            State::Releasing { .. } => Some(FloorWrite::ReadFloor),
+        }
+    }
+
+    /// Returns the part of the floor that this lead holds, if any.
+    pub fn inherited(&self, now: Time) -> Option<Inherited> {
+        match self.state {
+            State::Held { from, until, .. } if now < until => {
+                Some(Inherited { share: self.share, from, until })
+            }
+            _ => None,
+        }
+    }
+
+    fn may_claim(&self, now: Time) -> bool {
+        self.lead_version.is_some()
+            && now >= self.unchanged_since + self.settings.silence
+            && now >= self.promised_until
+    }
+}
--- a/crates/sesamewall-rate/src/lib.rs
+++ b/crates/sesamewall-rate/src/lib.rs
@@ -1,1 +1,28 @@
 //! Decides fleet-wide rates by escrow between domain leads and grant holders.
+
+mod bucket;
+mod floor;
+mod grantor;
+mod holder;
+mod limits;
+mod source;
+
+pub use bucket::Bucket;
+pub use floor::Backup;
+pub use floor::Floor;
+pub use floor::FloorRecord;
+pub use floor::FloorSettings;
+pub use floor::FloorWrite;
+pub use floor::Inherited;
+pub use grantor::Grantor;
+pub use grantor::GrantorSettings;
+pub use holder::Action;
+pub use holder::Holder;
+pub use holder::HolderSettings;
+pub use holder::Refusal;
+pub use limits::GRANT_LIFE;
+pub use limits::GRANT_WAIT;
+pub use limits::Limits;
+pub use limits::REQUEST;
+pub use limits::SHARE_UNIT;
+pub use limits::reserve_share;
--- /dev/null
+++ b/crates/sesamewall-rate/src/limits.rs
@@ -0,0 +1,52 @@
+//! Rate and burst in integers.
+
+use std::time::Duration;
+
+use sesamewall_protocol::RateLimit;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One request in the unit of all token counts.
+pub const REQUEST: u64 = 1000;
+
+/// Time from the sending of an ask to the end of the tokens that it brought.
+pub const GRANT_LIFE: Duration = Duration::from_secs(3);
+
+/// Time after which a lead regards the grants of a silent holder, or of an earlier lead, as ended:
+/// `GRANT_LIFE` and a margin of 0.5 s for clocks that run at different speeds.
+pub const GRANT_WAIT: Duration = Duration::from_millis(3500);
+
+/// A share of 1: shares of a rate are counted in billionths.
+pub const SHARE_UNIT: u64 = 1_000_000_000;
+
+/// Returns the part of a floor that needs no floor lease (1/4).
+pub fn reserve_share(share: u64) -> u64 {
+    share / 4
+}
+
+/// Rate and burst of one account key with the configuration revision that set them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Millionths of a request a second.
+    pub rate: u64,
+    /// Thousandths of a request.
+    pub burst: u64,
+    /// Revision of the configuration.
+    pub revision: u64,
+}
+
+impl Limits {
+    /// Converts a configured rate, rounding down.
+    pub fn new(limit: RateLimit, revision: u64) -> Self {
+        Self { rate: (limit.rate * 1e6) as u64, burst: (limit.burst * 1e3) as u64, revision }
+    }
+
+    /// Returns the part of the rate and the burst that belongs to `share` (in billionths).
+    pub(crate) fn part(&self, share: u64) -> (u64, u64) {
+        let part = |value: u64| {
+            let exact = u128::from(value) * u128::from(share) / u128::from(SHARE_UNIT);
+            u64::try_from(exact).unwrap_or(u64::MAX)
+        };
+        (part(self.rate), part(self.burst))
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-rate/src/source.rs
@@ -0,0 +1,217 @@
+//! Tokens that a holder has from one lead for one account.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::RateGrant;
+use sesamewall_protocol::peer::SpentTotal;
+
+use crate::REQUEST;
+
+const MAX_POINTS: usize = 8;
+const MAX_BATCHES: usize = 16;
+
+/// Tracks grants, spent tokens and level hints of one lead.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Source {
+    pub(crate) epoch: u64,
+    pub(crate) session: u64,
+    seen: u64,
+    spent: u64,
+    pub(crate) returned: u64,
+    points: VecDeque<(Time, u64)>,
+    batches: VecDeque<Batch>,
+    pub(crate) pending: Option<Pending>,
+    pub(crate) hint: Option<Hint>,
+    pub(crate) retry_at: Time,
+    pub(crate) unreachable_until: Time,
+    acknowledged: (u64, u64),
+    unanswered: bool,
+    revision: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Batch {
+    expiry: Time,
+    tokens: u64,
+}
+
+/// An ask without a reply so far.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    pub(crate) sequence: u64,
+    pub(crate) sent: Time,
+    pub(crate) need: u64,
+    reported: (u64, u64),
+}
+
+/// What the lead last said about its bucket.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hint {
+    pub(crate) level: u64,
+    pub(crate) capacity: u64,
+    pub(crate) refill: u64,
+    pub(crate) at: Time,
+}
+
+impl Hint {
+    /// Returns the level expected at `now`.
+    pub(crate) fn expected(&self, now: Time) -> u64 {
+        let micros = u64::try_from(now.since(self.at).as_micros()).unwrap_or(u64::MAX);
+        let refill = self.refill.saturating_mul(micros) / 1_000_000;
+        self.level.saturating_add(refill).min(self.capacity)
+    }
+}
+
+impl Source {
+    /// Returns the tokens that can be spent now.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.batches.iter().map(|batch| batch.tokens).sum()
+    }
+
+    /// Drops expired tokens; they count as returned.
+    pub(crate) fn expire(&mut self, now: Time) {
+        while let Some(batch) = self.batches.pop_front_if(|batch| batch.expiry <= now) {
+            self.returned += batch.tokens;
+        }
+    }
+
+    /// Hands all tokens back; the lead learns of it with the next ask.
+    pub(crate) fn give_back(&mut self) {
+        self.returned += self.tokens();
+        self.batches.clear();
+    }
+
+    /// Returns true if the lead has not confirmed that it knows of all returned tokens.
+    pub(crate) fn owes_returned(&self) -> bool {
+        self.returned > self.acknowledged.1
+    }
+
+    /// Returns true if the lead has not confirmed that it knows of all spent tokens.
+    pub(crate) fn owes_spent(&self) -> bool {
+        self.spent > self.acknowledged.0
+    }
+
+    /// Spends up to `wanted` tokens, the earliest to expire first, and returns how many.
+    pub(crate) fn spend(&mut self, wanted: u64, now: Time) -> u64 {
+        let mut left = wanted;
+        while let Some(batch) = self.batches.front_mut().filter(|_| left > 0) {
+            let taken = batch.tokens.min(left);
+            batch.tokens -= taken;
+            left -= taken;
+            if batch.tokens == 0 {
+                self.batches.pop_front();
+            }
+        }
+        if left < wanted {
+            self.spent += wanted - left;
+            self.note_spent(now);
+        }
+        wanted - left
+    }
+
+    /// Keeps a bounded number of points. A dropped point makes its tokens look spent later, which
+    /// the lead credits with less refill, never with more.
+    fn note_spent(&mut self, now: Time) {
+        match self.points.back_mut() {
+            Some((at, total)) if now.since(*at) < Duration::from_millis(1) => {
+                (*at, *total) = (now, self.spent);
+            }
+            _ => self.points.push_back((now, self.spent)),
+        }
+        if self.points.len() > MAX_POINTS {
+            self.points.remove(1);
+        }
+    }
+
+    /// Notes an ask and returns the counters to send with it.
+    pub(crate) fn begin(&mut self, sequence: u64, need: u64, now: Time) -> Vec<SpentTotal> {
+        self.abandon();
+        let reported = (self.spent, self.returned);
+        self.pending = Some(Pending { sequence, sent: now, need, reported });
+        let age = |at: Time| u64::try_from(now.since(at).as_micros()).unwrap_or(0);
+        self.points.iter().map(|&(at, total)| SpentTotal { age_us: age(at), total }).collect()
+    }
+
+    /// Stops waiting for the reply to the last ask.
+    pub(crate) fn abandon(&mut self) {
+        self.unanswered |= self.pending.take().is_some();
+    }
+
+    /// Takes in a grant. Tokens live for `life` from the sending of the ask that it answers. Those
+    /// that come too late, or that the lead granted before revision `lowered` of the configuration
+    /// reduced the burst, count as returned at once.
+    pub(crate) fn on_grant(
+        &mut self,
+        grant: &RateGrant,
+        lowered: u64,
+        life: Duration,
+        now: Time,
+    ) -> bool {
+        let pending = self.pending.take_if(|pending| pending.sequence == grant.sequence);
+        if grant.denial.is_some() {
+            return pending.is_some();
+        }
+        if (grant.epoch, grant.session) < (self.epoch, self.session) {
+            return pending.is_some();
+        }
+        if (grant.epoch, grant.session) > (self.epoch, self.session) {
+            self.start_session(grant);
+        } else if let Some(pending) = &pending {
+            self.acknowledged = pending.reported;
+            self.points.retain(|point| point.1 > pending.reported.0);
+        }
+        // Without the ask its sending time is unknown, so its tokens wait for a later reply.
+        let Some(pending) = pending else { return false };
+        let fresh = grant.granted_total.saturating_sub(self.seen);
+        self.seen += fresh;
+        let expiry = pending.sent + life;
+        // After an unanswered ask, the total may contain tokens of an earlier revision.
+        let mixed = self.unanswered && grant.revision != self.revision;
+        let revoked = grant.revision < lowered || mixed;
+        (self.unanswered, self.revision) = (false, grant.revision);
+        if expiry <= now || revoked {
+            self.returned += fresh;
+        } else if fresh > 0 {
+            self.add(expiry, fresh);
+        }
+        self.hint = Some(Hint {
+            level: grant.level,
+            capacity: grant.capacity,
+            refill: grant.refill,
+            at: now,
+        });
+        true
+    }
+
+    fn start_session(&mut self, grant: &RateGrant) {
+        (self.epoch, self.session) = (grant.epoch, grant.session);
+        (self.seen, self.spent, self.returned) = (0, 0, 0);
+        self.acknowledged = (0, 0);
+        self.points.clear();
+        // Tokens of an earlier session are not counted by the lead any more.
+        self.batches.clear();
+    }
+
+    fn add(&mut self, expiry: Time, tokens: u64) {
+        let full = self.batches.len() >= MAX_BATCHES;
+        match self.batches.back_mut() {
+            Some(last) if full || last.expiry >= expiry => {
+                last.expiry = last.expiry.min(expiry);
+                last.tokens += tokens;
+            }
+            _ => self.batches.push_back(Batch { expiry, tokens }),
+        }
+    }
+
+    /// Returns true if the lead can be asked now.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        self.pending.is_none() && self.retry_at <= now && self.unreachable_until <= now
+    }
+
+    /// Returns the level expected at `now`; an unknown level counts as one request.
+    pub(crate) fn expected(&self, now: Time) -> u64 {
+        self.hint.map_or(REQUEST, |hint| hint.expected(now))
+    }
+}
