--- a/crates/sesamewall-rate/src/holder.rs
+++ b/crates/sesamewall-rate/src/holder.rs
@@ -177,7 +177,9 @@
         let Some(mut account) = self.accounts.remove(key) else { return Vec::new() };
         let refusal = account.refusal(now, false);
         let waiting = account.waiting.drain(..);
-        waiting.map(|w| Action::Refused { ticket: w.ticket, refusal: refusal.clone() }).collect()
+        waiting
+            .map(|w| Action::Refused { ticket: w.ticket, refusal: refusal.clone() })
+            .collect()
     }
 
     /// Decides a request, or lets it wait while it asks the leads. Returns `None` if the account
@@ -325,8 +327,7 @@
 
     fn drop_lost_asks(&mut self, settings: &HolderSettings, now: Time) {
         for source in self.sources.values_mut() {
-            let lost =
-                |pending: &crate::source::Pending| now >= pending.sent + settings.ask_timeout;
+            let lost = |pending: &crate::source::Pending| now >= pending.sent + settings.ask_timeout;
             if source.pending.as_ref().is_some_and(lost) {
                 source.abandon();
                 source.unreachable_until = now + settings.unreachable_pause;
