Add lead lease, configuration log, members and store call budget

Change: lead.rs, config_log.rs, config_write.rs, log_format.rs, members.rs, store_budget.rs and their messages.

--- a/crates/sesamewall-membership/src/lib.rs
+++ b/crates/sesamewall-membership/src/lib.rs
@@ -1,12 +1,44 @@
 //! Decides who is lead, who is live and which configuration is in force. All parts are state
 //! machines without sockets, clocks, tasks or random sources of their own.
 
+mod config_log;
+mod config_write;
 mod configuration;
 mod field_check;
+mod lead;
+mod lead_types;
+pub mod log_format;
+mod members;
+mod store_budget;
 
+pub use config_log::Follower;
+pub use config_log::KEPT_CHANGES;
+pub use config_log::LogAction;
+pub use config_write::ChangeRequest;
+pub use config_write::ChangeWriter;
+pub use config_write::SnapshotPlan;
+pub use config_write::WriteAction;
+pub use config_write::snapshot_due;
 pub use configuration::Configuration;
 pub use configuration::MAX_RESOURCES;
 pub use field_check::MAX_MODEL_CHARS;
 pub use field_check::MAX_NAME_CHARS;
 pub use field_check::MAX_OPERATIONS;
 pub use field_check::MAX_TARGETS;
+pub use lead::Lead;
+pub use lead_types::LEAD_LEASE;
+pub use lead_types::LEAD_MARGIN;
+pub use lead_types::LeadAction;
+pub use lead_types::LeadRecord;
+pub use lead_types::LeadSettings;
+pub use members::DomainState;
+pub use members::DomainView;
+pub use members::MemberAction;
+pub use members::Members;
+pub use members::Report;
+pub use members::SILENCE;
+pub use members::Suspects;
+pub use store_budget::BudgetSettings;
+pub use store_budget::CallKind;
+pub use store_budget::Priority;
+pub use store_budget::StoreBudget;
