--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -8,6 +8,7 @@
 mod node;
 mod recorder;
 mod settings;
+mod settings_check;
 
 pub use answer::error_response;
 pub use config_view::ConfigView;
@@ -21,3 +22,5 @@
 pub use node::Node;
 pub use recorder::Recorder;
 pub use settings::Settings;
+pub use settings_check::check;
+pub use settings_check::known_keys;
