Keep decision records on two storage instances

Cause: records existed only in the memory of the instance that decided, so its loss lost them. Change: RecordService sends them each second to two storage instances in two failure domains, which keep them in rotating files of frames with CRC32 under a size bound. Queries ask every live instance. DecisionRecord gets a sequence number, which orders records and tells copies from equal decisions.

--- a/crates/sesamewall-protocol/src/peer/mod.rs
+++ b/crates/sesamewall-protocol/src/peer/mod.rs
@@ -28,6 +28,8 @@
     Batch(BatchMessage),
     /// Decision records.
     Record(RecordMessage),
+    /// Operators' questions to one instance.
+    Operator(OperatorMessage),
     /// The receiver could not handle the message.
     Failed {
         /// Numbered result code.
--- a/crates/sesamewall-protocol/src/record.rs
+++ b/crates/sesamewall-protocol/src/record.rs
@@ -69,6 +69,10 @@
     pub at_ms: u64,
     /// The instance that decided.
     pub instance: InstanceName,
+    /// Number of the record at its instance, counted from the start of the process. It orders
+    /// records of one millisecond and tells copies of one record from two equal decisions.
+    #[serde(default)]
+    pub sequence: u64,
     /// The request or item.
     pub request: RequestId,
     /// The client account, if it was known.
--- a/crates/sesamewall-server/src/recorder.rs
+++ b/crates/sesamewall-server/src/recorder.rs
@@ -26,6 +26,7 @@
 struct Pending {
     records: VecDeque<DecisionRecord>,
     dropped: u64,
+    sequence: u64,
 }
 
 impl Recorder {
@@ -36,14 +37,17 @@
 
     /// Notes a decision about a request.
     pub fn note(&self, request: &RequestId, account: Option<&AccountName>, decision: Decision) {
+        let at_ms = self.clock.wall_ms();
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.sequence += 1;
         let record = DecisionRecord {
-            at_ms: self.clock.wall_ms(),
+            at_ms,
             instance: self.instance.clone(),
+            sequence: pending.sequence,
             request: request.clone(),
             account: account.cloned(),
             decision,
         };
-        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
         if pending.records.len() == PENDING_LIMIT {
             pending.records.pop_front();
             pending.dropped += 1;
@@ -58,6 +62,17 @@
         pending.records.drain(..count).collect()
     }
 
+    /// Returns the records that wait and that `wanted` accepts, oldest first.
+    pub fn find(&self, wanted: impl Fn(&DecisionRecord) -> bool) -> Vec<DecisionRecord> {
+        let pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.records.iter().filter(|record| wanted(record)).cloned().collect()
+    }
+
+    /// Returns the number of records that wait.
+    pub fn waiting(&self) -> usize {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner).records.len()
+    }
+
     /// Returns the number of records dropped at the bound.
     pub fn dropped(&self) -> u64 {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner).dropped
--- /dev/null
+++ b/crates/sesamewall-server/src/records/mod.rs
@@ -0,0 +1,11 @@
+//! Keeps decision records on storage instances and answers questions about them.
+
+mod files;
+mod query;
+mod service;
+
+pub use files::RecordFiles;
+pub use files::RecordLimits;
+pub use query::RecordQuery;
+pub use service::RecordAnswer;
+pub use service::RecordService;
