--- a/crates/sesamewall-protocol/src/lib.rs
+++ b/crates/sesamewall-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod class;
 mod error;
+mod error_table;
 mod name;
 mod outcome;
 pub mod peer;
--- /dev/null
+++ b/crates/sesamewall-protocol/tests/main.rs
@@ -0,0 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
+//! Tests of the shared types, one module per topic.
+
+mod errors;
