Run batch jobs from upload to output file

Cause: accepted batch items need exactly one outcome each, whatever instances are lost. Change: batch decisions (input, claims, frames, recovery, copies), a data folder of checked frames, and the server's files, jobs, workers, journals and repair.

--- /dev/null
+++ b/crates/sesamewall-batch/src/claim.rs
@@ -0,0 +1,154 @@
+//! Decides which segment a worker claims, and when a claim has lapsed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::JobId;
+use sesamewall_protocol::Time;
+
+use crate::JobRecord;
+use crate::SegmentRecord;
+use crate::SegmentState;
+use crate::WorkerRecord;
+
+/// A claim lapses when the observer has not seen the worker's record change for this long.
+pub const CLAIM_LAPSE: Duration = Duration::from_secs(10);
+/// A worker stops this long after the start of its last renewal. It is below [`CLAIM_LAPSE`] for
+/// clocks that run at different rates.
+pub const WORKER_DEADLINE: Duration = Duration::from_secs(9);
+
+const OBSERVED_LIMIT: usize = 4_096;
+
+#[derive(Debug)]
+struct Observed {
+    beat: Option<u64>,
+    changed: Time,
+}
+
+/// Remembers the work given to each account and when workers' records changed.
+#[derive(Debug, Default)]
+pub struct ClaimBook {
+    work: BTreeMap<AccountName, f64>,
+    observed: BTreeMap<(InstanceName, String), Observed>,
+}
+
+impl ClaimBook {
+    /// Returns the job to take a segment from: of the account with the least weighted work, the
+    /// job that is due first.
+    pub fn choose_job<'a>(
+        &mut self,
+        jobs: impl Iterator<Item = &'a JobRecord> + Clone,
+    ) -> Option<JobId> {
+        // An account that returns after a pause starts at the least active level; otherwise it
+        // would be served alone until it had caught up.
+        let floor = jobs
+            .clone()
+            .filter_map(|job| self.work.get(&job.account))
+            .fold(f64::INFINITY, |least, work| least.min(*work));
+        let floor = if floor.is_finite() { floor } else { 0.0 };
+        let mut active: BTreeMap<AccountName, f64> = BTreeMap::new();
+        for job in jobs.clone() {
+            let work = self.work.get(&job.account).map_or(floor, |work| work.max(floor));
+            active.insert(job.account.clone(), work);
+        }
+        self.work = active;
+        let work = |job: &JobRecord| self.work.get(&job.account).copied().unwrap_or(floor);
+        jobs.min_by(|a, b| {
+            work(a).total_cmp(&work(b)).then(a.due_ms.cmp(&b.due_ms)).then(a.id.cmp(&b.id))
+        })
+        .map(|job| job.id.clone())
+    }
+
+    /// Adds `items` of work given to an account with `weight`.
+    pub fn charge(&mut self, account: &AccountName, items: u32, weight: f64) {
+        *self.work.entry(account.clone()).or_default() += f64::from(items) / weight.max(1e-6);
+    }
+
+    /// Tells whether the claim of `record` has lapsed, given the holder's worker record as just
+    /// read. The first look starts the time.
+    pub fn is_lapsed(
+        &mut self,
+        record: &SegmentRecord,
+        worker: Option<&WorkerRecord>,
+        now: Time,
+    ) -> bool {
+        let beat =
+            worker.filter(|found| found.incarnation == record.incarnation).map(|found| found.beat);
+        let key = (record.holder.clone(), record.incarnation.clone());
+        if self.observed.len() >= OBSERVED_LIMIT && !self.observed.contains_key(&key) {
+            self.observed.retain(|_, seen| now.since(seen.changed) < 2 * CLAIM_LAPSE);
+        }
+        let seen = self.observed.entry(key).or_insert(Observed { beat, changed: now });
+        if beat.is_some() && beat != seen.beat {
+            *seen = Observed { beat, changed: now };
+        }
+        now.since(seen.changed) >= CLAIM_LAPSE
+    }
+}
+
+/// What a worker can do about a job's segments.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SegmentChoice {
+    /// Claim the segment with this index; `None` stands for a segment without record.
+    Claim(u32),
+    /// All segments are taken; some are not committed.
+    Taken,
+    /// Nothing of the job is left to run.
+    Ended,
+}
+
+/// Chooses a segment of a job. `records` has the existing records by index, `lapsed` tells whether
+/// a claim has lapsed, `start` spreads workers over the free segments. For a stopping job only
+/// lapsed and released claims are taken, so that their outcomes are committed.
+pub fn choose_segment(
+    segments: u32,
+    stopping: bool,
+    records: &BTreeMap<u32, SegmentRecord>,
+    start: u32,
+    mut lapsed: impl FnMut(&SegmentRecord) -> bool,
+) -> SegmentChoice {
+    let mut taken = false;
+    let mut choice = None;
+    for step in 0..segments {
+        let index = ((u64::from(start) + u64::from(step)) % u64::from(segments)) as u32;
+        let free = match records.get(&index) {
+            None => !stopping,
+            Some(record) => match record.state {
+                SegmentState::Committed => continue,
+                SegmentState::Released => true,
+                SegmentState::Claimed => {
+                    taken = true;
+                    lapsed(record)
+                }
+            },
+        };
+        if free && choice.is_none() {
+            choice = Some(index);
+        }
+    }
+    match choice {
+        Some(index) => SegmentChoice::Claim(index),
+        None if taken => SegmentChoice::Taken,
+        None => SegmentChoice::Ended,
+    }
+}
+
+/// A worker's own lease, by its own clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct WorkerLease {
+    renewed: Option<Time>,
+}
+
+impl WorkerLease {
+    /// Notes a successful renewal that was started at `start`.
+    pub fn renew(&mut self, start: Time) {
+        self.renewed = self.renewed.max(Some(start));
+    }
+
+    /// Tells whether the worker may still run items.
+    pub fn is_valid(&self, now: Time) -> bool {
+        self.renewed.is_some_and(|start| now.since(start) < WORKER_DEADLINE)
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-batch/src/input.rs
@@ -0,0 +1,169 @@
+//! Parses batch input files and divides them into segments.
+
+use std::collections::HashSet;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::Result;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Most items in one job.
+pub const ITEM_LIMIT: u64 = 170_000;
+/// Most items in one segment.
+pub const SEGMENT_ITEMS: u32 = 500;
+/// A segment takes no further line beyond this size, so that a worker can hold it in memory.
+pub const SEGMENT_BYTES: u64 = 8 << 20;
+
+/// One line of a batch input file.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct InputLine {
+    /// The caller's identifier of the item, unique in the file.
+    pub custom_id: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path.
+    pub url: String,
+    /// JSON body.
+    pub body: serde_json::Value,
+}
+
+/// Place of a segment in the input file.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SegmentRange {
+    /// Offset of the first line in bytes.
+    pub offset: u64,
+    /// Length in bytes.
+    pub length: u64,
+    /// Number of items.
+    pub items: u32,
+}
+
+/// Parses line number `line`, from 1. Returns [`Error::BatchLineInvalid`].
+pub fn parse_line(line: u64, text: &[u8]) -> Result<InputLine> {
+    let wrong = |detail: String| Error::BatchLineInvalid { line, detail };
+    let parsed: InputLine =
+        serde_json::from_slice(text).map_err(|error| wrong(error.to_string()))?;
+    if parsed.custom_id.is_empty() {
+        return Err(wrong("field `custom_id` is empty".to_owned()));
+    }
+    let model_call = is_model_endpoint(&parsed.url);
+    let method_allowed = match parsed.method.as_str() {
+        "POST" => true,
+        "GET" | "PUT" | "PATCH" | "DELETE" => !model_call,
+        _ => false,
+    };
+    if !method_allowed {
+        return Err(wrong(format!("method `{}` is not supported", parsed.method)));
+    }
+    // Paths outside the API belong to plain services; the runner knows their routes.
+    let plain = parsed.url.starts_with('/') && !parsed.url.starts_with("/v1/");
+    if !model_call && !plain {
+        return Err(wrong(format!("url `{}` is not supported", parsed.url)));
+    }
+    Ok(parsed)
+}
+
+fn is_model_endpoint(url: &str) -> bool {
+    matches!(url, "/v1/chat/completions" | "/v1/completions")
+}
+
+/// Checks an input file piece by piece and divides it into segments.
+#[derive(Debug, Default)]
+pub struct InputScan {
+    pending: Vec<u8>,
+    line_limit: usize,
+    line: u64,
+    offset: u64,
+    seen: HashSet<[u8; 16]>,
+    endpoint: String,
+    segments: Vec<SegmentRange>,
+}
+
+impl InputScan {
+    /// Creates a scan that accepts lines of up to `line_limit` bytes.
+    pub fn new(line_limit: usize) -> Self {
+        Self { line_limit, ..Self::default() }
+    }
+
+    /// Checks the next piece of the file.
+    pub fn push(&mut self, piece: &[u8]) -> Result<()> {
+        let mut rest = piece;
+        while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
+            self.pending.extend_from_slice(&rest[..end]);
+            rest = &rest[end + 1..];
+            self.finish_line(1)?;
+        }
+        self.pending.extend_from_slice(rest);
+        self.check_length()
+    }
+
+    /// Ends the file. Returns the endpoint that all lines name, and the segments.
+    pub fn finish(mut self) -> Result<(String, Vec<SegmentRange>)> {
+        if !self.pending.is_empty() {
+            self.finish_line(0)?;
+        }
+        if self.seen.is_empty() {
+            return Err(Error::BatchLineInvalid {
+                line: 1,
+                detail: "the file has no items".to_owned(),
+            });
+        }
+        Ok((self.endpoint, self.segments))
+    }
+
+    fn check_length(&self) -> Result<()> {
+        if self.pending.len() > self.line_limit {
+            return Err(Error::BatchLineInvalid {
+                line: self.line + 1,
+                detail: format!("the line is longer than {} bytes", self.line_limit),
+            });
+        }
+        Ok(())
+    }
+
+    fn finish_line(&mut self, line_end: u64) -> Result<()> {
+        self.check_length()?;
+        self.line += 1;
+        let text = std::mem::take(&mut self.pending);
+        let length = text.len() as u64 + line_end;
+        if text.iter().all(u8::is_ascii_whitespace) {
+            self.extend(length, 0);
+            return Ok(());
+        }
+        let parsed = parse_line(self.line, &text)?;
+        let wrong = |line, detail| Err(Error::BatchLineInvalid { line, detail });
+        let digest = Sha256::digest(parsed.custom_id.as_bytes());
+        let mut id = [0; 16];
+        id.copy_from_slice(&digest[..16]);
+        if !self.seen.insert(id) {
+            return wrong(self.line, format!("custom_id `{}` is used twice", parsed.custom_id));
+        }
+        if self.endpoint.is_empty() {
+            self.endpoint = parsed.url;
+        } else if self.endpoint != parsed.url {
+            let detail = format!("url `{}` differs from `{}`", parsed.url, self.endpoint);
+            return wrong(self.line, detail);
+        }
+        if self.seen.len() as u64 > ITEM_LIMIT {
+            return Err(Error::BatchTooLarge { limit: ITEM_LIMIT });
+        }
+        self.extend(length, 1);
+        Ok(())
+    }
+
+    fn extend(&mut self, length: u64, items: u32) {
+        let full = |range: &SegmentRange| {
+            range.items + items > SEGMENT_ITEMS
+                || (range.items > 0 && range.length + length > SEGMENT_BYTES)
+        };
+        if self.segments.last().is_none_or(full) {
+            self.segments.push(SegmentRange { offset: self.offset, length: 0, items: 0 });
+        }
+        let last = self.segments.last_mut().expect("a segment was pushed");
+        last.length += length;
+        last.items += items;
+        self.offset += length;
+    }
+}
--- a/crates/sesamewall-batch/src/lib.rs
+++ b/crates/sesamewall-batch/src/lib.rs
@@ -1,1 +1,45 @@
 //! Decides about batch jobs: segments, claims, outcomes, copies and their repair.
+
+mod claim;
+mod copies;
+mod frame;
+mod input;
+mod job;
+mod record;
+mod recovery;
+
+pub use claim::CLAIM_LAPSE;
+pub use claim::ClaimBook;
+pub use claim::SegmentChoice;
+pub use claim::WORKER_DEADLINE;
+pub use claim::WorkerLease;
+pub use claim::choose_segment;
+pub use copies::COPIES_WANTED;
+pub use copies::REPAIR_AFTER;
+pub use copies::RepairBook;
+pub use copies::choose_holders;
+pub use frame::Frame;
+pub use frame::FrameBody;
+pub use frame::decode_frames;
+pub use frame::encode_frame;
+pub use input::ITEM_LIMIT;
+pub use input::InputLine;
+pub use input::InputScan;
+pub use input::SEGMENT_BYTES;
+pub use input::SEGMENT_ITEMS;
+pub use input::SegmentRange;
+pub use input::parse_line;
+pub use job::JobEvent;
+pub use job::JobState;
+pub use job::is_retained;
+pub use record::BlobRef;
+pub use record::Counts;
+pub use record::FileRecord;
+pub use record::FileSource;
+pub use record::JobRecord;
+pub use record::SegmentRecord;
+pub use record::SegmentState;
+pub use record::WorkerRecord;
+pub use recovery::ATTEMPT_LIMIT;
+pub use recovery::ItemState;
+pub use recovery::recover;
--- /dev/null
+++ b/crates/sesamewall-batch/src/recovery.rs
@@ -0,0 +1,71 @@
+//! Recovers the state of a segment's items from the frames of earlier claims.
+
+use crate::BlobRef;
+use crate::Frame;
+use crate::FrameBody;
+
+/// Most attempts of an item.
+pub const ATTEMPT_LIMIT: u32 = 3;
+
+/// What is known about an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ItemState {
+    /// The item is to be run.
+    Run {
+        /// Attempts so far.
+        attempts: u32,
+        /// Reason of the last failed attempt.
+        reason: String,
+    },
+    /// The item has an outcome.
+    Done {
+        /// The response is complete.
+        ok: bool,
+        /// Line of the output or error file.
+        line: String,
+    },
+    /// A non-idempotent item may have been sent and must not be run again.
+    Unknown {
+        /// Attempts that ended before.
+        attempts: u32,
+    },
+}
+
+/// Recovers `count` items from the copies of each blob of the chain, oldest blob first. Frames with
+/// another fencing token than their blob's and frames after a seal are not trusted. The first
+/// outcome of an item counts.
+pub fn recover(count: usize, chain: &[(BlobRef, Vec<Vec<Frame>>)]) -> Vec<ItemState> {
+    let mut items = vec![ItemState::Run { attempts: 0, reason: String::new() }; count];
+    for (blob, copies) in chain {
+        // Copies of one blob are prefixes of the same frames, so the longest says everything.
+        let trusted = |copy: &Vec<Frame>| {
+            copy.iter().take_while(|frame| frame.body != FrameBody::Seal).count()
+        };
+        let Some(longest) = copies.iter().max_by_key(|copy| trusted(copy)) else { continue };
+        let frames = longest.iter().take(trusted(longest));
+        let about_items =
+            |frame: &&Frame| !matches!(frame.body, FrameBody::Header | FrameBody::Seal);
+        for frame in frames.filter(|frame| frame.fence == blob.fence).filter(about_items) {
+            if let Some(item) = items.get_mut(frame.item as usize) {
+                apply(item, &frame.body);
+            }
+        }
+    }
+    items
+}
+
+fn apply(item: &mut ItemState, body: &FrameBody) {
+    let (attempts, last) = match item {
+        ItemState::Run { attempts, reason } => (*attempts, std::mem::take(reason)),
+        ItemState::Unknown { attempts } => (*attempts, String::new()),
+        ItemState::Done { .. } => return,
+    };
+    *item = match body {
+        FrameBody::Outcome { ok, line } => ItemState::Done { ok: *ok, line: line.clone() },
+        FrameBody::Intent => ItemState::Unknown { attempts },
+        FrameBody::Attempt { reason } => {
+            ItemState::Run { attempts: attempts + 1, reason: reason.clone() }
+        }
+        FrameBody::Header | FrameBody::Seal => ItemState::Run { attempts, reason: last },
+    };
+}
--- a/crates/sesamewall-protocol/src/peer/batch.rs
+++ b/crates/sesamewall-protocol/src/peer/batch.rs
@@ -42,4 +42,18 @@
         /// Length of the blob in bytes.
         length: u64,
     },
+    /// Asks for the length of a blob.
+    Stat {
+        /// Name of the blob.
+        blob: String,
+    },
+    /// The blob does not exist.
+    Missing,
+    /// The receiver could not do what was asked.
+    Failed {
+        /// Numbered result code.
+        code: u16,
+        /// What went wrong.
+        message: String,
+    },
 }
--- /dev/null
+++ b/crates/sesamewall-server/src/batch/options.rs
@@ -0,0 +1,48 @@
+//! Options of batch work.
+
+use std::time::Duration;
+
+use sesamewall_batch::COPIES_WANTED;
+
+/// Options of batch work. The switches take a mechanism out, so that tests can show that their
+/// checks notice it.
+#[derive(Clone, Debug)]
+pub struct BatchOptions {
+    /// Copies of each blob.
+    pub copies: usize,
+    /// A commit compares the segment record with the version of the worker's claim.
+    pub fence_compare: bool,
+    /// An intent is stored before a non-idempotent item is sent.
+    pub intent: bool,
+    /// A write whose answer was lost is read back.
+    pub read_back: bool,
+    /// Segments that the instance runs at a time.
+    pub segments_at_once: usize,
+    /// Largest uploaded file in bytes.
+    pub file_limit: usize,
+    /// Time between repair passes.
+    pub repair_every: Duration,
+    /// Blobs looked at in one repair pass.
+    pub repair_blobs: usize,
+    /// Time for which a blob without record is kept.
+    pub orphan_after: Duration,
+    /// Seed for tokens and spreading; a random one without it.
+    pub seed: Option<u64>,
+}
+
+impl Default for BatchOptions {
+    fn default() -> Self {
+        Self {
+            copies: COPIES_WANTED,
+            fence_compare: true,
+            intent: true,
+            read_back: true,
+            segments_at_once: 4,
+            file_limit: 1 << 30,
+            repair_every: Duration::from_secs(60),
+            repair_blobs: 256,
+            orphan_after: Duration::from_secs(3600),
+            seed: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/batch/records.rs
@@ -0,0 +1,150 @@
+//! Reads and writes of records in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use sesamewall_ports::Expect;
+use sesamewall_ports::Store;
+use sesamewall_ports::StoreError;
+use sesamewall_ports::Versioned;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::Result;
+
+const READ_BACK_TRIES: u32 = 5;
+const READ_BACK_PAUSE: Duration = Duration::from_millis(200);
+const PAGE_ENTRIES: usize = 500;
+
+pub(super) const OPEN_PREFIX: &str = "batch/open/";
+pub(super) const JOB_PREFIX: &str = "batch/job/";
+
+/// Reads and writes of JSON records.
+pub(super) struct Records {
+    pub(super) store: Arc<dyn Store>,
+    pub(super) read_back: bool,
+}
+
+fn unavailable(error: &StoreError) -> Error {
+    Error::StoreUnavailable { detail: error.to_string() }
+}
+
+pub(super) fn decode<T: DeserializeOwned>(entry: &Versioned) -> Result<T> {
+    serde_json::from_slice(&entry.value)
+        .map_err(|error| Error::Internal { detail: format!("record {}: {error}", entry.key) })
+}
+
+impl Records {
+    pub(super) async fn get<T: DeserializeOwned>(&self, key: &str) -> Result<Option<(T, u64)>> {
+        match self.store.get(key).await {
+            Ok(Some(entry)) => Ok(Some((decode(&entry)?, entry.version))),
+            Ok(None) => Ok(None),
+            Err(error) => Err(unavailable(&error)),
+        }
+    }
+
+    /// Writes a record if `expect` holds and returns its version, or `None` if the condition does
+    /// not hold. A record carries a unique token, so equal bytes mean that this write, or an
+    /// earlier try of it, took effect.
+    pub(super) async fn put<T: Serialize>(
+        &self,
+        key: &str,
+        record: &T,
+        expect: Expect,
+    ) -> Result<Option<u64>> {
+        let value = Bytes::from(serde_json::to_vec(record).unwrap_or_default());
+        match self.store.put(key, value.clone(), expect).await {
+            Ok(version) => Ok(Some(version)),
+            Err(StoreError::Conflict | StoreError::Unclear) if self.read_back => {
+                self.find_own(key, &value).await
+            }
+            Err(StoreError::Conflict) => Ok(None),
+            Err(error) => Err(unavailable(&error)),
+        }
+    }
+
+    async fn find_own(&self, key: &str, value: &Bytes) -> Result<Option<u64>> {
+        for _ in 0..READ_BACK_TRIES {
+            match self.store.get(key).await {
+                Ok(Some(entry)) if entry.value == *value => return Ok(Some(entry.version)),
+                Ok(_) => return Ok(None),
+                Err(_) => tokio::time::sleep(READ_BACK_PAUSE).await,
+            }
+        }
+        // `StoreUnavailable` would say that nothing was written, which is not known here.
+        Err(Error::Internal { detail: format!("whether {key} was written is not known") })
+    }
+
+    pub(super) async fn delete(&self, key: &str) -> Result<()> {
+        let found = self.store.get(key).await.map_err(|error| unavailable(&error))?;
+        match found {
+            Some(entry) => match self.store.delete(key, entry.version).await {
+                Ok(()) | Err(StoreError::Conflict | StoreError::Unclear) => Ok(()),
+                Err(error) => Err(unavailable(&error)),
+            },
+            None => Ok(()),
+        }
+    }
+
+    /// Returns up to `limit` entries below `prefix` after the key `after`.
+    pub(super) async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<Versioned>> {
+        self.store.list(prefix, after, limit).await.map_err(|error| unavailable(&error))
+    }
+
+    /// Returns all entries below `prefix`, page by page.
+    pub(super) async fn list_all(&self, prefix: &str) -> Result<Vec<Versioned>> {
+        let mut all: Vec<Versioned> = Vec::new();
+        loop {
+            let after = all.last().map_or(String::new(), |entry| entry.key.clone());
+            let page = self.list(prefix, &after, PAGE_ENTRIES).await?;
+            let ended = page.len() < PAGE_ENTRIES;
+            all.extend(page);
+            if ended {
+                return Ok(all);
+            }
+        }
+    }
+}
+
+pub(super) fn job_key(job: &str) -> String {
+    format!("{JOB_PREFIX}{job}")
+}
+
+pub(super) fn open_key(job: &str) -> String {
+    format!("{OPEN_PREFIX}{job}")
+}
+
+pub(super) fn file_key(file: &str) -> String {
+    format!("batch/file/{file}")
+}
+
+pub(super) fn segment_prefix(job: &str) -> String {
+    format!("batch/segment/{job}/")
+}
+
+pub(super) fn segment_key(job: &str, index: u32) -> String {
+    format!("batch/segment/{job}/{index:05}")
+}
+
+pub(super) fn worker_key(instance: &str) -> String {
+    format!("batch/worker/{instance}")
+}
+
+/// Returns the prefix of an account's list of `files` or `jobs`. The name is in hex, so that no
+/// account's prefix is part of another's.
+pub(super) fn list_prefix(account: &AccountName, kind: &str) -> String {
+    format!("batch/list/{}/{kind}/", hex::encode(account.as_str()))
+}
+
+/// Returns the key of a list entry; newer objects come first.
+pub(super) fn list_key(account: &AccountName, kind: &str, created_ms: u64, id: &str) -> String {
+    let newest_first = 9_999_999_999_999_u64.saturating_sub(created_ms);
+    format!("{}{newest_first:013}-{id}", list_prefix(account, kind))
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/batch/service.rs
@@ -0,0 +1,169 @@
+//! The batch service of one instance.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::routing::get;
+use axum::routing::post;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use sesamewall_batch::ClaimBook;
+use sesamewall_batch::JobRecord;
+use sesamewall_batch::RepairBook;
+use sesamewall_batch::WorkerLease;
+use sesamewall_protocol::JobId;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::BatchMessage;
+use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+use super::BatchOptions;
+use super::files;
+use super::jobs;
+use super::records::Records;
+use super::storage::Storage;
+use crate::ItemRunner;
+use crate::Node;
+
+/// A job that has not ended, as this instance knows it.
+pub(super) struct OpenJob {
+    pub(super) record: JobRecord,
+    pub(super) version: u64,
+    /// Cancelled when the job stops.
+    pub(super) stop: CancellationToken,
+    /// The job has nothing to claim before this time.
+    pub(super) look_at: Time,
+}
+
+/// What changes while the service runs.
+#[derive(Default)]
+pub(super) struct State {
+    pub(super) jobs: BTreeMap<JobId, OpenJob>,
+    pub(super) claims: ClaimBook,
+    pub(super) repair: RepairBook,
+    pub(super) lease: WorkerLease,
+    pub(super) worker_version: Option<u64>,
+    /// Segments that this process runs.
+    pub(super) active: BTreeSet<(JobId, u32)>,
+    pub(super) orphans: BTreeMap<String, Time>,
+    pub(super) repair_after: String,
+}
+
+/// Accepts files and jobs, runs segments, and keeps copies.
+pub struct BatchService {
+    pub(super) node: Arc<Node>,
+    pub(super) runner: Arc<dyn ItemRunner>,
+    pub(super) options: BatchOptions,
+    pub(super) records: Records,
+    pub(super) storage: Storage,
+    pub(super) incarnation: String,
+    pub(super) state: Mutex<State>,
+    pub(super) rng: Mutex<ChaCha8Rng>,
+    pub(super) wake: Notify,
+    pub(super) items: Arc<Semaphore>,
+    pub(super) beat: AtomicU64,
+}
+
+impl BatchService {
+    /// Creates the service with default options.
+    pub fn new(node: Arc<Node>, runner: Arc<dyn ItemRunner>) -> Arc<Self> {
+        Self::with_options(node, runner, BatchOptions::default())
+    }
+
+    /// Creates the service.
+    pub fn with_options(
+        node: Arc<Node>,
+        runner: Arc<dyn ItemRunner>,
+        options: BatchOptions,
+    ) -> Arc<Self> {
+        let mut rng = match options.seed {
+            Some(seed) => ChaCha8Rng::seed_from_u64(seed),
+            None => ChaCha8Rng::from_os_rng(),
+        };
+        let incarnation = format!("{:032x}", rng.random::<u128>());
+        let records = Records { store: Arc::clone(&node.store), read_back: options.read_back };
+        Arc::new(Self {
+            storage: Storage { node: Arc::clone(&node) },
+            items: Arc::new(Semaphore::new(node.settings.batch_workers.max(1))),
+            node,
+            runner,
+            options,
+            records,
+            incarnation,
+            state: Mutex::default(),
+            rng: Mutex::new(rng),
+            wake: Notify::new(),
+            beat: AtomicU64::new(0),
+        })
+    }
+
+    /// Returns the routes for callers.
+    pub fn router(self: &Arc<Self>) -> Router {
+        let limit = self.options.file_limit.saturating_add(1 << 20);
+        Router::new()
+            .route("/v1/files", post(files::upload).get(files::list))
+            .route("/v1/files/{id}", get(files::describe).delete(files::remove))
+            .route("/v1/files/{id}/content", get(files::content))
+            .route("/v1/batches", post(jobs::create).get(jobs::list))
+            .route("/v1/batches/{id}", get(jobs::describe))
+            .route("/v1/batches/{id}/cancel", post(jobs::cancel))
+            .layer(DefaultBodyLimit::max(limit))
+            .with_state(Arc::clone(self))
+    }
+
+    /// Does what a message of another instance asks.
+    pub async fn handle(&self, message: BatchMessage) -> BatchMessage {
+        self.storage.handle(message).await
+    }
+
+    /// Starts the background tasks. They end when the handles are aborted.
+    pub fn spawn(self: &Arc<Self>) -> Vec<tokio::task::JoinHandle<()>> {
+        vec![
+            tokio::spawn(Arc::clone(self).renew_loop()),
+            tokio::spawn(Arc::clone(self).watch_loop()),
+            tokio::spawn(Arc::clone(self).claim_loop()),
+            tokio::spawn(Arc::clone(self).repair_loop()),
+        ]
+    }
+
+    /// Returns the state for operators.
+    pub fn dump(&self) -> serde_json::Value {
+        let state = self.state();
+        json!({
+            "incarnation": self.incarnation,
+            "lease_valid": state.lease.is_valid(self.node.clock.now()),
+            "open_jobs": state.jobs.len(),
+            "active_segments": state
+                .active
+                .iter()
+                .map(|(job, index)| format!("{job}/{index}"))
+                .collect::<Vec<_>>(),
+            "free_item_slots": self.items.available_permits(),
+            "orphan_blobs": state.orphans.len(),
+        })
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a unique text of 96 random bits.
+    pub(super) fn token(&self) -> String {
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        format!("{:016x}{:08x}", rng.random::<u64>(), rng.random::<u32>())
+    }
+
+    pub(super) fn random(&self) -> u64 {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner).random()
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/batch/storage.rs
@@ -0,0 +1,207 @@
+//! Access to blobs on this and other storage instances.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use sesamewall_batch::BlobRef;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::peer::BatchMessage;
+use sesamewall_protocol::peer::PeerMessage;
+
+use crate::Node;
+
+/// Bytes in one message. A byte takes up to two in MessagePack, so a message stays under 2 MB.
+pub(super) const CHUNK_BYTES: usize = 512 << 10;
+
+const DAMAGED_CODE: u16 = 6005;
+const ABSENT_CODE: u16 = 1010;
+
+/// Access to the blobs of the fleet.
+#[derive(Clone)]
+pub(super) struct Storage {
+    pub(super) node: Arc<Node>,
+}
+
+fn refused(blob: &str, offset: u64, code: u16, message: String) -> Error {
+    match code {
+        DAMAGED_CODE => Error::BulkDamaged { blob: blob.to_owned(), offset },
+        ABSENT_CODE => absent(blob),
+        _ => Error::Internal { detail: message },
+    }
+}
+
+fn absent(blob: &str) -> Error {
+    Error::NotFound { kind: "blob".to_owned(), id: blob.to_owned() }
+}
+
+fn unexpected() -> Error {
+    Error::Internal { detail: "unexpected reply to a bulk message".to_owned() }
+}
+
+impl Storage {
+    /// Does what a message asks, on the data folder of this instance.
+    pub(super) async fn handle(&self, message: BatchMessage) -> BatchMessage {
+        match self.serve(message).await {
+            Ok(reply) => reply,
+            Err(error) => BatchMessage::Failed { code: error.code(), message: error.to_string() },
+        }
+    }
+
+    async fn serve(&self, message: BatchMessage) -> Result<BatchMessage> {
+        let Some(bulk) = &self.node.bulk else {
+            return Err(Error::BulkUnavailable { copies: 0, wanted: 1 });
+        };
+        match message {
+            BatchMessage::Append { blob, offset, data } => {
+                let length = bulk.append(&blob, offset, Bytes::from(data)).await?;
+                Ok(BatchMessage::Stored { length })
+            }
+            BatchMessage::Read { blob, offset, limit } => {
+                let limit = limit.min(CHUNK_BYTES as u64);
+                let data = bulk.read(&blob, offset, limit).await?.to_vec();
+                let length = bulk.length(&blob).await?.unwrap_or_default();
+                Ok(BatchMessage::Data { data, length })
+            }
+            BatchMessage::Delete { blob } => {
+                bulk.delete(&blob).await?;
+                Ok(BatchMessage::Stored { length: 0 })
+            }
+            BatchMessage::Stat { blob } => Ok(match bulk.length(&blob).await? {
+                Some(length) => BatchMessage::Stored { length },
+                None => BatchMessage::Missing,
+            }),
+            _ => Err(unexpected()),
+        }
+    }
+
+    async fn ask(&self, holder: &InstanceName, message: BatchMessage) -> Result<BatchMessage> {
+        if *holder == self.node.own.name {
+            return Ok(self.handle(message).await);
+        }
+        let Some(found) = self.node.directory.find(holder) else {
+            return Err(Error::PeerUnavailable {
+                instance: holder.to_string(),
+                detail: "the instance is not live".to_owned(),
+            });
+        };
+        match self.node.link.exchange(&found.address, PeerMessage::Batch(message)).await? {
+            PeerMessage::Batch(reply) => Ok(reply),
+            PeerMessage::Failed { message, .. } => {
+                Err(Error::PeerUnavailable { instance: holder.to_string(), detail: message })
+            }
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Appends `data` at `offset` on one storage instance, in pieces.
+    pub(super) async fn append(
+        &self,
+        holder: &InstanceName,
+        blob: &str,
+        offset: u64,
+        data: &[u8],
+    ) -> Result<()> {
+        let mut at = offset;
+        for piece in data.chunks(CHUNK_BYTES) {
+            let data = piece.to_vec();
+            let message = BatchMessage::Append { blob: blob.to_owned(), offset: at, data };
+            match self.ask(holder, message).await? {
+                BatchMessage::Stored { .. } => at += piece.len() as u64,
+                BatchMessage::Failed { code, message } => {
+                    return Err(refused(blob, at, code, message));
+                }
+                _ => return Err(unexpected()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Appends `data` on all holders. Returns an error unless all have it on disk.
+    pub(super) async fn append_all(&self, blob: &BlobRef, offset: u64, data: &[u8]) -> Result<()> {
+        let wanted = blob.holders.len();
+        let appends =
+            blob.holders.iter().map(|holder| self.append(holder, &blob.name, offset, data));
+        let stored = join_all(appends).await.into_iter().filter(Result::is_ok).count();
+        if stored < wanted || wanted == 0 {
+            return Err(Error::BulkUnavailable { copies: stored as u32, wanted: wanted as u32 });
+        }
+        Ok(())
+    }
+
+    /// Reads one piece from one storage instance. Returns the bytes and the blob's length.
+    pub(super) async fn read_piece(
+        &self,
+        holder: &InstanceName,
+        blob: &str,
+        offset: u64,
+        limit: u64,
+    ) -> Result<(Vec<u8>, u64)> {
+        let message = BatchMessage::Read { blob: blob.to_owned(), offset, limit };
+        match self.ask(holder, message).await? {
+            BatchMessage::Data { data, length } => Ok((data, length)),
+            BatchMessage::Failed { code, message } => Err(refused(blob, offset, code, message)),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Reads everything that one storage instance has of a blob, up to the first damaged piece.
+    pub(super) async fn read_copy(&self, holder: &InstanceName, blob: &str) -> Result<Vec<u8>> {
+        let mut all = Vec::new();
+        loop {
+            let (piece, length) =
+                self.read_piece(holder, blob, all.len() as u64, CHUNK_BYTES as u64).await?;
+            all.extend_from_slice(&piece);
+            if piece.is_empty() || all.len() as u64 >= length {
+                return Ok(all);
+            }
+        }
+    }
+
+    /// Reads `length` bytes from `offset` of a complete blob, from any holder that has them.
+    pub(super) async fn read(&self, blob: &BlobRef, offset: u64, length: u64) -> Result<Vec<u8>> {
+        let mut all = Vec::new();
+        while (all.len() as u64) < length {
+            let at = offset + all.len() as u64;
+            let limit = (length - all.len() as u64).min(CHUNK_BYTES as u64);
+            all.extend_from_slice(&self.read_any(blob, at, limit).await?);
+        }
+        Ok(all)
+    }
+
+    /// Reads up to one message's worth of bytes from any holder.
+    pub(super) async fn read_any(&self, blob: &BlobRef, at: u64, limit: u64) -> Result<Vec<u8>> {
+        let mut damaged = None;
+        let own = &self.node.own.name;
+        let (near, far): (Vec<_>, Vec<_>) = blob.holders.iter().partition(|name| *name == own);
+        for holder in near.into_iter().chain(far) {
+            match self.read_piece(holder, &blob.name, at, limit).await {
+                Ok((piece, _)) if !piece.is_empty() => return Ok(piece),
+                Err(error @ Error::BulkDamaged { .. }) => damaged = Some(error),
+                _ => {}
+            }
+        }
+        Err(damaged.unwrap_or(Error::BulkUnavailable { copies: 0, wanted: 1 }))
+    }
+
+    /// Returns the length of a copy, or `None` if the instance does not have the blob.
+    pub(super) async fn stat(&self, holder: &InstanceName, blob: &str) -> Result<Option<u64>> {
+        match self.ask(holder, BatchMessage::Stat { blob: blob.to_owned() }).await? {
+            BatchMessage::Stored { length } => Ok(Some(length)),
+            BatchMessage::Missing => Ok(None),
+            BatchMessage::Failed { code, message } => Err(refused(blob, 0, code, message)),
+            _ => Err(unexpected()),
+        }
+    }
+
+    /// Deletes a copy.
+    pub(super) async fn delete(&self, holder: &InstanceName, blob: &str) -> Result<()> {
+        match self.ask(holder, BatchMessage::Delete { blob: blob.to_owned() }).await? {
+            BatchMessage::Stored { .. } => Ok(()),
+            BatchMessage::Failed { code, message } => Err(refused(blob, 0, code, message)),
+            _ => Err(unexpected()),
+        }
+    }
+}
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: caller API, operator API, and the wiring of decision modules to adapters.
 
 mod answer;
+mod batch;
 mod config_view;
 mod directory;
 mod item;
@@ -10,6 +11,8 @@
 mod settings;
 
 pub use answer::error_response;
+pub use batch::BatchOptions;
+pub use batch::BatchService;
 pub use config_view::ConfigView;
 pub use config_view::ConfigWriter;
 pub use directory::Directory;
