--- a/crates/sesamewall-server/src/batch/claims.rs
+++ b/crates/sesamewall-server/src/batch/claims.rs
@@ -35,6 +35,8 @@
 const IDLE_POLL: Duration = Duration::from_secs(1);
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Accounts share batch claims equally; their weights apply at admission.
+const EQUAL_WEIGHT: f64 = 1.0;
 const WATCH_MS: u64 = 10_000;
 /// An entry of the open list whose job was never written is removed after this long.
 const DANGLING_MS: u64 = 600_000;
@@ -242,8 +244,6 @@
             .filter(|(index, record)| own(**index, record))
             .map(|(_, record)| record.token.clone())
             .collect();
-        let mut idle: BTreeMap<u32, SegmentRecord> = records.clone();
-        idle.retain(|index, _| !active.contains(&(job.id.clone(), *index)));
         let first = choose_segment(job.segments, stopping, records, start, |record| {
             dropped.contains(&record.token)
         });
@@ -338,13 +338,8 @@
         if claim.job.state.is_ended() {
             return Ok(None);
         }
-        let weight = self.weight(&claim.job);
         let items = (claim.job.counts.total / u64::from(claim.job.segments.max(1))).max(1);
-        self.state().claims.charge(&claim.job.account, items as u32, weight);
+        self.state().claims.charge(&claim.job.account, items as u32, EQUAL_WEIGHT);
         Ok(Some(claim))
     }
-
-    fn weight(&self, _job: &JobRecord) -> f64 {
-        1.0
-    }
 }
--- /dev/null
+++ b/crates/sesamewall-server/tests/batch.rs
@@ -0,0 +1,14 @@
+//! Tests of batch jobs on a small fleet in virtual time.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "batch/answers.rs"]
+mod answers;
+#[path = "batch/copies.rs"]
+mod copies;
+#[path = "batch/faults.rs"]
+mod faults;
+#[path = "batch/fleet.rs"]
+mod fleet;
+#[path = "batch/http.rs"]
+mod http;
--- /dev/null
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -0,0 +1,484 @@
+//! A fleet of three instances with switchable faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use axum::Extension;
+use axum::body::Body;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::service::Service;
+use hyper_util::service::TowerToHyperService;
+use serde_json::Value;
+use serde_json::json;
+use sesamewall_batch::SegmentRecord;
+use sesamewall_batch::SegmentState;
+use sesamewall_ports::*;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_server::*;
+use tokio::sync::watch;
+
+const NAMES: [&str; 3] = ["i1", "i2", "i3"];
+
+struct VirtualClock(tokio::time::Instant);
+
+impl Clock for VirtualClock {
+    fn now(&self) -> Time {
+        Time::ZERO + self.0.elapsed()
+    }
+
+    fn wall_ms(&self) -> u64 {
+        1_700_000_000_000 + self.0.elapsed().as_millis() as u64
+    }
+}
+
+/// Holds back all calls of a paused process.
+#[derive(Clone)]
+pub struct Gate(Arc<watch::Sender<bool>>);
+
+impl Gate {
+    fn new() -> Self {
+        Self(Arc::new(watch::channel(true).0))
+    }
+
+    pub fn set(&self, open: bool) {
+        self.0.send_replace(open);
+    }
+
+    async fn pass(&self) {
+        let _ = self.0.subscribe().wait_for(|open| *open).await;
+    }
+}
+
+type Commits = Arc<Mutex<Vec<(String, SegmentRecord)>>>;
+
+struct GatedStore {
+    inner: Arc<FakeStore>,
+    gate: Gate,
+    commits: Commits,
+}
+
+#[async_trait]
+impl Store for GatedStore {
+    async fn get(&self, key: &str) -> std::result::Result<Option<Versioned>, StoreError> {
+        self.gate.pass().await;
+        self.inner.get(key).await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> std::result::Result<Vec<Versioned>, StoreError> {
+        self.gate.pass().await;
+        self.inner.list(prefix, after, limit).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Bytes,
+        expect: Expect,
+    ) -> std::result::Result<u64, StoreError> {
+        self.gate.pass().await;
+        let written = self.inner.put(key, value.clone(), expect).await;
+        if key.starts_with("batch/segment/") && matches!(written, Ok(_) | Err(StoreError::Unclear))
+        {
+            let record = serde_json::from_slice(&value).unwrap();
+            self.commits.lock().unwrap().push((key.to_owned(), record));
+        }
+        written
+    }
+
+    async fn delete(&self, key: &str, version: u64) -> std::result::Result<(), StoreError> {
+        self.gate.pass().await;
+        self.inner.delete(key, version).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> std::result::Result<Vec<Versioned>, StoreError> {
+        self.gate.pass().await;
+        let found = self.inner.watch(prefix, after, wait_ms).await;
+        self.gate.pass().await;
+        found
+    }
+}
+
+struct Member {
+    service: Arc<BatchService>,
+    node: Arc<Node>,
+    gate: Gate,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+type Members = Arc<Mutex<BTreeMap<String, Member>>>;
+
+struct FleetLink {
+    members: Members,
+    own: Gate,
+}
+
+#[async_trait]
+impl PeerLink for FleetLink {
+    async fn exchange(&self, address: &PeerAddress, message: PeerMessage) -> Result<PeerMessage> {
+        self.own.pass().await;
+        let found = {
+            let members = self.members.lock().unwrap();
+            members.get(&address.peer).map(|found| (Arc::clone(&found.service), found.gate.clone()))
+        };
+        let lost = || Error::PeerUnavailable {
+            instance: address.peer.clone(),
+            detail: "no answer".to_owned(),
+        };
+        let (service, gate) = found.ok_or_else(lost)?;
+        let PeerMessage::Batch(message) = message else { return Err(lost()) };
+        let limit = Duration::from_secs(2);
+        tokio::time::timeout(limit, gate.pass()).await.map_err(|_| lost())?;
+        let reply = service.handle(message).await;
+        self.own.pass().await;
+        Ok(PeerMessage::Batch(reply))
+    }
+}
+
+struct NoPort;
+
+#[async_trait]
+impl InstanceList for NoPort {
+    async fn announce(&self, _own: &ListedInstance) -> Result<()> {
+        Ok(())
+    }
+
+    async fn list(&self) -> Result<Vec<ListedInstance>> {
+        Ok(Vec::new())
+    }
+}
+
+#[async_trait]
+impl Target for NoPort {
+    async fn send(
+        &self,
+        _request: TargetRequest,
+    ) -> std::result::Result<TargetAnswer, TargetError> {
+        unreachable!("the runner stands in for targets")
+    }
+}
+
+/// What the targets saw and how they behave.
+#[derive(Default)]
+pub struct Targets {
+    pub sends: Mutex<BTreeMap<u64, u32>>,
+    pub fail: AtomicBool,
+    pub run_ms: AtomicU64,
+}
+
+struct Runner {
+    gate: Gate,
+    targets: Arc<Targets>,
+}
+
+#[async_trait]
+impl ItemRunner for Runner {
+    async fn run(&self, item: ItemRequest) -> ItemOutcome {
+        self.gate.pass().await;
+        let body: Value = serde_json::from_slice(&item.body).unwrap();
+        let number = body["n"].as_u64().unwrap();
+        *self.targets.sends.lock().unwrap().entry(number).or_default() += 1;
+        let run = Duration::from_millis(self.targets.run_ms.load(Ordering::Relaxed) + number % 97);
+        tokio::select! {
+            () = tokio::time::sleep(run) => {}
+            () = item.cancel.cancelled() => return ItemOutcome::Cancelled,
+        }
+        self.gate.pass().await;
+        if self.targets.fail.load(Ordering::Relaxed) {
+            let error = Error::TargetLost { target: "t".to_owned(), detail: "reset".to_owned() };
+            return ItemOutcome::Failed { error };
+        }
+        let body = Bytes::from(json!({"answer": number}).to_string());
+        ItemOutcome::Answered { status: 200, body }
+    }
+
+    fn is_idempotent(&self, _account: &AccountName, _method: &str, path: &str) -> bool {
+        path.starts_with("/v1/")
+    }
+}
+
+/// Three instances in three failure domains, each with a data folder.
+pub struct Fleet {
+    pub store: Arc<FakeStore>,
+    pub targets: Arc<Targets>,
+    pub bulks: BTreeMap<&'static str, Arc<dyn BulkStorage>>,
+    pub fakes: BTreeMap<&'static str, Arc<FakeBulk>>,
+    commits: Commits,
+    members: Members,
+    clock: Arc<VirtualClock>,
+    options: BatchOptions,
+    starts: u64,
+}
+
+pub fn listed(name: &str) -> ListedInstance {
+    let address = PeerAddress { peer: name.to_owned(), forward: String::new() };
+    ListedInstance {
+        name: InstanceName::from(name),
+        domain: format!("d{name}").into(),
+        address,
+        bulk: true,
+        state: ListedState::Live,
+    }
+}
+
+impl Fleet {
+    pub fn new(seed: u64, options: BatchOptions) -> Self {
+        let fakes: BTreeMap<_, _> =
+            NAMES.iter().map(|name| (*name, Arc::new(FakeBulk::default()))).collect();
+        let bulks = fakes
+            .iter()
+            .map(|(name, bulk)| (*name, Arc::clone(bulk) as Arc<dyn BulkStorage>))
+            .collect();
+        Self::with_bulks(seed, options, bulks, fakes)
+    }
+
+    pub fn with_bulks(
+        seed: u64,
+        options: BatchOptions,
+        bulks: BTreeMap<&'static str, Arc<dyn BulkStorage>>,
+        fakes: BTreeMap<&'static str, Arc<FakeBulk>>,
+    ) -> Self {
+        let targets = Targets::default();
+        targets.run_ms.store(150, Ordering::Relaxed);
+        let mut fleet = Self {
+            store: Arc::new(FakeStore::default()),
+            targets: Arc::new(targets),
+            bulks,
+            fakes,
+            commits: Commits::default(),
+            members: Members::default(),
+            clock: Arc::new(VirtualClock(tokio::time::Instant::now())),
+            options: BatchOptions {
+                repair_every: Duration::from_secs(5),
+                seed: Some(seed),
+                ..options
+            },
+            starts: seed << 8,
+        };
+        for name in NAMES {
+            fleet.start(name);
+        }
+        fleet
+    }
+
+    pub fn start(&mut self, name: &'static str) {
+        let gate = Gate::new();
+        let own = listed(name);
+        self.starts += 1;
+        let node = Arc::new(Node {
+            recorder: Recorder::new(own.name.clone(), self.clock.clone()),
+            own,
+            settings: Settings { batch_workers: 4, ..Settings::default() },
+            clock: self.clock.clone(),
+            store: Arc::new(GatedStore {
+                inner: Arc::clone(&self.store),
+                gate: gate.clone(),
+                commits: Arc::clone(&self.commits),
+            }),
+            instances: Arc::new(NoPort),
+            link: Arc::new(FleetLink { members: Arc::clone(&self.members), own: gate.clone() }),
+            target: Arc::new(NoPort),
+            bulk: Some(Arc::clone(&self.bulks[name])),
+            config: ConfigView::default(),
+            directory: Directory::default(),
+            metrics: Metrics::default(),
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+            draining: AtomicBool::new(false),
+        });
+        let runner = Runner { gate: gate.clone(), targets: Arc::clone(&self.targets) };
+        let options = BatchOptions { seed: Some(self.starts), ..self.options.clone() };
+        let service = BatchService::with_options(Arc::clone(&node), Arc::new(runner), options);
+        let tasks = service.spawn();
+        let member = Member { service, node, gate, tasks };
+        self.members.lock().unwrap().insert(name.to_owned(), member);
+        self.publish();
+    }
+
+    /// Ends a process at once, wherever it is. Its disk stays.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(member) = self.members.lock().unwrap().remove(name) {
+            member.gate.set(false);
+            member.tasks.iter().for_each(tokio::task::JoinHandle::abort);
+        }
+        self.publish();
+    }
+
+    fn publish(&self) {
+        let members = self.members.lock().unwrap();
+        let live: Vec<ListedInstance> = members.keys().map(|name| listed(name)).collect();
+        for member in members.values() {
+            member.node.directory.set_instances(live.clone());
+        }
+    }
+
+    pub fn gate(&self, name: &str) -> Option<Gate> {
+        self.members.lock().unwrap().get(name).map(|member| member.gate.clone())
+    }
+
+    pub fn service(&self) -> Arc<BatchService> {
+        Arc::clone(&self.members.lock().unwrap().values().next().unwrap().service)
+    }
+
+    /// Sends a request of `account` to the first live instance.
+    pub async fn call(&self, account: &str, request: axum::http::Request<Body>) -> (u16, Bytes) {
+        let caller =
+            Caller { account: AccountName::from(account), request: RequestId::from("req_test") };
+        let router = self.service().router().layer(Extension(caller));
+        let response = TowerToHyperService::new(router).call(request).await.unwrap();
+        let status = response.status().as_u16();
+        (
+            status,
+            response.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default(),
+        )
+    }
+
+    pub async fn get(&self, account: &str, path: &str) -> (u16, Bytes) {
+        let request = axum::http::Request::get(path).body(Body::empty()).unwrap();
+        self.call(account, request).await
+    }
+
+    pub async fn upload(&self, account: &str, content: &str) -> (u16, Value) {
+        let text = format!(
+            "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+             --XX\r\ncontent-disposition: form-data; name=\"file\"; filename=\"in.jsonl\"\r\n\r\n\
+             {content}\r\n--XX--\r\n"
+        );
+        let request = axum::http::Request::post("/v1/files")
+            .header("content-type", "multipart/form-data; boundary=XX")
+            .body(Body::from(text))
+            .unwrap();
+        let (status, body) = self.call(account, request).await;
+        (status, serde_json::from_slice(&body).unwrap())
+    }
+
+    pub async fn submit(
+        &self,
+        account: &str,
+        file: &str,
+        url: &str,
+        key: Option<&str>,
+    ) -> (u16, Value) {
+        let body = json!({"input_file_id": file, "endpoint": url, "completion_window": "24h"});
+        let mut request = axum::http::Request::post("/v1/batches");
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Body::from(body.to_string())).unwrap();
+        let (status, body) = self.call(account, request).await;
+        (status, serde_json::from_slice(&body).unwrap())
+    }
+
+    /// Uploads `count` items and submits them as a job. Returns the job's identifier.
+    pub async fn job(&self, account: &str, url: &str, count: u64) -> String {
+        let (status, file) = self.upload(account, &input(url, count)).await;
+        assert_eq!(status, 200, "{file}");
+        let (status, job) = self.submit(account, file["id"].as_str().unwrap(), url, None).await;
+        assert_eq!(status, 200, "{job}");
+        job["id"].as_str().unwrap().to_owned()
+    }
+
+    /// Waits until the job has ended and returns it, or its last state after `seconds`.
+    pub async fn wait(&self, account: &str, job: &str, seconds: u64) -> Value {
+        let mut last = Value::Null;
+        for _ in 0..seconds {
+            let (status, body) = self.get(account, &format!("/v1/batches/{job}")).await;
+            if status == 200 {
+                last = serde_json::from_slice(&body).unwrap();
+                let state = last["status"].as_str().unwrap();
+                if matches!(state, "completed" | "cancelled" | "expired") {
+                    break;
+                }
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        last
+    }
+
+    /// Returns the lines of a job's output and error files.
+    pub async fn lines(&self, account: &str, job: &Value) -> std::result::Result<Vec<Value>, u16> {
+        let mut lines = Vec::new();
+        for kind in ["output_file_id", "error_file_id"] {
+            let Some(file) = job[kind].as_str() else { continue };
+            let (status, body) = self.get(account, &format!("/v1/files/{file}/content")).await;
+            if status != 200 {
+                return Err(status);
+            }
+            let text = String::from_utf8(body.to_vec()).unwrap();
+            lines.extend(text.lines().map(|line| serde_json::from_str::<Value>(line).unwrap()));
+        }
+        Ok(lines)
+    }
+
+    /// Returns the breaches of the promises about items: one committed result for each segment,
+    /// one line for each item, and at most one send of each item if `once`.
+    pub async fn breaches(&self, job: &Value, count: u64, once: bool) -> Vec<String> {
+        let mut found = Vec::new();
+        let mut committed: BTreeMap<String, SegmentRecord> = BTreeMap::new();
+        for (key, record) in self.commits.lock().unwrap().iter() {
+            match committed.get(key) {
+                Some(first) if first.blobs[0].name != record.blobs[0].name => {
+                    found.push(format!("{key}: the committed result was replaced"));
+                }
+                None if record.state == SegmentState::Committed => {
+                    committed.insert(key.clone(), record.clone());
+                }
+                _ => {}
+            }
+        }
+        if job["status"] != "completed" {
+            found.push(format!("the job did not complete: {job}"));
+        }
+        match self.lines("a", job).await {
+            Ok(lines) => {
+                let mut ids: BTreeMap<String, u32> = BTreeMap::new();
+                for line in &lines {
+                    *ids.entry(line["custom_id"].as_str().unwrap().to_owned()).or_default() += 1;
+                }
+                for number in 0..count {
+                    let lines = ids.get(&format!("item-{number}")).copied().unwrap_or(0);
+                    if lines != 1 {
+                        found.push(format!("item-{number} has {lines} lines"));
+                    }
+                }
+            }
+            Err(status) => found.push(format!("the results cannot be read: {status}")),
+        }
+        for (number, sends) in self.targets.sends.lock().unwrap().iter() {
+            if once && *sends > 1 {
+                found.push(format!("item-{number} was sent {sends} times"));
+            }
+        }
+        found
+    }
+}
+
+pub fn input(url: &str, count: u64) -> String {
+    let line = |number| {
+        json!({"custom_id": format!("item-{number}"), "method": "POST", "url": url,
+            "body": {"n": number}})
+        .to_string()
+    };
+    (0..count).map(line).collect::<Vec<_>>().join("\n")
+}
