--- a/crates/sesamewall-server/src/batch/worker.rs
+++ b/crates/sesamewall-server/src/batch/worker.rs
@@ -347,7 +347,8 @@
             }
             match self.records.put(&key, &record, expect).await {
                 Ok(Some(_)) => return Ok(()),
-                Ok(None) => return Err(superseded(claim)),
+                Ok(None) if self.options.fence_compare => return Err(superseded(claim)),
+                Ok(None) => {}
                 Err(error) => last = error,
             }
             tokio::time::sleep(PAUSE).await;
--- a/crates/sesamewall-server/tests/batch/faults.rs
+++ b/crates/sesamewall-server/tests/batch/faults.rs
@@ -1,1 +1,173 @@
+//! Tests of workers, store and disks that fail while a job runs.
 
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sesamewall_server::BatchOptions;
+
+use crate::fleet::Fleet;
+
+const MODEL: &str = "/v1/chat/completions";
+/// A path of a plain service, whose calls may not be repeated.
+const PLAIN: &str = "/plain/charge";
+
+const NAMES: [&str; 3] = ["i1", "i2", "i3"];
+
+#[derive(Clone, Debug)]
+enum Fault {
+    /// A process dies and a new one takes its place.
+    Kill {
+        who: usize,
+        back: u64,
+    },
+    /// A process stands still.
+    Pause {
+        who: usize,
+        seconds: u64,
+    },
+    StoreOut {
+        seconds: u64,
+    },
+    LoseAnswers {
+        count: u32,
+    },
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (0..3_usize, 1..20_u64).prop_map(|(who, back)| Fault::Kill { who, back }),
+        (0..3_usize, 2..30_u64).prop_map(|(who, seconds)| Fault::Pause { who, seconds }),
+        (1..20_u64).prop_map(|seconds| Fault::StoreOut { seconds }),
+        (1..6_u32).prop_map(|count| Fault::LoseAnswers { count }),
+    ]
+}
+
+async fn cause(fleet: &mut Fleet, fault: &Fault) {
+    match *fault {
+        Fault::Kill { who, back } => {
+            fleet.kill(NAMES[who]);
+            tokio::time::sleep(Duration::from_secs(back)).await;
+            fleet.start(NAMES[who]);
+        }
+        Fault::Pause { who, seconds } => {
+            let gate = fleet.gate(NAMES[who]).unwrap();
+            gate.set(false);
+            tokio::time::sleep(Duration::from_secs(seconds)).await;
+            gate.set(true);
+        }
+        Fault::StoreOut { seconds } => {
+            fleet.store.set_outage(true);
+            tokio::time::sleep(Duration::from_secs(seconds)).await;
+            fleet.store.set_outage(false);
+        }
+        Fault::LoseAnswers { count } => fleet.store.lose_answers(count),
+    }
+}
+
+/// Runs a job of 700 items through the faults and returns the breaches.
+fn run(seed: u64, url: &str, faults: &[(u64, Fault)], lost_disk: Option<usize>) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let mut fleet = Fleet::new(seed, BatchOptions::default());
+        let job = fleet.job("a", url, 700).await;
+        for (after, fault) in faults {
+            tokio::time::sleep(Duration::from_millis(*after)).await;
+            cause(&mut fleet, fault).await;
+        }
+        if let Some(who) = lost_disk {
+            tokio::time::sleep(Duration::from_secs(12)).await;
+            fleet.fakes[NAMES[who]].lose();
+        }
+        let ended = fleet.wait("a", &job, 1_800).await;
+        fleet.breaches(&ended, 700, url == PLAIN).await
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_26),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against lost and doubled outcomes, and doubled sends of non-idempotent items.
+    #[test]
+    fn each_item_has_one_outcome(
+        seed in 0..1_000_000_u64,
+        once in any::<bool>(),
+        faults in prop::collection::vec((0..8_000_u64, fault()), 1..6),
+        lost_disk in prop::option::of(0..3_usize),
+    ) {
+        let url = if once { PLAIN } else { MODEL };
+        let breaches = run(seed, url, &faults, lost_disk);
+        prop_assert!(breaches.is_empty(), "seed {seed}: {breaches:?}");
+    }
+}
+
+/// Pauses a worker between its last outcome and its commit until a successor has committed.
+async fn late_commit(options: BatchOptions) -> Vec<String> {
+    use std::sync::atomic::Ordering;
+    let fleet = Fleet::new(11, options);
+    fleet.faults.pause_commit.store(true, Ordering::Relaxed);
+    // The job is queried at instances that may be the paused one, so the wait comes afterwards.
+    let job = fleet.job("a", MODEL, 20).await;
+    tokio::time::sleep(Duration::from_secs(90)).await;
+    let paused = fleet.faults.paused.lock().unwrap().take().unwrap();
+    paused.set(true);
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let ended = fleet.wait("a", &job, 600).await;
+    fleet.breaches(&ended, 20, false).await
+}
+
+/// Guards against a worker that commits over its successor.
+#[tokio::test(start_paused = true)]
+async fn late_commit_is_refused() {
+    assert_eq!(late_commit(BatchOptions::default()).await, Vec::<String>::new());
+    let without = BatchOptions { fence_compare: false, ..BatchOptions::default() };
+    assert!(!late_commit(without).await.is_empty(), "the check does not notice a missing fence");
+}
+
+/// Kills the worker while non-idempotent items run.
+async fn killed_worker(options: BatchOptions) -> Vec<String> {
+    let mut fleet = Fleet::new(12, options);
+    let job = fleet.job("a", PLAIN, 200).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let busy = fleet.busy();
+    assert_eq!(busy.len(), 1);
+    fleet.kill(&busy[0]);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    fleet.start(NAMES[NAMES.iter().position(|name| *name == busy[0]).unwrap()]);
+    let ended = fleet.wait("a", &job, 600).await;
+    fleet.breaches(&ended, 200, true).await
+}
+
+/// Guards against a second send of a non-idempotent item by a successor.
+#[tokio::test(start_paused = true)]
+async fn successor_does_not_resend() {
+    assert_eq!(killed_worker(BatchOptions::default()).await, Vec::<String>::new());
+    let without = BatchOptions { intent: false, ..BatchOptions::default() };
+    assert!(!killed_worker(without).await.is_empty(), "the check does not notice missing intents");
+}
+
+/// Guards against items that a paused worker sends after its successor recovered the segment: the
+/// intents of the paused worker no longer reach the sealed blob.
+#[tokio::test(start_paused = true)]
+async fn paused_worker_sends_nothing_late() {
+    let fleet = Fleet::new(13, BatchOptions::default());
+    let job = fleet.job("a", PLAIN, 300).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let busy = fleet.busy();
+    let gate = fleet.gate(&busy[0]).unwrap();
+    gate.set(false);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    gate.set(true);
+    let ended = fleet.wait("a", &job, 600).await;
+    assert_eq!(fleet.breaches(&ended, 300, true).await, Vec::<String>::new());
+    assert!(ended["request_counts"]["failed"].as_u64().unwrap() <= 4, "{ended}");
+}
--- a/crates/sesamewall-server/tests/batch/fleet.rs
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -64,10 +64,34 @@
 
 type Commits = Arc<Mutex<Vec<(String, SegmentRecord)>>>;
 
+/// Faults of the store calls of single processes.
+#[derive(Default)]
+pub struct StoreFaults {
+    /// Writes to keys with this prefix take effect while their answers are lost.
+    pub lose: Mutex<Option<&'static str>>,
+    /// The next process that is about to commit is paused before its write.
+    pub pause_commit: AtomicBool,
+    /// The process that was paused.
+    pub paused: Mutex<Option<Gate>>,
+}
+
 struct GatedStore {
     inner: Arc<FakeStore>,
     gate: Gate,
     commits: Commits,
+    faults: Arc<StoreFaults>,
+}
+
+impl GatedStore {
+    fn pause_commit(&self, key: &str, value: &Bytes) {
+        let committing = key.starts_with("batch/segment/")
+            && serde_json::from_slice::<SegmentRecord>(value).unwrap().state
+                == SegmentState::Committed;
+        if committing && self.faults.pause_commit.swap(false, Ordering::Relaxed) {
+            self.gate.set(false);
+            *self.faults.paused.lock().unwrap() = Some(self.gate.clone());
+        }
+    }
 }
 
 #[async_trait]
@@ -93,6 +117,9 @@
         value: Bytes,
         expect: Expect,
     ) -> std::result::Result<u64, StoreError> {
+        if self.faults.pause_commit.load(Ordering::Relaxed) {
+            self.pause_commit(key, &value);
+        }
         self.gate.pass().await;
         let written = self.inner.put(key, value.clone(), expect).await;
         if key.starts_with("batch/segment/") && matches!(written, Ok(_) | Err(StoreError::Unclear))
@@ -100,6 +127,10 @@
             let record = serde_json::from_slice(&value).unwrap();
             self.commits.lock().unwrap().push((key.to_owned(), record));
         }
+        let lose = *self.faults.lose.lock().unwrap();
+        if written.is_ok() && lose.is_some_and(|prefix| key.starts_with(prefix)) {
+            return Err(StoreError::Unclear);
+        }
         written
     }
 
@@ -222,6 +253,7 @@
 /// Three instances in three failure domains, each with a data folder.
 pub struct Fleet {
     pub store: Arc<FakeStore>,
+    pub faults: Arc<StoreFaults>,
     pub targets: Arc<Targets>,
     pub bulks: BTreeMap<&'static str, Arc<dyn BulkStorage>>,
     pub fakes: BTreeMap<&'static str, Arc<FakeBulk>>,
@@ -264,6 +296,7 @@
         targets.run_ms.store(150, Ordering::Relaxed);
         let mut fleet = Self {
             store: Arc::new(FakeStore::default()),
+            faults: Arc::default(),
             targets: Arc::new(targets),
             bulks,
             fakes,
@@ -296,6 +329,7 @@
                 inner: Arc::clone(&self.store),
                 gate: gate.clone(),
                 commits: Arc::clone(&self.commits),
+                faults: Arc::clone(&self.faults),
             }),
             instances: Arc::new(NoPort),
             link: Arc::new(FleetLink { members: Arc::clone(&self.members), own: gate.clone() }),
@@ -337,6 +371,15 @@
         self.members.lock().unwrap().get(name).map(|member| member.gate.clone())
     }
 
+    /// Returns the processes that run a segment.
+    pub fn busy(&self) -> Vec<String> {
+        let members = self.members.lock().unwrap();
+        let busy = |member: &Member| {
+            !member.service.dump()["active_segments"].as_array().unwrap().is_empty()
+        };
+        members.iter().filter(|(_, member)| busy(member)).map(|(name, _)| name.clone()).collect()
+    }
+
     pub fn service(&self) -> Arc<BatchService> {
         Arc::clone(&self.members.lock().unwrap().values().next().unwrap().service)
     }
--- a/crates/sesamewall-server/tests/batch/http.rs
+++ b/crates/sesamewall-server/tests/batch/http.rs
@@ -100,23 +100,27 @@
     assert!(fleet.targets.sends.lock().unwrap().values().all(|sends| *sends == 3));
 }
 
-/// Submits a job while the answer of the store's last write is lost, and tells whether a refused
-/// job exists all the same.
+/// Submits a job while the answer to the write of its record is lost, and tells whether a job that
+/// was refused as "not run" exists all the same.
 async fn refused_job_exists(options: BatchOptions) -> bool {
     let fleet = Fleet::new(7, options);
     tokio::time::sleep(std::time::Duration::from_secs(1)).await;
     let (_, file) = fleet.upload("a", &input(MODEL, 2)).await;
-    fleet.store.lose_answers(u32::MAX);
+    *fleet.faults.lose.lock().unwrap() = Some("batch/job/");
     let (status, _) = fleet.submit("a", file["id"].as_str().unwrap(), MODEL, None).await;
-    fleet.store.lose_answers(0);
+    *fleet.faults.lose.lock().unwrap() = None;
     tokio::time::sleep(std::time::Duration::from_secs(30)).await;
     let (_, page) = fleet.get("a", "/v1/batches").await;
     let page: serde_json::Value = serde_json::from_slice(&page).unwrap();
-    status == 503 && page["data"].as_array().is_none_or(|jobs| !jobs.is_empty())
+    let exists = page["data"].as_array().is_some_and(|jobs| !jobs.is_empty());
+    assert_eq!(exists, !fleet.targets.sends.lock().unwrap().is_empty());
+    status == 503 && exists
 }
 
 /// Guards against "not run" for a write that took effect while its answer was lost.
 #[tokio::test(start_paused = true)]
 async fn lost_answer_is_read_back() {
     assert!(!refused_job_exists(BatchOptions::default()).await);
+    let without = BatchOptions { read_back: false, ..BatchOptions::default() };
+    assert!(refused_job_exists(without).await, "the check does not notice a missing read-back");
 }
