--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -1,7 +1,7 @@
 //! The daemon: caller API, operator API, and the wiring of decision modules to adapters.
 
 mod answer;
-mod caller;
+mod batch;
 mod config_view;
 mod daemon;
 mod dev;
@@ -22,6 +22,8 @@
 mod settings_check;
 
 pub use answer::error_response;
+pub use batch::BatchOptions;
+pub use batch::BatchService;
 pub use config_view::ConfigView;
 pub use config_view::ConfigWriter;
 pub use daemon::Instance;
