--- a/crates/sesamewall-adapters/src/tonic_peer.rs
+++ b/crates/sesamewall-adapters/src/tonic_peer.rs
@@ -12,6 +12,7 @@
 use sesamewall_ports::PeerAddress;
 use sesamewall_ports::PeerHandler;
 use sesamewall_ports::PeerLink;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Result;
@@ -124,7 +125,8 @@
         let message =
             decode(&envelope).map_err(|error| Status::invalid_argument(error.to_string()))?;
         let from = InstanceName::from(envelope.from);
-        let reply = self.handler.handle(from, message).await;
+        let domain = DomainName::from(envelope.domain);
+        let reply = self.handler.handle(from, domain, message).await;
         encode(self.own.name.as_str(), self.own.domain.as_str(), &reply)
             .map(Response::new)
             .map_err(|error| Status::internal(error.to_string()))
--- a/crates/sesamewall-ports/src/peer.rs
+++ b/crates/sesamewall-ports/src/peer.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use serde::Deserialize;
 use serde::Serialize;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::peer::PeerMessage;
@@ -27,6 +28,11 @@
 /// Handles messages from other instances.
 #[async_trait]
 pub trait PeerHandler: Send + Sync {
-    /// Handles `message` from `from` and returns the reply.
-    async fn handle(&self, from: InstanceName, message: PeerMessage) -> PeerMessage;
+    /// Handles `message` from `from`, an instance of `domain`, and returns the reply.
+    async fn handle(
+        &self,
+        from: InstanceName,
+        domain: DomainName,
+        message: PeerMessage,
+    ) -> PeerMessage;
 }
--- a/crates/sesamewall-protocol/src/peer/rate.rs
+++ b/crates/sesamewall-protocol/src/peer/rate.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::AccountName;
+use crate::DomainName;
 
 /// A message between a holder of tokens and a domain lead. Token counts are in thousandths of a
 /// request. All counters are cumulative within one session, so a doubled or reordered message
@@ -14,6 +15,16 @@
     Ask(RateAsk),
     /// Answers an ask.
     Grant(RateGrant),
+    /// The lead of `domain` asks its backup lead for a promise not to claim its floor.
+    PromiseAsk {
+        /// Failure domain of the lead that asks.
+        domain: DomainName,
+    },
+    /// Answers `PromiseAsk`.
+    Promise {
+        /// Microseconds for which the floor has not been claimed; `None` without a promise.
+        clear_us: Option<u64>,
+    },
 }
 
 /// Asks a lead for tokens of one account.
--- a/crates/sesamewall-server/src/execute/mod.rs
+++ b/crates/sesamewall-server/src/execute/mod.rs
@@ -14,5 +14,6 @@
 pub use call::Event;
 pub use engine_call::Piece;
 pub use executor::Executor;
+pub use executor::micros;
 pub use item_runner::BatchItemRunner;
 pub use plain_call::PlainAnswer;
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod batch;
+mod caller;
 mod config_view;
 mod daemon;
 mod dev;
@@ -12,14 +13,17 @@
 mod lead_targets;
 mod lead_view;
 mod main_entry;
-mod membership_service;
+mod membership;
 mod metrics;
 mod node;
 mod operator;
+mod peer_service;
+mod rate_service;
 mod recorder;
 mod records;
 mod settings;
 mod settings_check;
+mod slot_service;
 
 pub use answer::error_response;
 pub use batch::BatchOptions;
--- /dev/null
+++ b/crates/sesamewall-server/src/membership/config_service.rs
@@ -0,0 +1,281 @@
+//! The configuration of this instance: follows the log, writes operators' changes and snapshots.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use sesamewall_membership::ChangeRequest;
+use sesamewall_membership::ChangeWriter;
+use sesamewall_membership::Follower;
+use sesamewall_membership::LogAction;
+use sesamewall_membership::SnapshotPlan;
+use sesamewall_membership::WriteAction;
+use sesamewall_membership::log_format;
+use sesamewall_membership::log_format::SnapshotHead;
+use sesamewall_membership::snapshot_due;
+use sesamewall_ports::Expect;
+use sesamewall_ports::StoreError;
+use sesamewall_protocol::Change;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Operation;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::Revision;
+use sesamewall_protocol::peer::MembershipMessage;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+
+use crate::ConfigWriter;
+use crate::Node;
+
+/// A waiting watch counts as one store call, so it waits long.
+const WATCH_MS: u64 = 10_000;
+const PAUSE: Duration = Duration::from_millis(500);
+const LIST_LIMIT: usize = 512;
+
+/// A message that another service must send.
+#[derive(Debug)]
+pub enum Outgoing {
+    /// To one instance.
+    To(InstanceName, MembershipMessage),
+    /// To all instances of the own failure domain and the leads of the others, since this instance
+    /// is lead and a change came into force.
+    Push(MembershipMessage),
+}
+
+/// Follows and writes the configuration log.
+pub struct ConfigService {
+    node: Arc<Node>,
+    follower: Mutex<Follower>,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+}
+
+impl ConfigService {
+    /// Creates the service and returns the messages that it wants sent.
+    pub fn new(node: Arc<Node>) -> (Arc<Self>, mpsc::UnboundedReceiver<Outgoing>) {
+        let (outgoing, receiver) = mpsc::unbounded_channel();
+        (Arc::new(Self { node, follower: Mutex::default(), outgoing }), receiver)
+    }
+
+    /// Starts the background tasks.
+    pub fn spawn(self: &Arc<Self>) {
+        let service = self.clone();
+        tokio::spawn(async move { service.follow().await });
+    }
+
+    /// Takes in changes or a chunk of a snapshot from another instance.
+    pub fn message(&self, message: &MembershipMessage) {
+        match message {
+            MembershipMessage::ConfigDiff { changes } => self.offer(changes.clone()),
+            MembershipMessage::ConfigSnapshot { chunk } => {
+                let actions = self.lock().offer_chunk(chunk);
+                self.act(actions);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in the revision that another instance has in force.
+    pub fn hear(&self, from: &InstanceName, revision: Revision) {
+        let actions = self.lock().hear(self.node.clock.now(), from, revision);
+        self.act(actions);
+    }
+
+    /// Returns what an instance at revision `after` is missing.
+    pub fn missing(&self, after: Revision) -> Vec<MembershipMessage> {
+        self.lock().answer(after)
+    }
+
+    fn offer(&self, changes: Vec<Change>) {
+        let actions = self.lock().offer(changes);
+        self.act(actions);
+    }
+
+    fn act(&self, actions: Vec<LogAction>) {
+        let now = self.node.clock.now();
+        let lead = self.node.lead.valid(now).is_some();
+        for action in actions {
+            match action {
+                LogAction::Applied(configuration) => {
+                    let revision = configuration.revision();
+                    self.node.config.set(Arc::new(configuration));
+                    let level = i64::try_from(revision).unwrap_or(i64::MAX);
+                    self.node.metrics.levels.with_label_values(&["revision"]).set(level);
+                    self.node.metrics.changes.with_label_values(&["configuration"]).inc();
+                    info!(self.node.log, "configuration in force"; "revision" => revision);
+                    if lead {
+                        self.push(revision);
+                    }
+                }
+                LogAction::Ask { to, message } => {
+                    let _ = self.outgoing.send(Outgoing::To(to, message));
+                }
+                LogAction::Skipped { revision, error } => {
+                    warn!(self.node.log, "operations of a change are not allowed here";
+                        "revision" => revision, "error" => error.to_string());
+                }
+            }
+        }
+    }
+
+    fn push(&self, revision: Revision) {
+        let messages = self.lock().answer(revision - 1);
+        for message in messages {
+            let _ = self.outgoing.send(Outgoing::Push(message));
+        }
+    }
+
+    /// Reads the log at the start, then watches it while this instance is lead.
+    async fn follow(&self) {
+        let mut started = false;
+        let mut after = 0;
+        loop {
+            if !started {
+                started = self.load().await.is_ok();
+            }
+            let lead = self.node.lead.valid(self.node.clock.now()).is_some();
+            if !lead || !started {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+            match self.node.store.watch(log_format::CHANGE_PREFIX, after, WATCH_MS).await {
+                Ok(entries) => {
+                    after = entries.last().map_or(after, |entry| entry.version);
+                    let decoded = entries.iter().map(|entry| log_format::decode_change(&entry.value));
+                    self.offer(decoded.filter_map(Result::ok).collect());
+                    if self.lock().has_gap() {
+                        started = false;
+                    }
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    /// Loads the newest snapshot and the changes after it.
+    async fn load(&self) -> std::result::Result<(), StoreError> {
+        if let Some((head, _)) = self.snapshot_head().await? {
+            for part in 0..head.parts {
+                let key = log_format::chunk_key(head.revision, part);
+                if let Some(chunk) = self.node.store.get(&key).await? {
+                    let text = String::from_utf8_lossy(&chunk.value).into_owned();
+                    let actions = self.lock().offer_chunk(&text);
+                    self.act(actions);
+                }
+            }
+        }
+        loop {
+            let revision = self.lock().config().revision();
+            let after = log_format::change_key(revision);
+            let found = self.node.store.list(log_format::CHANGE_PREFIX, &after, LIST_LIMIT).await?;
+            let decoded = found.iter().map(|entry| log_format::decode_change(&entry.value));
+            self.offer(decoded.filter_map(Result::ok).collect());
+            if found.len() < LIST_LIMIT || self.lock().config().revision() == revision {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn snapshot_head(
+        &self,
+    ) -> std::result::Result<Option<(SnapshotHead, u64)>, StoreError> {
+        let found = self.node.store.get(log_format::SNAPSHOT_HEAD).await?;
+        Ok(found.and_then(|entry| {
+            Some((serde_json::from_slice(&entry.value).ok()?, entry.version))
+        }))
+    }
+
+    /// Stores a snapshot if the last one is too old. A failure is harmless: the next writer tries
+    /// again.
+    async fn store_snapshot(&self) -> std::result::Result<(), StoreError> {
+        let configuration = self.lock().config().clone();
+        if !configuration.revision().is_multiple_of(log_format::SNAPSHOT_EVERY / 4) {
+            return Ok(());
+        }
+        let newest = self.snapshot_head().await?;
+        if !snapshot_due(configuration.revision(), newest.map(|(head, _)| head)) {
+            return Ok(());
+        }
+        let plan = SnapshotPlan::new(&configuration, newest.map(|(head, _)| head))
+            .map_err(|_| StoreError::TooLarge)?;
+        for (key, value) in plan.chunks {
+            match self.node.store.put(&key, Bytes::from(value), Expect::Absent).await {
+                Ok(_) | Err(StoreError::Conflict) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let expect = newest.map_or(Expect::Absent, |(_, version)| Expect::Version(version));
+        let value = serde_json::to_vec(&plan.head).map_err(|_| StoreError::TooLarge)?;
+        self.node.store.put(log_format::SNAPSHOT_HEAD, Bytes::from(value), expect).await?;
+        for key in plan.delete {
+            if let Some(entry) = self.node.store.get(&key).await? {
+                let _ = self.node.store.delete(&key, entry.version).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn write(&self, mut writer: ChangeWriter, mut action: WriteAction) -> Result<Change> {
+        loop {
+            action = match action {
+                WriteAction::Create { key, value } => {
+                    let value = Bytes::from(value);
+                    writer.written(self.node.store.put(&key, value, Expect::Absent).await)
+                }
+                WriteAction::Read { key } => {
+                    let found = self.node.store.get(&key).await;
+                    let value = match &found {
+                        Ok(found) => Ok(found.as_ref().map(|entry| entry.value.as_ref())),
+                        Err(error) => Err(error.clone()),
+                    };
+                    writer.read(value)
+                }
+                WriteAction::Accepted(change) => return Ok(change),
+                WriteAction::Refused(error) => return Err(error),
+            };
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Follower> {
+        self.follower.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl ConfigWriter for ConfigService {
+    async fn submit(
+        &self,
+        author: &str,
+        against: Revision,
+        operations: Vec<Operation>,
+    ) -> Result<Change> {
+        let request = ChangeRequest {
+            against,
+            token: format!("{:032x}", rand::random::<u128>()),
+            author: author.to_owned(),
+            at_ms: self.node.clock.wall_ms(),
+            operations,
+        };
+        let started = ChangeWriter::start(&self.lock(), request, true);
+        let (writer, action) = started?;
+        let change = self.write(writer, action).await?;
+        self.offer(vec![change.clone()]);
+        let message = MembershipMessage::ConfigDiff { changes: vec![change.clone()] };
+        let _ = self.outgoing.send(Outgoing::Push(message));
+        if let Err(error) = self.store_snapshot().await {
+            warn!(self.node.log, "snapshot not stored"; "error" => error.to_string());
+        }
+        let in_force = self.node.config.current().revision();
+        match in_force >= change.revision {
+            true => Ok(change),
+            false => Err(Error::Internal {
+                detail: format!("revision {} is accepted and not yet in force here", change.revision),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/membership/service.rs
@@ -0,0 +1,376 @@
+//! Lead lease and live instances of this instance's failure domain.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sesamewall_membership::DomainState;
+use sesamewall_membership::Lead;
+use sesamewall_membership::LeadAction;
+use sesamewall_membership::LeadRecord;
+use sesamewall_membership::LeadSettings;
+use sesamewall_membership::MemberAction;
+use sesamewall_membership::Members;
+use sesamewall_membership::Report;
+use sesamewall_ports::Expect;
+use sesamewall_ports::ListedInstance;
+use sesamewall_ports::ListedState;
+use sesamewall_ports::StoreError;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::peer::MembershipMessage;
+use sesamewall_protocol::peer::PeerMessage;
+use slog::info;
+use tokio::sync::mpsc;
+
+use super::BudgetedStore;
+use super::ConfigService;
+use super::FloorService;
+use super::config_service::Outgoing;
+use crate::LeadTerm;
+use crate::Node;
+
+const TICK: Duration = Duration::from_millis(100);
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+/// Addresses of instances that left the list are kept up to this number.
+const ADDRESS_LIMIT: usize = 4096;
+
+struct State {
+    lead: Lead,
+    members: Members,
+    addresses: HashMap<InstanceName, ListedInstance>,
+}
+
+/// Keeps the lead lease and the directory up to date.
+pub struct MembershipService {
+    node: Arc<Node>,
+    state: Mutex<State>,
+    config: Arc<ConfigService>,
+    floor: Arc<FloorService>,
+    store: Arc<BudgetedStore>,
+}
+
+impl MembershipService {
+    /// Creates the service.
+    pub fn new(
+        node: Arc<Node>,
+        config: Arc<ConfigService>,
+        floor: Arc<FloorService>,
+        store: Arc<BudgetedStore>,
+    ) -> Arc<Self> {
+        let (own, domain) = (node.own.name.clone(), node.own.domain.clone());
+        let lead = Lead::new(own.clone(), LeadSettings::default(), node.clock.now());
+        let members = Members::new(own, domain);
+        let addresses = HashMap::from([(node.own.name.clone(), node.own.clone())]);
+        let state = Mutex::new(State { lead, members, addresses });
+        Arc::new(Self { node, state, config, floor, store })
+    }
+
+    /// Starts the background tasks.
+    pub fn spawn(self: &Arc<Self>, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
+        let service = self.clone();
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(TICK);
+            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                service.tick();
+            }
+        });
+        let service = self.clone();
+        tokio::spawn(async move {
+            loop {
+                service.read_list().await;
+                tokio::time::sleep(LIST_PERIOD).await;
+            }
+        });
+        let service = self.clone();
+        tokio::spawn(async move {
+            while let Some(message) = outgoing.recv().await {
+                match message {
+                    Outgoing::To(to, message) => service.send(to, message),
+                    Outgoing::Push(message) => service.push(&message),
+                }
+            }
+        });
+    }
+
+    /// Handles a message of another instance and returns the reply.
+    pub fn handle(
+        self: &Arc<Self>,
+        from: &InstanceName,
+        domain: &DomainName,
+        message: &MembershipMessage,
+    ) -> MembershipMessage {
+        let mut reply = None;
+        for (to, outgoing) in self.take_in(from, domain, message) {
+            match reply {
+                None if to == *from => reply = Some(outgoing),
+                _ => self.send(to, outgoing),
+            }
+        }
+        reply.unwrap_or(MembershipMessage::Ack)
+    }
+
+    /// Ends the lead lease and tells the others that this instance is about to stop.
+    pub async fn shut_down(self: &Arc<Self>) {
+        let actions = {
+            let mut state = self.lock();
+            state.members.leave();
+            let now = self.node.clock.now();
+            state.lead.shut_down(now, &mut rand::rng())
+        };
+        self.act_all(actions);
+        self.publish();
+        let leaving = ListedInstance { state: ListedState::Leaving, ..self.node.own.clone() };
+        let _ = self.node.instances.announce(&leaving).await;
+    }
+
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.node.clock.now();
+        let state = self.lock();
+        let configuration = self.node.config.current();
+        let domains: Vec<String> = state
+            .members
+            .domain_view(now, &configuration)
+            .iter()
+            .map(|view| format!("{view:?}"))
+            .collect();
+        serde_json::json!({
+            "lead": state.lead.lead(),
+            "epoch": state.lead.highest_epoch(),
+            "own_epoch": state.lead.epoch(now),
+            "domains": domains,
+        })
+    }
+
+    fn take_in(
+        self: &Arc<Self>,
+        from: &InstanceName,
+        domain: &DomainName,
+        message: &MembershipMessage,
+    ) -> Vec<(InstanceName, MembershipMessage)> {
+        let now = self.node.clock.now();
+        let own_domain = *domain == self.node.own.domain;
+        let (lead_actions, member_actions) = {
+            let mut guard = self.lock();
+            let state = &mut *guard;
+            let lead_actions = match own_domain {
+                true => state.lead.message(now, from, message),
+                false => Vec::new(),
+            };
+            let report = report(&state.lead, &self.node);
+            let member_actions = state.members.message(now, from, domain, message, &report);
+            (lead_actions, member_actions)
+        };
+        let mut sends = Vec::new();
+        for action in lead_actions {
+            match action {
+                LeadAction::Send { to, message } => sends.push((to, message)),
+                other => self.act(other),
+            }
+        }
+        for action in member_actions {
+            match action {
+                MemberAction::Send { to, message } => sends.push((to, message)),
+                MemberAction::Revision { from, revision } => self.config.hear(&from, revision),
+                MemberAction::Suspects(_) => {}
+            }
+        }
+        if let MembershipMessage::ConfigAsk { after } = message {
+            let chunks = self.config.missing(*after);
+            sends.extend(chunks.into_iter().map(|chunk| (from.clone(), chunk)));
+        } else {
+            self.config.message(message);
+        }
+        self.publish();
+        sends
+    }
+
+    fn tick(self: &Arc<Self>) {
+        let now = self.node.clock.now();
+        let (lead_actions, member_actions) = {
+            let mut guard = self.lock();
+            let state = &mut *guard;
+            let peers = state.members.domain_peers();
+            state.lead.set_peers(peers);
+            let lead_actions = state.lead.tick(now, &mut rand::rng());
+            let report = report(&state.lead, &self.node);
+            let member_actions = state.members.tick(now, &report);
+            (lead_actions, member_actions)
+        };
+        self.act_all(lead_actions);
+        for action in member_actions {
+            if let MemberAction::Send { to, message } = action {
+                self.send(to, message);
+            }
+        }
+        self.publish();
+    }
+
+    fn act_all(self: &Arc<Self>, actions: Vec<LeadAction>) {
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(self: &Arc<Self>, action: LeadAction) {
+        match action {
+            LeadAction::Send { to, message } => self.send(to, message),
+            LeadAction::Read { call } => {
+                let service = self.clone();
+                tokio::spawn(async move { service.read_record(call).await });
+            }
+            LeadAction::Put { call, record, expect } => {
+                let service = self.clone();
+                tokio::spawn(async move { service.write_record(call, record, expect).await });
+            }
+            LeadAction::Gained(epoch) => {
+                self.node.metrics.changes.with_label_values(&["lead_gained"]).inc();
+                info!(self.node.log, "lead gained"; "epoch" => epoch);
+            }
+            LeadAction::Lost(epoch) => {
+                self.node.metrics.changes.with_label_values(&["lead_lost"]).inc();
+                info!(self.node.log, "lead lost"; "epoch" => epoch);
+            }
+        }
+    }
+
+    async fn read_record(self: &Arc<Self>, call: u64) {
+        let key = lead_key(&self.node.own.domain);
+        let result = self.node.store.get(&key).await.and_then(|found| match found {
+            None => Ok(None),
+            Some(entry) => match serde_json::from_slice::<LeadRecord>(&entry.value) {
+                Ok(record) => Ok(Some((entry.version, record))),
+                Err(_) => Err(StoreError::Unavailable),
+            },
+        });
+        let actions = self.lock().lead.read(self.node.clock.now(), call, result);
+        self.act_all(actions);
+        self.publish();
+    }
+
+    async fn write_record(self: &Arc<Self>, call: u64, record: LeadRecord, expect: Expect) {
+        let key = lead_key(&self.node.own.domain);
+        let started = self.node.clock.now();
+        let Ok(value) = serde_json::to_vec(&record) else { return };
+        let result = self.node.store.put(&key, Bytes::from(value), expect).await;
+        let now = self.node.clock.now();
+        if result.is_ok() && record.instance == self.node.own.name {
+            self.floor.renewed(started, now);
+        }
+        let actions = self.lock().lead.written(now, call, result);
+        self.act_all(actions);
+        self.publish();
+    }
+
+    fn send(self: &Arc<Self>, to: InstanceName, message: MembershipMessage) {
+        let Some(peer) = self.lock().addresses.get(&to).cloned() else { return };
+        let service = self.clone();
+        tokio::spawn(async move {
+            let sent = PeerMessage::Membership(message);
+            let reply = service.node.link.exchange(&peer.address, sent).await;
+            if let Ok(PeerMessage::Membership(reply)) = reply
+                && reply != MembershipMessage::Ack
+            {
+                for (to, message) in service.take_in(&peer.name, &peer.domain, &reply) {
+                    service.send(to, message);
+                }
+            }
+        });
+    }
+
+    /// Sends a change to all instances of the own failure domain and to the other leads, which do
+    /// the same.
+    fn push(self: &Arc<Self>, message: &MembershipMessage) {
+        let own = &self.node.own;
+        let leads = self.node.directory.leads();
+        for instance in self.node.directory.instances() {
+            let is_lead = leads.iter().any(|(_, lead)| *lead == instance.name);
+            if instance.name != own.name && (instance.domain == own.domain || is_lead) {
+                self.send(instance.name, message.clone());
+            }
+        }
+    }
+
+    async fn read_list(self: &Arc<Self>) {
+        let _ = self.node.instances.announce(&self.own_entry()).await;
+        let Ok(list) = self.node.instances.list().await else { return };
+        let mut state = self.lock();
+        for entry in &list {
+            if state.addresses.len() < ADDRESS_LIMIT || state.addresses.contains_key(&entry.name) {
+                state.addresses.insert(entry.name.clone(), entry.clone());
+            }
+        }
+        state.members.set_list(list);
+    }
+
+    fn own_entry(&self) -> ListedInstance {
+        let draining = self.node.draining.load(std::sync::atomic::Ordering::Relaxed);
+        let state = if draining { ListedState::Leaving } else { ListedState::Live };
+        ListedInstance { state, ..self.node.own.clone() }
+    }
+
+    /// Publishes lead lease, leads and live instances to the other services.
+    fn publish(&self) {
+        let now = self.node.clock.now();
+        let configuration = self.node.config.current();
+        let state = self.lock();
+        let term = match (state.lead.epoch(now), state.lead.valid_until()) {
+            (Some(epoch), Some(valid_until)) => {
+                let full_until = self.floor.full_until(now);
+                LeadTerm { epoch, valid_until, full_until }
+            }
+            _ => LeadTerm::default(),
+        };
+        self.node.lead.set(term);
+        let mut live = vec![self.node.own.clone()];
+        let mut domains = 0;
+        for view in state.members.domain_view(now, &configuration) {
+            domains += usize::from(view.state != DomainState::Unreachable);
+            let own = view.name == self.node.own.domain;
+            let lead = match own {
+                true => state.lead.lead().cloned(),
+                false => view.lead.map(|(name, _)| name),
+            };
+            let known = |name: &InstanceName| state.addresses.get(name).cloned();
+            let lead = lead.filter(|name| state.addresses.contains_key(name));
+            live.extend(view.live.iter().filter(|name| **name != self.node.own.name).filter_map(known));
+            let extra = lead.iter().filter(|name| !view.live.contains(name));
+            live.extend(extra.filter(|name| **name != self.node.own.name).filter_map(known));
+            self.node.directory.set_lead(&view.name, lead);
+        }
+        drop(state);
+        self.store.set_fleet(live.len(), domains);
+        let level = i64::try_from(live.len()).unwrap_or(i64::MAX);
+        self.node.metrics.levels.with_label_values(&["live_instances"]).set(level);
+        let epoch = i64::try_from(term.epoch).unwrap_or(i64::MAX);
+        self.node.metrics.levels.with_label_values(&["lead_epoch"]).set(epoch);
+        self.node.directory.set_instances(live);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn report<'a>(lead: &'a Lead, node: &Node) -> Report<'a> {
+    let now = node.clock.now();
+    Report {
+        lead: lead.lead(),
+        notice: lead.notice(now),
+        epoch: lead.highest_epoch(),
+        revision: node.config.current().revision(),
+        suspects: Vec::new(),
+    }
+}
+
+/// Returns the key of a failure domain's lead record.
+pub fn lead_key(domain: &DomainName) -> String {
+    format!("lead/{domain}")
+}
--- a/crates/sesamewall-server/src/peer_service.rs
+++ b/crates/sesamewall-server/src/peer_service.rs
@@ -4,32 +4,55 @@
 
 use async_trait::async_trait;
 use sesamewall_ports::PeerHandler;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_protocol::peer::RateMessage;
 use sesamewall_protocol::peer::ScheduleMessage;
 
+use crate::BatchService;
+use crate::OperatorService;
 use crate::execute::Executor;
+use crate::membership::FloorService;
+use crate::membership::MembershipService;
 use crate::rate_service::RateService;
+use crate::records::RecordService;
 use crate::slot_service::SlotService;
 
 /// Handles messages of other instances.
 pub struct PeerService {
-    rates: Arc<RateService>,
-    slots: Arc<SlotService>,
-    executor: Arc<Executor>,
-}
-
-impl PeerService {
-    /// Creates the handler.
-    pub fn new(rates: Arc<RateService>, slots: Arc<SlotService>, executor: Arc<Executor>) -> Self {
-        Self { rates, slots, executor }
-    }
+    /// Rates.
+    pub rates: Arc<RateService>,
+    /// Slots.
+    pub slots: Arc<SlotService>,
+    /// Running calls.
+    pub executor: Arc<Executor>,
+    /// Membership.
+    pub membership: Arc<MembershipService>,
+    /// Floor lease.
+    pub floor: Arc<FloorService>,
+    /// Batch data.
+    pub batch: Arc<BatchService>,
+    /// Decision records.
+    pub records: Arc<RecordService>,
+    /// Operators' questions.
+    pub operators: Arc<OperatorService>,
 }
 
 #[async_trait]
 impl PeerHandler for PeerService {
-    async fn handle(&self, from: InstanceName, message: PeerMessage) -> PeerMessage {
+    async fn handle(
+        &self,
+        from: InstanceName,
+        domain: DomainName,
+        message: PeerMessage,
+    ) -> PeerMessage {
         match message {
+            PeerMessage::Rate(RateMessage::PromiseAsk { domain }) => {
+                let clear = self.floor.promise(&domain);
+                let clear_us = clear.map(crate::execute::micros);
+                PeerMessage::Rate(RateMessage::Promise { clear_us })
+            }
             PeerMessage::Rate(message) => PeerMessage::Rate(self.rates.handle(message)),
             PeerMessage::Schedule(ScheduleMessage::Marks(marks)) => {
                 self.executor.suspects.merge(&marks, self.executor.node.clock.now());
@@ -38,7 +61,13 @@
             PeerMessage::Schedule(message) => {
                 PeerMessage::Schedule(self.slots.handle(from, message).await)
             }
-            _ => PeerMessage::Failed { code: 9001, message: "message is not handled".to_owned() },
+            PeerMessage::Membership(message) => {
+                PeerMessage::Membership(self.membership.handle(&from, &domain, &message))
+            }
+            PeerMessage::Batch(message) => PeerMessage::Batch(self.batch.handle(message).await),
+            PeerMessage::Record(message) => self.records.handle(message).await,
+            PeerMessage::Operator(message) => self.operators.handle(message).await,
+            PeerMessage::Failed { code, message } => PeerMessage::Failed { code, message },
         }
     }
 }
--- a/crates/sesamewall-server/src/rate_service.rs
+++ b/crates/sesamewall-server/src/rate_service.rs
@@ -100,7 +100,7 @@
     pub fn handle(&self, message: RateMessage) -> RateMessage {
         match message {
             RateMessage::Ask(ask) => RateMessage::Grant(self.grant(&ask)),
-            grant @ RateMessage::Grant(_) => grant,
+            other => other,
         }
     }
 
