--- /dev/null
+++ b/crates/sesamewall-batch/tests/claim.rs
@@ -0,0 +1,137 @@
+//! Tests of claims.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamewall_batch::CLAIM_LAPSE;
+use sesamewall_batch::ClaimBook;
+use sesamewall_batch::Counts;
+use sesamewall_batch::JobRecord;
+use sesamewall_batch::JobState;
+use sesamewall_batch::SegmentChoice;
+use sesamewall_batch::SegmentRecord;
+use sesamewall_batch::SegmentState;
+use sesamewall_batch::WORKER_DEADLINE;
+use sesamewall_batch::WorkerLease;
+use sesamewall_batch::WorkerRecord;
+use sesamewall_batch::choose_segment;
+use sesamewall_protocol::Time;
+
+fn job(id: &str, account: &str, due_ms: u64) -> JobRecord {
+    JobRecord {
+        id: id.into(),
+        account: account.into(),
+        file: String::new(),
+        endpoint: String::new(),
+        state: JobState::InProgress,
+        expired: false,
+        segments: 1,
+        counts: Counts::default(),
+        created_ms: 0,
+        due_ms,
+        cancelling_ms: None,
+        ended_ms: None,
+        metadata: serde_json::Value::Null,
+        keyed: false,
+        token: String::new(),
+    }
+}
+
+fn segment(state: SegmentState) -> SegmentRecord {
+    SegmentRecord {
+        state,
+        holder: "w".into(),
+        incarnation: "a".to_owned(),
+        fence: 1,
+        blobs: Vec::new(),
+        counts: Counts::default(),
+        output_bytes: 0,
+        error_bytes: 0,
+        token: String::new(),
+    }
+}
+
+fn worker(beat: u64) -> WorkerRecord {
+    WorkerRecord { incarnation: "a".to_owned(), beat }
+}
+
+/// Guards against an account that starves others with many jobs, and against late jobs that wait.
+#[test]
+fn accounts_share_by_work_and_due_time() {
+    let mut jobs: Vec<JobRecord> =
+        (0..50).map(|n| job(&format!("many{n}"), "a", 1_000 - n)).collect();
+    jobs.push(job("one", "b", 9_000));
+    let mut book = ClaimBook::default();
+    let mut turns = BTreeMap::new();
+    for _ in 0..100 {
+        let id = book.choose_job(jobs.iter()).unwrap();
+        let chosen = jobs.iter().find(|job| job.id == id).unwrap();
+        assert!(chosen.account.as_str() == "b" || id.as_str() == "many49", "{id}");
+        book.charge(&chosen.account, 500, 1.0);
+        *turns.entry(chosen.account.clone()).or_insert(0) += 1;
+    }
+    assert_eq!(turns.into_values().collect::<Vec<_>>(), vec![50, 50]);
+}
+
+/// Guards against an account that comes back after a pause and shuts out the others.
+#[test]
+fn returning_account_has_no_credit() {
+    let (a, b) = (job("a", "a", 1), job("b", "b", 1));
+    let mut book = ClaimBook::default();
+    for _ in 0..10 {
+        assert_eq!(book.choose_job([&a].into_iter()), Some("a".into()));
+        book.charge(&a.account, 500, 1.0);
+    }
+    let mut turns = 0;
+    for _ in 0..10 {
+        let id = book.choose_job([&a, &b].into_iter()).unwrap();
+        turns += i32::from(id.as_str() == "b");
+        book.charge(if id.as_str() == "b" { &b.account } else { &a.account }, 500, 1.0);
+    }
+    assert!((5..=6).contains(&turns), "{turns}");
+}
+
+/// Guards against a claim that is taken from a live worker, or never from a lost one.
+#[test]
+fn claim_lapses_by_the_observers_clock() {
+    let mut book = ClaimBook::default();
+    let record = segment(SegmentState::Claimed);
+    let step = Duration::from_secs(9);
+    let mut now = Time::from_millis(5_000_000);
+    for beat in 0..5 {
+        assert!(!book.is_lapsed(&record, Some(&worker(beat)), now));
+        now = now + step;
+    }
+    assert!(!book.is_lapsed(&record, Some(&worker(4)), now));
+    let lapse = now - step + CLAIM_LAPSE;
+    assert!(book.is_lapsed(&record, Some(&worker(4)), lapse));
+    // A worker that was replaced, or whose record is gone, lapses as well.
+    let other = WorkerRecord { incarnation: "b".to_owned(), beat: 99 };
+    assert!(book.is_lapsed(&record, Some(&other), lapse));
+    assert!(book.is_lapsed(&record, None, lapse));
+}
+
+/// Guards against a worker that goes on when others may take its claims.
+#[test]
+fn worker_stops_before_its_claims_lapse() {
+    const { assert!(WORKER_DEADLINE.as_millis() < CLAIM_LAPSE.as_millis()) };
+    let mut lease = WorkerLease::default();
+    assert!(!lease.is_valid(Time::ZERO));
+    let start = Time::from_millis(1_000);
+    lease.renew(start);
+    assert!(lease.is_valid(start + Duration::from_millis(8_999)));
+    assert!(!lease.is_valid(start + WORKER_DEADLINE));
+    lease.renew(Time::ZERO);
+    assert!(lease.is_valid(start + Duration::from_millis(8_999)));
+}
+
+/// Guards against new work for a stopping job, and against a job that ends with segments running.
+#[test]
+fn stopping_job_takes_only_lost_claims() {
+    let mut records = BTreeMap::from([(1, segment(SegmentState::Committed))]);
+    assert_eq!(choose_segment(3, false, &records, 1, |_| false), SegmentChoice::Claim(2));
+    assert_eq!(choose_segment(3, true, &records, 1, |_| false), SegmentChoice::Ended);
+    records.insert(2, segment(SegmentState::Claimed));
+    assert_eq!(choose_segment(3, true, &records, 1, |_| false), SegmentChoice::Taken);
+    assert_eq!(choose_segment(3, true, &records, 1, |_| true), SegmentChoice::Claim(2));
+}
