Add the operators' command-line tool

Cause: operators had only the HTTP API. Change: sesamewall with apply, get, describe, watch, delete, diff, rollout, keys, refusals, explain, state and jobs, as tables or JSON. Errors show code and help line; exit code 1 is an error, 2 usage.

--- /dev/null
+++ b/crates/sesamewall-cli/tests/main.rs
@@ -0,0 +1,8 @@
+#![allow(clippy::unwrap_used)]
+
+//! Tests of the command-line tool, one module per topic.
+
+mod commands;
+#[path = "../../sesamewall-server/tests/support.rs"]
+mod support;
+mod times;
--- a/src/bin/sesamewall.rs
+++ b/src/bin/sesamewall.rs
@@ -1,3 +1,8 @@
 //! Entry point of `sesamewall`.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    sesamewall_cli::main().await
+}
