Let the checks of damaged frames and of secrets in records fail alone

Cause: a trial without the checksum still passed, since the damaged byte did not decode either; record files were not searched for secrets. Change: the damaged byte still decodes, and the record file of a storage instance is searched.

--- a/crates/sesamewall-server/tests/operator.rs
+++ b/crates/sesamewall-server/tests/operator.rs
@@ -215,6 +215,11 @@
         texts.push(String::from_utf8(entry.value.to_vec()).unwrap());
     }
     assert!(texts.iter().any(|text| text.contains(&hash_key(secret))), "the store was searched");
+    fleet.nodes[0].recorder.note(&"req_1".into(), Some(&"acme".into()), refusal());
+    fleet.records[0].flush().await;
+    let log = fleet.folders[1].path().join("records/records-0000000001.log");
+    texts.push(String::from_utf8_lossy(&std::fs::read(log).unwrap()).into_owned());
+    assert!(texts.last().unwrap().contains("req_1"), "the records were searched");
     for text in texts {
         assert!(!text.contains(&secret[3..]) && !text.contains(TOKEN), "{text}");
     }
--- a/crates/sesamewall-server/tests/records.rs
+++ b/crates/sesamewall-server/tests/records.rs
@@ -50,12 +50,12 @@
 fn damaged_frames_are_skipped() {
     let folder = tempfile::tempdir().unwrap();
     let mut files = RecordFiles::open(folder.path(), RecordLimits::default()).unwrap();
-    files.append(&[record(1)]).unwrap();
-    let first = usize::try_from(files.total_bytes()).unwrap();
-    files.append(&[record(2), record(3)]).unwrap();
+    files.append(&[record(1), record(2), record(3)]).unwrap();
     let path = files.paths().pop().unwrap();
     let mut bytes = std::fs::read(&path).unwrap();
-    bytes[first + 20] ^= 1;
+    // The changed text still decodes, so that only the checksum tells.
+    let damaged = bytes.windows(5).position(|part| part == b"req_2").unwrap();
+    bytes[damaged + 4] = b'7';
     std::fs::write(&path, &bytes).unwrap();
     assert_eq!(sequences(&files), [1, 3]);
 }
