Stagger batch starts and weigh prompts in the learned limit

Engines compute prompts in arrival order, so prompts of batch streams delayed online requests.

Change: divide the time to first token by the prompt size; count prompts not yet computed in the load of a target; start batch streams one after the other on a target and on at most half of a model's targets at once. Deny an ask with no time to wait at once, so that the instance can try another failure domain.

--- a/crates/sesamewall-schedule/src/dispatch.rs
+++ b/crates/sesamewall-schedule/src/dispatch.rs
@@ -141,6 +141,7 @@
             grant: Some(grant.clone()),
         };
         state.add(key, &slot);
+        state.add_prompt(&slot, now);
         if full {
             state.start_proof(key);
         }
--- a/crates/sesamewall-schedule/src/fleet.rs
+++ b/crates/sesamewall-schedule/src/fleet.rs
@@ -160,6 +160,11 @@
             (Policy::SharedQueue, _) | (Policy::OnlineFirst, Class::Online) => true,
             // A cold target has no headroom: its ramp needs the full limit to be in use, and one
             // cancelled stream makes room for an online request.
+            (Policy::OnlineFirst, Class::Batch)
+                if self.settings.stagger && state.in_prompt(now) =>
+            {
+                false
+            }
             (Policy::OnlineFirst, Class::Batch) if state.limit.is_cold() => true,
             (Policy::OnlineFirst, Class::Batch) => {
                 let headroom = self.headroom_share(state, now);
@@ -178,6 +183,9 @@
     /// Chooses a target for the request, with the reason.
     pub(crate) fn place(&self, ask: &SlotAsk, now: Time) -> Option<(TargetName, &'static str)> {
         let serving = self.serving(&ask.model, now);
+        if ask.class == Class::Batch && self.is_batch_starting(&serving, now) {
+            return None;
+        }
         let reachable = serving.iter().any(|state| state.avoid_until <= now);
         let fits = |state: &TargetState| match ask.isolated {
             false => self.has_room(state, ask.class, now),
@@ -187,9 +195,9 @@
             .iter()
             .filter(|state| !reachable || state.avoid_until <= now)
             .filter(|state| !ask.exclude.contains(&state.info.name) && fits(state))
-            .map(|state| Candidate { name: &state.info.name, work: state.work })
+            .map(|state| Candidate { name: &state.info.name, work: state.load(now) })
             .collect();
-        let total: u64 = serving.iter().map(|state| state.work).sum();
+        let total: u64 = serving.iter().map(|state| state.load(now)).sum();
         let mean = total as f64 / serving.len().max(1) as f64;
         let choice = choose(&self.settings.route, &open, mean, ask.work, &ask.prefix, &self.hints)?;
         let reason = if ask.isolated { "runs alone after a crash" } else { choice.reason };
@@ -221,7 +229,7 @@
                 state.lost_in_a_row = 0;
                 state.avoid_until = Time::ZERO;
                 if let Some(micros) = done.first_token_us {
-                    state.limit.on_first_token(micros, now);
+                    state.limit.on_first_token(micros, slot.prompt, now);
                 }
             }
             SlotEnd::Overloaded => state.limit.on_overload(now),
@@ -283,6 +291,14 @@
         self.targets.values().map(view).collect()
     }
 
+    /// Tells whether batch streams are starting on half of the targets.
+    fn is_batch_starting(&self, serving: &[&TargetState], now: Time) -> bool {
+        let starting = serving.iter().filter(|state| state.in_batch_prompt(now)).count();
+        self.settings.stagger
+            && self.settings.policy == Policy::OnlineFirst
+            && starting >= (serving.len() / 2).max(1)
+    }
+
     fn is_free_for(&self, state: &TargetState, request: &RequestId) -> bool {
         let mine = match &self.reserved {
             Some((target, owner)) => target == &state.info.name && owner == request,
--- a/crates/sesamewall-schedule/src/limit.rs
+++ b/crates/sesamewall-schedule/src/limit.rs
@@ -17,11 +17,20 @@
     pub cold_ratio: f64,
     /// Factor of one decrease.
     pub decrease: f64,
+    /// Prompt tokens that take about as long as the fixed part of a time to first token.
+    pub prompt_scale: f64,
 }
 
 impl Default for LimitSettings {
     fn default() -> Self {
-        Self { cold_limit: 1, ramp: true, slow_ratio: 2.0, cold_ratio: 4.0, decrease: 0.8 }
+        Self {
+            cold_limit: 1,
+            ramp: true,
+            slow_ratio: 3.0,
+            cold_ratio: 4.0,
+            decrease: 0.8,
+            prompt_scale: 512.0,
+        }
     }
 }
 
@@ -94,10 +103,13 @@
         }
     }
 
-    /// Records a time to first token of `micros` microseconds. Returns true when the target turned
-    /// cold by it.
-    pub fn on_first_token(&mut self, micros: u64, now: Time) -> bool {
-        let sample = micros.max(1) as f64;
+    /// Records a time to first token of `micros` microseconds for a prompt of `prompt` tokens.
+    /// Returns true when the target turned cold by it.
+    pub fn on_first_token(&mut self, micros: u64, prompt: u64, now: Time) -> bool {
+        // The time grows with the prompt. Without this correction the shortest prompts set the
+        // baseline, and the mix of prompts looks like an overload.
+        let size = 1.0 + prompt as f64 / self.settings.prompt_scale;
+        let sample = micros.max(1) as f64 / size;
         let Some(baseline) = self.baseline_us else {
             self.baseline_us = Some(sample);
             self.smooth_us = sample;
@@ -112,7 +124,7 @@
         }
         // The baseline falls quickly to faster samples and rises slowly, so that a long overload
         // does not become the new normal.
-        let gain = if sample < baseline { 0.3 } else { 0.002 };
+        let gain = if sample < baseline { 0.05 } else { 0.005 };
         self.baseline_us = Some(baseline + gain * (sample - baseline));
         // The slow first response of a cold target must not end its ramp alone.
         let bounded = sample.min(self.settings.cold_ratio * baseline);
@@ -127,6 +139,13 @@
         false
     }
 
+    /// Returns the expected time to first token for a prompt of `prompt` tokens, in microseconds,
+    /// or 0 while nothing is known.
+    pub fn expected_us(&self, prompt: u64) -> u64 {
+        let size = 1.0 + prompt as f64 / self.settings.prompt_scale;
+        (self.baseline_us.unwrap_or(0.0) * size) as u64
+    }
+
     /// Records that the target handled its limit in the period `step`: a request granted at the full
     /// limit completed.
     pub fn on_complete(&mut self, step: u64) {
@@ -136,7 +155,9 @@
             self.step += 1;
             self.cold = self.limit < max;
         } else if !self.cold && !self.is_slow() {
-            self.limit = (self.limit + 1.0 / self.limit).min(max);
+            // Responses take many times longer than first tokens, so one step a response is needed
+            // to find a higher limit within minutes.
+            self.limit = (self.limit + 0.5).min(max);
         }
     }
 
@@ -152,6 +173,6 @@
     }
 
     fn is_slow(&self) -> bool {
-        self.baseline_us.is_some_and(|baseline| self.smooth_us > 1.5 * baseline)
+        self.baseline_us.is_some_and(|baseline| self.smooth_us > 2.0 * baseline)
     }
 }
--- a/crates/sesamewall-schedule/src/scheduler.rs
+++ b/crates/sesamewall-schedule/src/scheduler.rs
@@ -93,7 +93,9 @@
         actions
     }
 
-    /// Handles an ask of the instance `from`. An ask that is repeated gets the same slot.
+    /// Handles an ask of the instance `from`. An ask that is repeated gets the same slot. An ask with
+    /// no time to wait is denied at once unless a slot is free or on its way back, so that the
+    /// instance can try another failure domain.
     pub fn on_ask(&mut self, ask: SlotAsk, from: &InstanceName, now: Time) -> Vec<Action> {
         if now >= self.valid_until {
             return vec![deny(&ask, from, NOT_LEAD, Vec::new(), "the lead's lease has ended")];
@@ -111,7 +113,13 @@
         }
         let model = ask.model.clone();
         let index = self.queue_index(ask.class);
-        let wait = Duration::from_micros(ask.wait_us).min(self.fleet.settings.max_wait);
+        let request = ask.request.clone();
+        let settings = &self.fleet.settings;
+        let no_wait = ask.wait_us == 0;
+        let wait = match no_wait {
+            true => settings.yield_resend,
+            false => Duration::from_micros(ask.wait_us).min(settings.max_wait),
+        };
         let entry = Entry {
             request: ask.request.clone(),
             account: ask.account.clone(),
@@ -133,6 +141,9 @@
             actions.push(deny_entry(&entry, QUEUE_FULL, numbers.clone(), reason));
         }
         self.dispatch(&model, now, &mut actions);
+        if no_wait {
+            actions.extend(self.deny_unless_coming(&request, &model, index, now));
+        }
         actions
     }
 
@@ -228,7 +239,7 @@
         actions
     }
 
-    /// Handles timeouts; called about every 50 ms.
+    /// Handles timeouts and starts staggered batch streams; called about every 10 ms.
     pub fn on_tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = self.end_waits(now);
         let expired: Vec<_> = self
@@ -308,6 +319,24 @@
         Some(Action::Grant { to: from.clone(), slot })
     }
 
+    fn deny_unless_coming(
+        &mut self,
+        request: &RequestId,
+        model: &ModelName,
+        index: usize,
+        now: Time,
+    ) -> Option<Action> {
+        let coming: usize = self.fleet.serving(model, now).iter().map(|state| state.yielding).sum();
+        let queue = &mut self.queues.get_mut(model)?[index];
+        if queue.len() <= coming {
+            return None;
+        }
+        let numbers = numbers_of(queue);
+        let entry = queue.remove(request, now)?;
+        self.drop_reservation(request);
+        Some(deny_entry(&entry, QUEUE_TIMEOUT, numbers, "no slot is free and the ask may not wait"))
+    }
+
     fn count_held(&mut self, instance: &InstanceName, held: &HeldSlot, now: Time) {
         let key = (held.epoch, held.slot);
         if let Some(slot) = self.slots.get_mut(&key) {
--- a/crates/sesamewall-schedule/src/state.rs
+++ b/crates/sesamewall-schedule/src/state.rs
@@ -60,6 +60,9 @@
     pub leaving_hold: Duration,
     /// Longest wait in a queue.
     pub max_wait: Duration,
+    /// Starts batch streams one after the other on a target, and on at most half of a model's
+    /// targets at once, so that online requests find a target that computes no batch prompt.
+    pub stagger: bool,
 }
 
 impl Default for Settings {
@@ -76,6 +79,7 @@
             yield_resend: Duration::from_millis(500),
             leaving_hold: Duration::from_secs(30),
             max_wait: Duration::from_secs(60),
+            stagger: true,
         }
     }
 }
@@ -163,6 +167,10 @@
     pub in_service: bool,
 }
 
+/// Weight of prompt tokens not yet computed over tokens in progress. A new request waits for all
+/// earlier prompts, but runs together with streams in progress.
+const PROMPT_WEIGHT: u64 = 16;
+
 pub(crate) type SlotKey = (u64, u64);
 
 /// A waiting ask.
@@ -227,6 +235,9 @@
     pub(crate) leaving_until: Time,
     pub(crate) avoid_until: Time,
     pub(crate) lost_in_a_row: u32,
+    /// Expected time at which all granted prompts are computed.
+    prompts_until: Time,
+    batch_prompts_until: Time,
 }
 
 impl TargetState {
@@ -246,6 +257,8 @@
             leaving_until: Time::ZERO,
             avoid_until: Time::ZERO,
             lost_in_a_row: 0,
+            prompts_until: Time::ZERO,
+            batch_prompts_until: Time::ZERO,
         }
     }
 
@@ -263,6 +276,33 @@
         }
     }
 
+    /// Counts the prompt of a request granted at `now`.
+    pub(crate) fn add_prompt(&mut self, slot: &SlotState, now: Time) {
+        let expected = Duration::from_micros(self.limit.expected_us(slot.prompt));
+        self.prompts_until = self.prompts_until.max(now) + expected;
+        if slot.class == Class::Batch {
+            self.batch_prompts_until = self.prompts_until;
+        }
+    }
+
+    /// Tells whether the target probably still computes a prompt.
+    pub(crate) fn in_prompt(&self, now: Time) -> bool {
+        self.prompts_until > now
+    }
+
+    /// Tells whether the target probably still computes a prompt of a batch stream.
+    pub(crate) fn in_batch_prompt(&self, now: Time) -> bool {
+        self.batch_prompts_until > now
+    }
+
+    /// Returns the outstanding work in tokens, with more weight on prompts that a new request waits
+    /// for.
+    pub(crate) fn load(&self, now: Time) -> u64 {
+        let per_thousand = self.limit.expected_us(1000).max(1);
+        let left = self.prompts_until.since(now).as_micros() as u64;
+        self.work + PROMPT_WEIGHT * (1000 * left / per_thousand)
+    }
+
     /// Notes that a slot was granted at the full limit.
     pub(crate) fn start_proof(&mut self, key: SlotKey) {
         let step = self.limit.step();
--- a/crates/sesamewall-schedule/tests/admission.rs
+++ b/crates/sesamewall-schedule/tests/admission.rs
@@ -11,6 +11,7 @@
 
 use sesamewall_protocol::Class;
 use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::SlotAsk;
 use sesamewall_protocol::peer::SlotDone;
 use sesamewall_protocol::peer::SlotEnd;
 use sesamewall_schedule::Action;
@@ -252,10 +253,26 @@
         limit.on_complete(limit.step());
     }
     assert!(!limit.is_cold() && limit.limit() == 4);
-    limit.on_first_token(100_000, now);
-    assert!(!limit.on_first_token(500_000, now));
-    assert!(!limit.on_first_token(100_000, now));
-    assert!(!limit.on_first_token(500_000, now));
-    assert!(limit.on_first_token(500_000, now));
+    limit.on_first_token(100_000, 0, now);
+    assert!(!limit.on_first_token(500_000, 0, now));
+    assert!(!limit.on_first_token(100_000, 0, now));
+    assert!(!limit.on_first_token(500_000, 0, now));
+    assert!(limit.on_first_token(500_000, 0, now));
     assert!(limit.is_cold() && limit.limit() == 1);
 }
+
+/// Guards against an ask that waits in a full failure domain although it may not wait, and against
+/// its denial while a slot for it is on its way back.
+#[test]
+fn no_wait_is_denied_at_once() {
+    let mut full = lead(1, true);
+    let now = Time::from_millis(1);
+    let no_wait = |name: &str| SlotAsk { wait_us: 0, ..ask(name, "a", Class::Online, 10) };
+    full.on_ask(ask("r1", "a", Class::Online, 10), &instance(0), now);
+    let actions = full.on_ask(no_wait("r2"), &instance(0), now);
+    assert!(matches!(actions[..], [Action::Deny { code: 4002, .. }]), "{actions:?}");
+    let mut batch = lead(1, true);
+    batch.on_ask(ask("b1", "a", Class::Batch, 10), &instance(0), now);
+    let actions = batch.on_ask(no_wait("r2"), &instance(0), now);
+    assert!(matches!(actions[..], [Action::Yield { .. }]), "{actions:?}");
+}
