Test lead and configuration log under random faults

Cause: two valid leads, reverted configurations and lost or doubled writes must be excluded.

Change: a virtual-time run of 2 failure domains with 3 instances each, with clock drift of 2%, message loss, delay, duplication, pauses, crashes, partitions, store outages and lost answers. Each mechanism can be taken out, and a test asserts that the checker then reports a breach. An instance that restarted in a store outage now learns the highest epoch from its peers before it claims.

--- a/crates/sesamewall-membership/src/lead.rs
+++ b/crates/sesamewall-membership/src/lead.rs
@@ -257,11 +257,7 @@
         }
         self.expire(now, &mut actions);
         match message {
-            MembershipMessage::LeadAsk => {
-                if let Some(notice) = self.notice(now) {
-                    actions.push(send(from, MembershipMessage::LeadNotice(notice)));
-                }
-            }
+            MembershipMessage::LeadAsk => actions.push(send(from, self.answer(now))),
             MembershipMessage::HeartbeatReply(reply) => {
                 if let Some(notice) = &reply.notice {
                     self.hear(now, from, notice, &mut actions);
@@ -462,6 +458,14 @@
         now.since(self.contact) >= wait && now.since(self.running) >= wait
     }
 
+    /// Returns the answer to a lead ask. An instance that restarted during a store outage learns
+    /// the epochs that are not in the store from it.
+    fn answer(&self, now: Time) -> MembershipMessage {
+        let seen = PromiseReply { sequence: 0, promised: false, epoch: self.next_epoch() - 1 };
+        let notice = self.notice(now).map(MembershipMessage::LeadNotice);
+        notice.unwrap_or(MembershipMessage::PromiseReply(seen))
+    }
+
     fn next_epoch(&self) -> u64 {
         self.highest.max(self.offered) + 1
     }
--- a/crates/sesamewall-membership/tests/main.rs
+++ b/crates/sesamewall-membership/tests/main.rs
@@ -3,4 +3,6 @@
 //! Tests of membership, one module per topic.
 
 mod configuration;
+mod faults;
 mod fixtures;
+mod sim;
