Wire membership, floors, batch, records and operators into the daemon

Cause: the decision modules count only when the daemon calls them. Change: membership service (lead lease, heartbeats, configuration log, floors, store budget), operator API, records and batch service in one instance.

--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -1,15 +1,20 @@
 //! Starts one instance: ports, services, listeners, and an orderly end.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Router;
+use sesamewall_adapters::DataFolder;
 use sesamewall_adapters::HttpInstances;
 use sesamewall_adapters::HttpStore;
 use sesamewall_adapters::HttpTarget;
 use sesamewall_adapters::TonicPeerLink;
 use sesamewall_adapters::serve_peers;
+use sesamewall_membership::BudgetSettings;
+use sesamewall_ports::BulkStorage;
 use sesamewall_ports::Clock;
 use sesamewall_ports::InstanceList;
 use sesamewall_ports::ListedInstance;
@@ -24,20 +29,34 @@
 use slog::Logger;
 use slog::info;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::BatchService;
 use crate::ConfigView;
 use crate::Directory;
+use crate::Dump;
 use crate::LeadView;
 use crate::Metrics;
 use crate::Node;
+use crate::OperatorService;
+use crate::RecordLimits;
+use crate::RecordService;
 use crate::Recorder;
 use crate::Settings;
+use crate::batch_jobs::BatchJobs;
 use crate::caller::CallerService;
 use crate::caller::serve_http;
+use crate::dump_part::DumpPart;
+use crate::execute::BatchItemRunner;
 use crate::execute::Executor;
-use crate::membership_service::MembershipService;
+use crate::membership::BudgetedStore;
+use crate::membership::ConfigService;
+use crate::membership::FloorService;
+use crate::membership::MembershipService;
+use crate::membership::Outgoing;
+use crate::operator_router;
 use crate::peer_service::PeerService;
 use crate::rate_service::RateService;
 use crate::slot_service::SlotService;
@@ -65,14 +84,14 @@
     /// What the services share.
     pub node: Arc<Node>,
     /// Accepts configuration changes.
-    pub writer: Arc<MembershipService>,
+    pub writer: Arc<ConfigService>,
     /// Bound address for callers.
     pub caller_addr: String,
     /// Bound address for operators.
     pub operator_addr: String,
-    rates: Arc<RateService>,
     callers: Stoppable,
     inner: Vec<Stoppable>,
+    parts: Parts,
 }
 
 struct Stoppable {
@@ -99,6 +118,12 @@
     Ok((listener, bound))
 }
 
+fn open_bulk(settings: &Settings) -> Result<Option<Arc<dyn BulkStorage>>> {
+    let Some(folder) = &settings.data_dir else { return Ok(None) };
+    let bulk: Arc<dyn BulkStorage> = Arc::new(DataFolder::open(folder.join("bulk"))?);
+    Ok(Some(bulk))
+}
+
 fn serve(listener: TcpListener, router: Router) -> Stoppable {
     let stop = CancellationToken::new();
     let task = tokio::spawn(serve_http(listener, router, stop.clone()));
@@ -125,16 +150,21 @@
             state: ListedState::Live,
         };
         let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+        let budget = match settings.platform_url.is_empty() {
+            true => BudgetSettings { ramp: false, ..BudgetSettings::default() },
+            false => BudgetSettings::default(),
+        };
+        let budgeted = Arc::new(BudgetedStore::new(platform.store, clock.clone(), budget));
         let node = Arc::new(Node {
             recorder: Recorder::new(own.name.clone(), clock.clone()),
             link: Arc::new(TonicPeerLink::new(own.clone())),
             target: Arc::new(HttpTarget::default()),
-            bulk: None,
+            bulk: open_bulk(&settings)?,
             config: ConfigView::default(),
             directory: Directory::default(),
             lead: LeadView::default(),
             metrics: Metrics::default(),
-            store: platform.store,
+            store: budgeted.clone(),
             instances: platform.instances,
             draining: false.into(),
             clock,
@@ -142,35 +172,22 @@
             settings,
             log,
         });
-        let membership = MembershipService::new(node.clone());
-        let rates = RateService::new(node.clone());
-        let slots = SlotService::new(node.clone());
-        let executor =
-            Arc::new(Executor::new(node.clone(), Arc::new(rates.clone()), Arc::new(slots.clone())));
-        let handler = Arc::new(PeerService::new(rates.clone(), slots.clone(), executor.clone()));
-        let peers = CancellationToken::new();
-        let peer_task = tokio::spawn({
-            let (own, stop) = (node.own.clone(), peers.clone());
-            async move {
-                let _ = serve_peers(peer_listener, own, handler, stop.cancelled_owned()).await;
-            }
-        });
-        membership.spawn();
-        rates.spawn();
-        slots.spawn();
-        follow_configuration(&node, &rates, &slots);
-        let caller = Arc::new(CallerService::new(node.clone(), executor));
-        let callers = serve(caller_listener, caller.clone().router(Router::new()));
+        let parts = Parts::new(&node, budgeted)?;
+        let peers = serve_peer_messages(peer_listener, &node, &parts);
+        parts.spawn(&node);
+        let caller = Arc::new(CallerService::new(node.clone(), parts.executor.clone()));
+        let callers = serve(caller_listener, caller.clone().router(parts.batch.router()));
         let forwards = serve(forward_listener, caller.forward_router());
-        let operators = serve(operator_listener, Router::new());
-        info!(node.log, "instance started"; "callers" => &caller_addr, "operators" => &operator_addr);
+        let operators = serve(operator_listener, operator_router(parts.operators.clone()));
+        info!(node.log, "instance started"; "callers" => &caller_addr,
+            "operators" => &operator_addr);
         Ok(Self {
-            writer: membership,
+            writer: parts.config.clone(),
             caller_addr,
             operator_addr,
-            rates,
             callers,
-            inner: vec![forwards, operators, Stoppable { stop: peers, task: peer_task }],
+            inner: vec![forwards, operators, peers],
+            parts,
             node,
         })
     }
@@ -181,8 +198,11 @@
         self.node.draining.store(true, Ordering::Relaxed);
         info!(self.node.log, "instance drains");
         tokio::time::sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
+        self.parts.membership.shut_down().await;
         self.callers.end().await;
-        self.rates.shut_down();
+        self.parts.rates.shut_down();
+        self.parts.stop.cancel();
+        self.parts.records.flush().await;
         for inner in self.inner {
             inner.end().await;
         }
@@ -190,6 +210,102 @@
     }
 }
 
+/// The services of an instance.
+struct Parts {
+    config: Arc<ConfigService>,
+    outgoing: Mutex<Option<mpsc::UnboundedReceiver<Outgoing>>>,
+    membership: Arc<MembershipService>,
+    floor: Arc<FloorService>,
+    rates: Arc<RateService>,
+    slots: Arc<SlotService>,
+    executor: Arc<Executor>,
+    batch: Arc<BatchService>,
+    records: Arc<RecordService>,
+    operators: Arc<OperatorService>,
+    stop: CancellationToken,
+}
+
+impl Parts {
+    fn new(node: &Arc<Node>, store: Arc<BudgetedStore>) -> Result<Self> {
+        let domains = node.settings.domains.iter().map(|name| DomainName::from(name.as_str()));
+        let floor =
+            FloorService::new(node.clock.clone(), node.own.domain.clone(), domains.collect());
+        let (config, outgoing) = ConfigService::new(node.clone());
+        let membership = MembershipService::new(node.clone(), config.clone(), floor.clone(), store);
+        let rates = RateService::new(node.clone());
+        let slots = SlotService::new(node.clone());
+        let executor =
+            Arc::new(Executor::new(node.clone(), Arc::new(rates.clone()), Arc::new(slots.clone())));
+        let runner = Arc::new(BatchItemRunner::new(executor.clone()));
+        let batch = BatchService::new(node.clone(), runner);
+        let records = Arc::new(RecordService::new(node.clone(), RecordLimits::default())?);
+        let dumps: Vec<Arc<dyn Dump>> = vec![
+            Arc::new(DumpPart::new("membership", membership.clone(), |part| part.dump())),
+            Arc::new(DumpPart::new("rates", rates.clone(), |part| part.dump())),
+            Arc::new(DumpPart::new("slots", slots.clone(), |part| part.dump())),
+            Arc::new(DumpPart::new("batch", batch.clone(), |part| part.dump())),
+        ];
+        let operators = Arc::new(OperatorService {
+            node: node.clone(),
+            writer: config.clone(),
+            records: records.clone(),
+            jobs: Some(Arc::new(BatchJobs::new(batch.clone()))),
+            dumps,
+        });
+        let outgoing = Mutex::new(Some(outgoing));
+        let stop = CancellationToken::new();
+        Ok(Self {
+            config,
+            outgoing,
+            membership,
+            floor,
+            rates,
+            slots,
+            executor,
+            batch,
+            records,
+            operators,
+            stop,
+        })
+    }
+
+    fn spawn(&self, node: &Arc<Node>) {
+        let outgoing = self.outgoing.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(outgoing) = outgoing {
+            self.membership.spawn(outgoing);
+        }
+        self.config.spawn();
+        self.floor.spawn(node.clone(), self.rates.clone());
+        self.rates.spawn();
+        self.slots.spawn();
+        self.executor.spawn_mark_sender();
+        self.batch.spawn();
+        let (records, stop) = (self.records.clone(), self.stop.clone());
+        tokio::spawn(async move { records.run(stop).await });
+        follow_configuration(node, &self.rates, &self.slots);
+    }
+}
+
+fn serve_peer_messages(listener: TcpListener, node: &Arc<Node>, parts: &Parts) -> Stoppable {
+    let handler = Arc::new(PeerService {
+        rates: parts.rates.clone(),
+        slots: parts.slots.clone(),
+        executor: parts.executor.clone(),
+        membership: parts.membership.clone(),
+        floor: parts.floor.clone(),
+        batch: parts.batch.clone(),
+        records: parts.records.clone(),
+        operators: parts.operators.clone(),
+    });
+    let stop = CancellationToken::new();
+    let ended = stop.clone().cancelled_owned();
+    let own = node.own.clone();
+    let task = tokio::spawn(async move {
+        let _ = serve_peers(listener, own, handler, ended).await;
+    });
+    Stoppable { stop, task }
+}
+
 fn follow_configuration(node: &Arc<Node>, rates: &Arc<RateService>, slots: &Arc<SlotService>) {
     let mut revisions = node.config.subscribe();
     let (rates, slots) = (rates.clone(), slots.clone());
--- a/crates/sesamewall-server/src/execute/executor.rs
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use sesamewall_ports::ListedInstance;
 use sesamewall_protocol::AccountName;
@@ -14,6 +15,9 @@
 use sesamewall_protocol::Result;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::CrashMark;
+use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_protocol::peer::ScheduleMessage;
 use sesamewall_protocol::peer::Slot;
 use sesamewall_protocol::peer::SlotAsk;
 use sesamewall_protocol::peer::SlotEnd;
@@ -35,6 +39,7 @@
 
 /// The account name under which open routes are queued.
 const OPEN_ACCOUNT: &str = "-open-";
+const MARK_PERIOD: Duration = Duration::from_millis(500);
 /// A batch item waits this long for a slot before it asks again.
 const BATCH_WAIT_US: u64 = 10_000_000;
 
@@ -85,7 +90,7 @@
         Ok(Attempts {
             budget: RequestBudget::new(&RetrySettings::default()),
             exclude: Vec::new(),
-            deadline: now + std::time::Duration::from_millis(self.node.settings.queue_ms),
+            deadline: now + Duration::from_millis(self.node.settings.queue_ms),
             isolated: clearance.isolated,
             not_before: clearance.from,
         })
@@ -187,6 +192,37 @@
         Ok(())
     }
 
+    /// Starts the task that sends crash marks to all instances. Marks are rare, so each goes to all
+    /// instances directly; it is sent each second for a while, so that a lost message does no harm.
+    pub fn spawn_mark_sender(self: &Arc<Self>) {
+        let executor = self.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(MARK_PERIOD).await;
+                let now = executor.node.clock.now();
+                executor.suspects.tick(now);
+                let marks = executor.suspects.recent(now);
+                if !marks.is_empty() {
+                    executor.send_marks(&marks);
+                }
+            }
+        });
+    }
+
+    fn send_marks(&self, marks: &[CrashMark]) {
+        let own = &self.node.own.name;
+        for instance in self.node.directory.instances() {
+            if instance.name == *own {
+                continue;
+            }
+            let link = self.node.link.clone();
+            let message = PeerMessage::Schedule(ScheduleMessage::Marks(marks.to_vec()));
+            tokio::spawn(async move {
+                let _ = link.exchange(&instance.address, message).await;
+            });
+        }
+    }
+
     /// Notes the end of a call.
     pub fn finish(&self, call: &Call, attempts: &Attempts, result: &Result<(u16, u64)>) {
         let class = call.class_label();
@@ -237,6 +273,6 @@
 }
 
 /// Returns whole microseconds, saturating.
-pub fn micros(duration: std::time::Duration) -> u64 {
+pub fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -2,11 +2,13 @@
 
 mod answer;
 mod batch;
+mod batch_jobs;
 mod caller;
 mod config_view;
 mod daemon;
 mod dev;
 mod directory;
+mod dump_part;
 mod execute;
 mod gate;
 mod item;
--- a/crates/sesamewall-server/src/membership/config_service.rs
+++ b/crates/sesamewall-server/src/membership/config_service.rs
@@ -146,7 +146,8 @@
             match self.node.store.watch(log_format::CHANGE_PREFIX, after, WATCH_MS).await {
                 Ok(entries) => {
                     after = entries.last().map_or(after, |entry| entry.version);
-                    let decoded = entries.iter().map(|entry| log_format::decode_change(&entry.value));
+                    let decoded =
+                        entries.iter().map(|entry| log_format::decode_change(&entry.value));
                     self.offer(decoded.filter_map(Result::ok).collect());
                     if self.lock().has_gap() {
                         started = false;
@@ -181,13 +182,10 @@
         }
     }
 
-    async fn snapshot_head(
-        &self,
-    ) -> std::result::Result<Option<(SnapshotHead, u64)>, StoreError> {
+    async fn snapshot_head(&self) -> std::result::Result<Option<(SnapshotHead, u64)>, StoreError> {
         let found = self.node.store.get(log_format::SNAPSHOT_HEAD).await?;
-        Ok(found.and_then(|entry| {
-            Some((serde_json::from_slice(&entry.value).ok()?, entry.version))
-        }))
+        Ok(found
+            .and_then(|entry| Some((serde_json::from_slice(&entry.value).ok()?, entry.version))))
     }
 
     /// Stores a snapshot if the last one is too old. A failure is harmless: the next writer tries
@@ -274,7 +272,10 @@
         match in_force >= change.revision {
             true => Ok(change),
             false => Err(Error::Internal {
-                detail: format!("revision {} is accepted and not yet in force here", change.revision),
+                detail: format!(
+                    "revision {} is accepted and not yet in force here",
+                    change.revision
+                ),
             }),
         }
     }
--- a/crates/sesamewall-server/src/membership/mod.rs
+++ b/crates/sesamewall-server/src/membership/mod.rs
@@ -7,5 +7,6 @@
 
 pub use budgeted_store::BudgetedStore;
 pub use config_service::ConfigService;
+pub use config_service::Outgoing;
 pub use floor_service::FloorService;
 pub use service::MembershipService;
--- a/crates/sesamewall-server/src/membership/service.rs
+++ b/crates/sesamewall-server/src/membership/service.rs
@@ -340,7 +340,9 @@
             };
             let known = |name: &InstanceName| state.addresses.get(name).cloned();
             let lead = lead.filter(|name| state.addresses.contains_key(name));
-            live.extend(view.live.iter().filter(|name| **name != self.node.own.name).filter_map(known));
+            live.extend(
+                view.live.iter().filter(|name| **name != self.node.own.name).filter_map(known),
+            );
             let extra = lead.iter().filter(|name| !view.live.contains(name));
             live.extend(extra.filter(|name| **name != self.node.own.name).filter_map(known));
             self.node.directory.set_lead(&view.name, lead);
