Run each test file of the daemon as its own program

Cause: with `autotests = false`, a test file that a later merge adds is left out without a word. Change: the switch and the harness go; each file in tests/ is a program, with shared fakes in tests/support/.

--- a/crates/sesamewall-cli/tests/main.rs
+++ b/crates/sesamewall-cli/tests/main.rs
@@ -3,6 +3,6 @@
 //! Tests of the command-line tool, one module per topic.
 
 mod commands;
-#[path = "../../sesamewall-server/tests/support.rs"]
+#[path = "../../sesamewall-server/tests/support/mod.rs"]
 mod support;
 mod times;
--- a/crates/sesamewall-server/tests/operator.rs
+++ b/crates/sesamewall-server/tests/operator.rs
@@ -1,5 +1,9 @@
+#![allow(clippy::unwrap_used)]
+
 //! Guards against faults of the operators' API.
 
+mod support;
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -20,10 +24,10 @@
 use sesamewall_server::JobReader;
 use sesamewall_server::JobView;
 
-use crate::support::Fleet;
-use crate::support::TOKEN;
-use crate::support::account;
-use crate::support::refusal;
+use support::Fleet;
+use support::TOKEN;
+use support::account;
+use support::refusal;
 
 const INSTANCES: &[(&str, &str, bool)] =
     &[("a1", "a", false), ("a2", "a", true), ("b1", "b", true)];
--- a/crates/sesamewall-server/tests/records.rs
+++ b/crates/sesamewall-server/tests/records.rs
@@ -1,15 +1,19 @@
+#![allow(clippy::unwrap_used)]
+
 //! Guards against decision records that are lost, doubled or unbounded.
 
+mod support;
+
 use std::io::Write;
 use std::time::Duration;
 
-use crate::support::Fleet;
-use crate::support::refusal;
 use sesamewall_protocol::DecisionRecord;
 use sesamewall_protocol::RequestId;
 use sesamewall_server::RecordFiles;
 use sesamewall_server::RecordLimits;
 use sesamewall_server::RecordQuery;
+use support::Fleet;
+use support::refusal;
 
 fn record(sequence: u64) -> DecisionRecord {
     DecisionRecord {
--- a/crates/sesamewall-server/tests/settings.rs
+++ b/crates/sesamewall-server/tests/settings.rs
@@ -1,3 +1,5 @@
+#![allow(clippy::unwrap_used)]
+
 //! Guards against settings faults that are accepted, or reported without their place.
 
 use sesamewall_protocol::Error;
