Name the kind of a target group target_kind

Cause: the command-line tool refused a target group, since the resource's own field kind met the tag kind of all resources. Change: the field is target_kind; the daemon's settings go through the checker; the scheduler is told which instances are lost.

--- a/crates/sesamewall-membership/src/configuration.rs
+++ b/crates/sesamewall-membership/src/configuration.rs
@@ -408,7 +408,7 @@
         };
         match groups.get(&route.group) {
             None => return fail("group", format!("target group `{}` does not exist", route.group)),
-            Some(group) if group.kind != TargetKind::Service => {
+            Some(group) if group.target_kind != TargetKind::Service => {
                 return fail("group", format!("group `{}` must be of services", group.name));
             }
             Some(_) => {}
--- a/crates/sesamewall-membership/src/field_check.rs
+++ b/crates/sesamewall-membership/src/field_check.rs
@@ -165,7 +165,7 @@
 fn check_group(group: &TargetGroup) -> Result<()> {
     let kind = ResourceKind::TargetGroup;
     let fail = |field: &str, detail: &str| Err(invalid(kind, &group.name, field, detail));
-    match group.kind {
+    match group.target_kind {
         TargetKind::Engine if group.models.is_empty() => {
             return fail("models", "a group of engines must name at least one model");
         }
--- a/crates/sesamewall-protocol/src/resource.rs
+++ b/crates/sesamewall-protocol/src/resource.rs
@@ -112,7 +112,7 @@
     pub name: String,
     /// Kind of back end. Written as `type`, since `kind` is the resource's own tag.
     #[serde(rename = "type")]
-    pub kind: TargetKind,
+    pub target_kind: TargetKind,
     /// Models that callers may name; empty for plain services.
     #[serde(default)]
     pub models: Vec<ModelName>,
--- a/crates/sesamewall-server/src/dev.rs
+++ b/crates/sesamewall-server/src/dev.rs
@@ -98,14 +98,14 @@
         }),
         Resource::TargetGroup(TargetGroup {
             name: "engines".to_owned(),
-            kind: TargetKind::Engine,
+            target_kind: TargetKind::Engine,
             models: vec![MODEL.into()],
             targets: engines,
             limit: 64,
         }),
         Resource::TargetGroup(TargetGroup {
             name: "services".to_owned(),
-            kind: TargetKind::Service,
+            target_kind: TargetKind::Service,
             models: Vec::new(),
             targets: vec![target("service-0", &service.address.to_string())],
             limit: 64,
--- a/crates/sesamewall-server/src/settings.rs
+++ b/crates/sesamewall-server/src/settings.rs
@@ -81,19 +81,20 @@
 }
 
 impl Settings {
-    /// Reads a settings file.
+    /// Reads and checks a settings file.
     ///
     /// # Errors
     ///
     /// Returns `Error::SettingsInvalid` with file, line and key.
     pub fn load(file: &str) -> sesamewall_protocol::Result<Self> {
-        let failed = |detail: String| sesamewall_protocol::Error::SettingsInvalid {
-            file: file.to_owned(),
-            line: 0,
-            key: String::new(),
-            detail,
-        };
-        let text = std::fs::read_to_string(file).map_err(|error| failed(error.to_string()))?;
-        toml::from_str(&text).map_err(|error| failed(error.to_string()))
+        let text = std::fs::read_to_string(file).map_err(|error| {
+            sesamewall_protocol::Error::SettingsInvalid {
+                file: file.to_owned(),
+                line: 0,
+                key: String::new(),
+                detail: error.to_string(),
+            }
+        })?;
+        crate::settings_check::check(&text, file)
     }
 }
--- a/crates/sesamewall-server/src/slot_service.rs
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -2,6 +2,7 @@
 //! the scheduler of the failure domain.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,6 +19,7 @@
 use sesamewall_protocol::Numbers;
 use sesamewall_protocol::RequestId;
 use sesamewall_protocol::Result;
+use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::HeldSlot;
 use sesamewall_protocol::peer::PeerMessage;
 use sesamewall_protocol::peer::ScheduleMessage;
@@ -60,6 +62,16 @@
     epoch: u64,
     scheduler: Scheduler,
     waiting: HashMap<RequestId, oneshot::Sender<ScheduleMessage>>,
+    live: HashSet<InstanceName>,
+}
+
+impl LeadSide {
+    /// Tells the scheduler which instances are no longer live.
+    fn lose_absent(&mut self, live: HashSet<InstanceName>, now: Time) -> Vec<Action> {
+        let lost: Vec<InstanceName> = self.live.difference(&live).cloned().collect();
+        self.live = live;
+        lost.iter().flat_map(|name| self.scheduler.on_instance_lost(name, now)).collect()
+    }
 }
 
 /// Asks for slots and, at the lead, grants them.
@@ -145,11 +157,6 @@
         }
     }
 
-    /// Tells the scheduler that an instance of the failure domain is lost.
-    pub fn instance_lost(self: &Arc<Self>, instance: &InstanceName) {
-        self.at_lead(|lead, now| lead.scheduler.on_instance_lost(instance, now));
-    }
-
     /// Applies the configuration in force.
     pub fn configure(self: &Arc<Self>) {
         let configuration = self.node.config.current();
@@ -172,10 +179,7 @@
 
     /// Applies `decide` at the lead's side and carries out its actions. Returns false if this
     /// instance is not lead.
-    fn at_lead(
-        self: &Arc<Self>,
-        decide: impl FnOnce(&mut LeadSide, sesamewall_protocol::Time) -> Vec<Action>,
-    ) -> bool {
+    fn at_lead(self: &Arc<Self>, decide: impl FnOnce(&mut LeadSide, Time) -> Vec<Action>) -> bool {
         let now = self.node.clock.now();
         let mut guard = self.lock_lead();
         let Some(lead) = guard.as_mut() else { return false };
@@ -187,12 +191,7 @@
         true
     }
 
-    fn act(
-        self: &Arc<Self>,
-        lead: &mut LeadSide,
-        action: Action,
-        now: sesamewall_protocol::Time,
-    ) -> Vec<Action> {
+    fn act(self: &Arc<Self>, lead: &mut LeadSide, action: Action, now: Time) -> Vec<Action> {
         match action {
             Action::Grant { slot, .. } => {
                 let sender = lead.waiting.remove(&slot.request);
@@ -236,24 +235,28 @@
             None => {}
             Some(term) if epoch != Some(term.epoch) => self.take_over(term.epoch),
             Some(_) => {
-                self.at_lead(|lead, now| lead.scheduler.on_tick(now));
+                let live = self.domain_instances();
+                self.at_lead(|lead, now| {
+                    let mut actions = lead.lose_absent(live, now);
+                    actions.extend(lead.scheduler.on_tick(now));
+                    actions
+                });
             }
         }
     }
 
+    fn domain_instances(&self) -> HashSet<InstanceName> {
+        let instances = self.node.directory.instances().into_iter();
+        let own = instances.filter(|instance| instance.domain == self.node.own.domain);
+        own.map(|instance| instance.name).collect()
+    }
+
     fn take_over(self: &Arc<Self>, epoch: u64) {
         let now = self.node.clock.now();
-        let domain = &self.node.own.domain;
-        let instances: Vec<InstanceName> = self
-            .node
-            .directory
-            .instances()
-            .into_iter()
-            .filter(|instance| instance.domain == *domain)
-            .map(|instance| instance.name)
-            .collect();
+        let instances = self.domain_instances();
         let scheduler = Scheduler::new(ScheduleSettings::default(), epoch, instances.clone(), now);
-        *self.lock_lead() = Some(LeadSide { epoch, scheduler, waiting: HashMap::new() });
+        let live = instances.clone();
+        *self.lock_lead() = Some(LeadSide { epoch, scheduler, waiting: HashMap::new(), live });
         self.configure();
         for name in instances {
             let service = self.clone();
--- a/crates/sesamewall-server/tests/batch/fleet.rs
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -337,6 +337,7 @@
             bulk: Some(Arc::clone(&self.bulks[name])),
             config: ConfigView::default(),
             directory: Directory::default(),
+            lead: sesamewall_server::LeadView::default(),
             metrics: Metrics::default(),
             log: slog::Logger::root(slog::Discard, slog::o!()),
             draining: AtomicBool::new(false),
--- a/crates/sesamewall-server/tests/support/mod.rs
+++ b/crates/sesamewall-server/tests/support/mod.rs
@@ -181,6 +181,7 @@
         bulk: None,
         config: ConfigView::default(),
         directory,
+        lead: sesamewall_server::LeadView::default(),
         recorder: Recorder::new(own.name.clone(), clock),
         metrics: Metrics::default(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
