--- a/crates/sesamewall-bench/src/wrongful_refusals.rs
+++ b/crates/sesamewall-bench/src/wrongful_refusals.rs
@@ -1,6 +1,7 @@
 //! Wrongful refusals of the escrow against a fixed share for each instance.
 
 use std::ops::Range;
+use std::thread::ScopedJoinHandle;
 use std::time::Duration;
 
 use rand::Rng;
@@ -25,6 +26,7 @@
 use crate::rate_simulation::simulate;
 
 const RATES: [u64; 8] = [200, 100, 40, 20, 20, 10, 10, 40];
+const THREADS: usize = 4;
 const GREEDY: usize = 7;
 const WARM_UP: Time = Time::from_millis(20_000);
 const LOSS: Time = Time::from_millis(70_000);
@@ -65,7 +67,7 @@
 }
 
 /// Breaches found over random faults.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Invariants {
     /// Seeds run.
     pub seeds: u64,
@@ -307,10 +309,34 @@
     }
 }
 
-/// Counts breaches over random faults.
+/// Counts breaches over random faults. Threads share the seeds; the result does not depend on them.
 pub fn invariants(seeds: Range<u64>) -> Invariants {
-    let mut sum =
-        Invariants { seeds: 0, admitted: 0, breaches: 0, floor_breaches: 0, failed: Vec::new() };
+    let part = |first: usize| seeds.clone().skip(first).step_by(THREADS);
+    let sums: Vec<_> = std::thread::scope(|scope| {
+        let run = |first| {
+            let seeds = part(first);
+            scope.spawn(move || count_breaches(seeds))
+        };
+        let threads: Vec<_> = (0..THREADS).map(run).collect();
+        let join = |thread: ScopedJoinHandle<'_, Invariants>| {
+            thread.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+        };
+        threads.into_iter().map(join).collect()
+    });
+    let mut sum = Invariants::default();
+    for part in sums {
+        sum.seeds += part.seeds;
+        sum.admitted += part.admitted;
+        sum.breaches += part.breaches;
+        sum.floor_breaches += part.floor_breaches;
+        sum.failed.extend(part.failed);
+    }
+    sum.failed.sort_unstable();
+    sum
+}
+
+fn count_breaches(seeds: impl Iterator<Item = u64>) -> Invariants {
+    let mut sum = Invariants::default();
     for seed in seeds {
         let (history, found) = random_faults(seed, Sabotage::None);
         let admitted = |request: &&(Time, usize, Fate)| matches!(request.2, Fate::Admitted(..));
