Measure online tail, fairness and a domain outage on a model engine

Cause: the targets for batch beside online, the worst-served account and a failure domain out of service need figures next to their baselines.

The weight of prompts not yet computed rises from 16 to 256.

--- /dev/null
+++ b/crates/sesamewall-bench/src/engine_model.rs
@@ -0,0 +1,140 @@
+//! Models a continuous-batching engine on virtual time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+
+/// Costs of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Microseconds of a step without work.
+    pub step_us: u64,
+    /// Microseconds added by each running stream.
+    pub stream_us: u64,
+    /// Microseconds added by each prompt token.
+    pub prompt_us: u64,
+    /// Prompt tokens in one step.
+    pub chunk: u64,
+    /// Factor of all costs while cold.
+    pub cold_factor: u64,
+    /// Busy time after which a cold engine is warm.
+    pub cold_time: Duration,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            step_us: 20_000,
+            stream_us: 60,
+            prompt_us: 60,
+            chunk: 512,
+            cold_factor: 3,
+            cold_time: Duration::from_secs(2),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Stream {
+    prompt: u64,
+    output: u64,
+    generated: u64,
+    first: Option<Time>,
+}
+
+/// What happened to a stream in a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finished {
+    /// Number of the stream.
+    pub stream: u64,
+    /// Time of the first token.
+    pub first: Time,
+    /// Output tokens.
+    pub generated: u64,
+}
+
+/// Runs streams in steps. Each step computes part of the waiting prompts, in arrival order, and one
+/// token of each stream whose prompt is complete. There is no priority.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    settings: EngineSettings,
+    streams: BTreeMap<u64, Stream>,
+    step: Option<(Time, BTreeMap<u64, u64>)>,
+    cold_left_us: u64,
+}
+
+impl Engine {
+    /// Creates a warm, idle engine.
+    pub fn new(settings: EngineSettings) -> Self {
+        Self { settings, streams: BTreeMap::new(), step: None, cold_left_us: 0 }
+    }
+
+    /// Makes the engine cold.
+    pub fn turn_cold(&mut self) {
+        self.cold_left_us = self.settings.cold_time.as_micros() as u64;
+    }
+
+    /// Returns the number of streams.
+    pub fn running(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Adds a stream; numbers rise in arrival order. Returns the end of the step that starts now, if
+    /// the engine was idle.
+    pub fn start(&mut self, stream: u64, prompt: u64, output: u64, now: Time) -> Option<Time> {
+        let state = Stream { prompt, output, generated: 0, first: None };
+        self.streams.insert(stream, state);
+        if self.step.is_none() { self.begin_step(now) } else { None }
+    }
+
+    /// Cancels a stream and returns its first token time and its tokens so far.
+    pub fn cancel(&mut self, stream: u64) -> Option<(Option<Time>, u64)> {
+        self.streams.remove(&stream).map(|state| (state.first, state.generated))
+    }
+
+    /// Ends the step at `now`. Returns the finished streams and the end of the next step.
+    pub fn end_step(&mut self, now: Time) -> (Vec<Finished>, Option<Time>) {
+        let Some((started, prompts)) = self.step.take() else { return (Vec::new(), None) };
+        let elapsed = now.since(started).as_micros() as u64;
+        self.cold_left_us = self.cold_left_us.saturating_sub(elapsed);
+        let mut finished = Vec::new();
+        for (number, tokens) in prompts {
+            let Some(stream) = self.streams.get_mut(&number) else { continue };
+            stream.prompt -= tokens;
+            if stream.prompt == 0 {
+                stream.generated += 1;
+                let first = *stream.first.get_or_insert(now);
+                if stream.generated >= stream.output {
+                    finished.push(Finished { stream: number, first, generated: stream.generated });
+                }
+            }
+        }
+        for done in &finished {
+            self.streams.remove(&done.stream);
+        }
+        let next = self.begin_step(now);
+        (finished, next)
+    }
+
+    fn begin_step(&mut self, now: Time) -> Option<Time> {
+        if self.streams.is_empty() {
+            return None;
+        }
+        let mut left = self.settings.chunk;
+        let mut work = BTreeMap::new();
+        for (number, stream) in &self.streams {
+            let tokens = stream.prompt.min(left);
+            left -= tokens;
+            if tokens > 0 || stream.prompt == 0 {
+                work.insert(*number, tokens);
+            }
+        }
+        let EngineSettings { step_us, stream_us, prompt_us, chunk, cold_factor, .. } =
+            self.settings;
+        let cost = step_us + stream_us * work.len() as u64 + prompt_us * (chunk - left);
+        let cost = if self.cold_left_us > 0 { cost * cold_factor } else { cost };
+        self.step = Some((now, work));
+        Some(now + Duration::from_micros(cost))
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-bench/src/fleet_model.rs
@@ -0,0 +1,595 @@
+//! Runs real schedulers, model engines and callers on virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::HeldSlot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_protocol::peer::SlotDone;
+use sesamewall_protocol::peer::SlotEnd;
+use sesamewall_schedule::Action;
+use sesamewall_schedule::Config;
+use sesamewall_schedule::Scheduler;
+use sesamewall_schedule::Settings;
+use sesamewall_schedule::TargetInfo;
+
+use crate::engine_model::Engine;
+use crate::engine_model::EngineSettings;
+
+const TICK: Duration = Duration::from_millis(10);
+const HEARTBEAT: Duration = Duration::from_secs(1);
+const BATCH_PAUSE: Duration = Duration::from_millis(200);
+const ONLINE_WAIT_US: u64 = 10_000_000;
+
+/// Shape of a deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    /// Name in the tables.
+    pub name: &'static str,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Targets in each failure domain.
+    pub targets: usize,
+}
+
+/// Deployment A: 4 failure domains with 3 targets each, 2 instances each.
+pub const DEPLOYMENT_A: Deployment = Deployment { name: "A", domains: 4, targets: 3 };
+/// Deployment B: 3 failure domains with 4 targets each, 2 instances each.
+pub const DEPLOYMENT_B: Deployment = Deployment { name: "B", domains: 3, targets: 4 };
+
+/// What a run does.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Seed of arrivals and sizes.
+    pub seed: u64,
+    /// Settings of all schedulers.
+    pub settings: Settings,
+    /// Upper bound of a target's limit.
+    pub max_limit: u32,
+    /// Online requests a second, by account.
+    pub online: Vec<f64>,
+    /// Batch items kept waiting or running in each failure domain.
+    pub batch: usize,
+    /// End of arrivals.
+    pub end: Duration,
+    /// Failure domain 0 goes out at the first time and returns cold at the second.
+    pub outage: Option<(Duration, Duration)>,
+    /// Sends requests to all targets in turn, without a scheduler.
+    pub round_robin: bool,
+}
+
+/// One request after the run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Position of the account.
+    pub account: usize,
+    /// Service class.
+    pub class: Class,
+    /// Arrival of the request.
+    pub arrived: Time,
+    /// First token, unless the request was refused.
+    pub first: Option<Time>,
+    /// End of the response, unless the request was refused or still runs.
+    pub ended: Option<Time>,
+    /// Prompt and output tokens.
+    pub work: u64,
+    /// Output tokens.
+    pub output: u64,
+    /// The request was refused.
+    pub refused: bool,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// All requests.
+    pub requests: Vec<Outcome>,
+    /// Output tokens of batch streams, by second.
+    pub batch_tokens: BTreeMap<u64, u64>,
+    /// Cancelled batch streams.
+    pub cancelled: u64,
+    /// Starts on targets of failure domain 0 (time of the start).
+    pub starts_in_first: Vec<Time>,
+    /// Largest excess of streams on a target over what its ramp allows, after the outage.
+    pub ramp_excess: usize,
+    /// Limits of all targets at the end.
+    pub limits: Vec<usize>,
+}
+
+impl Report {
+    /// Returns the percentile of online times to first token in microseconds, of requests that
+    /// arrived in the window.
+    pub fn first_token_us(&self, percent: f64, from: Duration, to: Duration) -> u64 {
+        let (from, to) = (Time::ZERO + from, Time::ZERO + to);
+        let mut times: Vec<_> = self
+            .requests
+            .iter()
+            .filter(|request| request.class == Class::Online)
+            .filter(|request| from <= request.arrived && request.arrived < to)
+            .filter_map(|request| Some(request.first?.since(request.arrived).as_micros() as u64))
+            .collect();
+        times.sort_unstable();
+        let rank = (times.len() as f64 * percent / 100.0) as usize;
+        times.get(rank.min(times.len().saturating_sub(1))).copied().unwrap_or(0)
+    }
+}
+
+enum Event {
+    Arrive { account: usize },
+    Ask { request: usize, domain: usize, wait_us: u64 },
+    Deny { request: usize, domain: usize, backlog: f64 },
+    Start { request: usize, target: usize, key: (u64, u64) },
+    Step { target: usize },
+    Done { domain: usize, done: SlotDone },
+    Yield { request: usize, key: (u64, u64) },
+    Tick,
+    Heartbeat,
+    Out { domain_out: bool },
+    Turned,
+}
+
+struct Request {
+    ask: SlotAsk,
+    prompt: u64,
+    output: u64,
+    home: usize,
+    instance: usize,
+    tried: Vec<(f64, usize)>,
+    place: Option<(usize, u64, (u64, u64))>,
+    sent: Time,
+}
+
+/// Counts what a cold target may run: one stream, and twice as many after each response that was
+/// complete at that number.
+#[derive(Clone, Copy)]
+struct Ramp {
+    allowed: usize,
+    step: u64,
+}
+
+struct Run {
+    scenario: Scenario,
+    rng: ChaCha8Rng,
+    now: Time,
+    events: BinaryHeap<Reverse<(Time, u64)>>,
+    bodies: BTreeMap<u64, Event>,
+    next: u64,
+    leads: Vec<Scheduler>,
+    engines: Vec<Engine>,
+    ramps: Vec<Ramp>,
+    streams: BTreeMap<u64, (usize, Option<u64>)>,
+    requests: Vec<Request>,
+    names: BTreeMap<RequestId, usize>,
+    out: bool,
+    turn: usize,
+    report: Report,
+}
+
+/// Runs a scenario.
+pub fn run(scenario: Scenario) -> Report {
+    let Deployment { domains, targets, .. } = scenario.deployment;
+    let mut run = Run {
+        rng: ChaCha8Rng::seed_from_u64(scenario.seed),
+        now: Time::ZERO,
+        events: BinaryHeap::new(),
+        bodies: BTreeMap::new(),
+        next: 0,
+        leads: Vec::new(),
+        engines: vec![Engine::new(EngineSettings::default()); domains * targets],
+        ramps: vec![Ramp { allowed: 1, step: 0 }; domains * targets],
+        streams: BTreeMap::new(),
+        requests: Vec::new(),
+        names: BTreeMap::new(),
+        out: false,
+        turn: 0,
+        report: Report::default(),
+        scenario,
+    };
+    run.prepare();
+    run.drive();
+    let now = Time::ZERO + run.scenario.end;
+    let limits = run.leads.iter().flat_map(|lead| lead.targets(now)).map(|view| view.limit);
+    run.report.limits = limits.collect();
+    run.report
+}
+
+impl Run {
+    fn prepare(&mut self) {
+        for domain in 0..self.scenario.deployment.domains {
+            let mut lead = Scheduler::new(self.scenario.settings.clone(), 1, [], self.now);
+            lead.set_valid_until(Time::from_micros(u64::MAX));
+            lead.on_config(&self.config(domain, false), self.now);
+            self.leads.push(lead);
+        }
+        for account in 0..self.scenario.online.len() {
+            self.next_arrival(account);
+        }
+        for domain in 0..self.scenario.deployment.domains {
+            for _ in 0..self.scenario.batch {
+                self.new_batch(domain, Duration::ZERO);
+            }
+        }
+        self.after(TICK, Event::Tick);
+        self.after(HEARTBEAT, Event::Heartbeat);
+        if let Some((out, back)) = self.scenario.outage {
+            self.after(back, Event::Turned);
+            // A change reaches the lead with the next heartbeat.
+            let delay = Duration::from_millis(self.rng.random_range(0..1000));
+            self.after(out + delay, Event::Out { domain_out: true });
+            self.after(back + delay, Event::Out { domain_out: false });
+        }
+    }
+
+    fn drive(&mut self) {
+        // Requests that arrived before the end may finish.
+        let stop = Time::ZERO + self.scenario.end + Duration::from_secs(20);
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            if at > stop {
+                return;
+            }
+            self.now = at;
+            if let Some(event) = self.bodies.remove(&number) {
+                self.handle(event);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { account } => self.arrive(account),
+            Event::Ask { request, domain, wait_us } => {
+                let ask = SlotAsk { wait_us, ..self.requests[request].ask.clone() };
+                let from = instance(self.requests[request].instance);
+                let actions = self.leads[domain].on_ask(ask, &from, self.now);
+                self.apply(domain, actions);
+            }
+            Event::Deny { request, domain, backlog } => self.denied(request, domain, backlog),
+            Event::Start { request, target, key } => self.start(request, target, key),
+            Event::Step { target } => self.step(target),
+            Event::Done { domain, done } => {
+                let actions = self.leads[domain].on_done(&done, self.now);
+                self.apply(domain, actions);
+            }
+            Event::Yield { request, key } => self.cancel(request, key),
+            Event::Tick => {
+                self.after(TICK, Event::Tick);
+                for domain in 0..self.leads.len() {
+                    let actions = self.leads[domain].on_tick(self.now);
+                    self.apply(domain, actions);
+                }
+            }
+            Event::Heartbeat => self.heartbeat(),
+            Event::Out { domain_out } => {
+                let config = self.config(0, domain_out);
+                let actions = self.leads[0].on_config(&config, self.now);
+                self.apply(0, actions);
+                self.out = domain_out;
+            }
+            Event::Turned => {
+                for target in 0..self.scenario.deployment.targets {
+                    self.engines[target].turn_cold();
+                    self.ramps[target] = Ramp { allowed: 1, step: self.ramps[target].step + 1 };
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, account: usize) {
+        if self.now >= Time::ZERO + self.scenario.end {
+            return;
+        }
+        self.next_arrival(account);
+        let domain = self.rng.random_range(0..self.scenario.deployment.domains);
+        let prompt = self.rng.random_range(200..1500);
+        let output = self.rng.random_range(50..200);
+        let request = self.request(Class::Online, account, domain, prompt, output);
+        if self.scenario.round_robin {
+            self.send_in_turn(request);
+        } else {
+            self.ask(request, domain, 0);
+        }
+    }
+
+    fn new_batch(&mut self, domain: usize, delay: Duration) {
+        if self.now >= Time::ZERO + self.scenario.end {
+            return;
+        }
+        let prompt = self.rng.random_range(200..1500);
+        let output = self.rng.random_range(100..400);
+        let account = self.rng.random_range(0..8);
+        let request = self.request(Class::Batch, account, domain, prompt, output);
+        let delay = delay + Duration::from_micros(500);
+        self.after(delay, Event::Ask { request, domain, wait_us: 60_000_000 });
+    }
+
+    fn request(
+        &mut self,
+        class: Class,
+        account: usize,
+        home: usize,
+        prompt: u64,
+        output: u64,
+    ) -> usize {
+        let number = self.requests.len();
+        let name = RequestId::from(format!("r{number}"));
+        let work = prompt + output;
+        let ask = SlotAsk {
+            request: name.clone(),
+            account: format!("account-{account}").into(),
+            weight: 1.0,
+            class,
+            model: ModelName::from("m"),
+            work,
+            prompt,
+            urgent: false,
+            prefix: Vec::new(),
+            wait_us: 0,
+            exclude: Vec::new(),
+            isolated: false,
+        };
+        let instance = home * 2 + self.rng.random_range(0..2);
+        let sent = self.now;
+        let tried = Vec::new();
+        let request = Request { ask, prompt, output, home, instance, tried, place: None, sent };
+        self.requests.push(request);
+        self.names.insert(name, number);
+        let arrived = self.now;
+        let outcome = Outcome {
+            account,
+            class,
+            arrived,
+            first: None,
+            ended: None,
+            work,
+            output,
+            refused: false,
+        };
+        self.report.requests.push(outcome);
+        number
+    }
+
+    fn ask(&mut self, request: usize, domain: usize, wait_us: u64) {
+        let delay = self.delay(self.requests[request].home, domain);
+        self.after(delay, Event::Ask { request, domain, wait_us });
+    }
+
+    fn apply(&mut self, domain: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Grant { slot, .. } => {
+                    let request = self.names[&slot.request];
+                    let target = target_index(&slot.target);
+                    // The lead's reply and the request to the target.
+                    let delay = self.delay(self.requests[request].home, domain);
+                    let key = (slot.epoch, slot.slot);
+                    self.requests[request].place = Some((target, 0, key));
+                    self.after(2 * delay, Event::Start { request, target, key });
+                }
+                Action::Deny { request, numbers, .. } => {
+                    let request = self.names[&request];
+                    let delay = self.delay(self.requests[request].home, domain);
+                    let backlog = numbers.get(1).map_or(f64::MAX, |number| number.1);
+                    self.after(delay, Event::Deny { request, domain, backlog });
+                }
+                Action::Yield { request, slot, epoch, .. } => {
+                    let request = self.names[&request];
+                    let delay = self.delay(self.requests[request].home, domain);
+                    self.after(2 * delay, Event::Yield { request, key: (epoch, slot) });
+                }
+            }
+        }
+    }
+
+    /// Tries the other failure domains without waiting, then waits where the least work waits.
+    fn denied(&mut self, request: usize, domain: usize, backlog: f64) {
+        let domains = self.leads.len();
+        let state = &mut self.requests[request];
+        if state.ask.class == Class::Batch {
+            let home = state.home;
+            self.after(BATCH_PAUSE, Event::Ask { request, domain: home, wait_us: 60_000_000 });
+            return;
+        }
+        state.tried.push((backlog, domain));
+        let tried = state.tried.len();
+        match tried {
+            _ if tried < domains => self.ask(request, (domain + 1) % domains, 0),
+            _ if tried == domains => {
+                let best =
+                    state.tried.iter().copied().min_by(|left, right| {
+                        left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
+                    });
+                self.ask(request, best.map_or(0, |(_, domain)| domain), ONLINE_WAIT_US);
+            }
+            _ => self.report.requests[request].refused = true,
+        }
+    }
+
+    fn start(&mut self, request: usize, target: usize, key: (u64, u64)) {
+        let stream = self.next;
+        self.next += 1;
+        if target < self.scenario.deployment.targets {
+            self.report.starts_in_first.push(self.now);
+        }
+        let ramp = self.ramps[target];
+        let running = self.engines[target].running() + 1;
+        let back = self.scenario.outage.map(|(_, back)| Time::ZERO + back);
+        let first = target < self.scenario.deployment.targets;
+        if first && back.is_some_and(|back| self.now >= back) {
+            let excess = running.saturating_sub(ramp.allowed);
+            self.report.ramp_excess = self.report.ramp_excess.max(excess);
+        }
+        let proof = (running >= ramp.allowed).then_some(ramp.step);
+        self.streams.insert(stream, (request, proof));
+        let state = &mut self.requests[request];
+        state.place = Some((target, stream, key));
+        state.sent = self.now;
+        let (prompt, output) = (state.prompt, state.output);
+        if let Some(at) = self.engines[target].start(stream, prompt, output, self.now) {
+            self.at(at, Event::Step { target });
+        }
+    }
+
+    fn step(&mut self, target: usize) {
+        let (finished, next) = self.engines[target].end_step(self.now);
+        if let Some(at) = next {
+            self.at(at, Event::Step { target });
+        }
+        for done in finished {
+            let Some((request, proof)) = self.streams.remove(&done.stream) else { continue };
+            let ramp = &mut self.ramps[target];
+            if proof == Some(ramp.step) {
+                *ramp = Ramp { allowed: ramp.allowed * 2, step: ramp.step + 1 };
+            }
+            let outcome = &mut self.report.requests[request];
+            outcome.first.get_or_insert(done.first);
+            outcome.ended = Some(self.now);
+            self.count_batch(request, done.generated);
+            self.end(request, SlotEnd::Whole, Some(done.first), done.generated);
+            if self.requests[request].ask.class == Class::Batch {
+                let home = self.requests[request].home;
+                self.new_batch(home, Duration::ZERO);
+            }
+        }
+    }
+
+    fn cancel(&mut self, request: usize, key: (u64, u64)) {
+        let place = self.requests[request].place;
+        let Some((target, stream, _)) = place.filter(|place| place.2 == key) else { return };
+        let Some((first, generated)) = self.engines[target].cancel(stream) else { return };
+        self.streams.remove(&stream);
+        self.report.cancelled += 1;
+        self.count_batch(request, generated);
+        self.end(request, SlotEnd::Cancelled, first, generated);
+        let state = &mut self.requests[request];
+        state.prompt += generated;
+        state.output -= generated;
+        state.ask.prompt = state.prompt;
+        let domain = state.home;
+        self.after(Duration::from_millis(2), Event::Ask { request, domain, wait_us: 60_000_000 });
+    }
+
+    fn end(&mut self, request: usize, end: SlotEnd, first: Option<Time>, generated: u64) {
+        let state = &mut self.requests[request];
+        let Some((target, _, (epoch, slot))) = state.place.take() else { return };
+        if self.scenario.round_robin {
+            return;
+        }
+        let done = SlotDone {
+            slot,
+            epoch,
+            target: target_name(target),
+            end,
+            first_token_us: first.map(|first| first.since(state.sent).as_micros() as u64),
+            work: state.prompt + generated,
+        };
+        let home = state.home;
+        let domain = target / self.scenario.deployment.targets;
+        let delay = self.delay(home, domain);
+        self.after(2 * delay, Event::Done { domain, done });
+    }
+
+    /// Reports the slots of all instances to all leads.
+    fn heartbeat(&mut self) {
+        self.after(HEARTBEAT, Event::Heartbeat);
+        let targets = self.scenario.deployment.targets;
+        let mut held: BTreeMap<(usize, usize), Vec<HeldSlot>> = BTreeMap::new();
+        for state in &self.requests {
+            let Some((target, _, (epoch, slot))) = state.place else { continue };
+            let report = HeldSlot {
+                slot,
+                epoch,
+                request: state.ask.request.clone(),
+                account: state.ask.account.clone(),
+                class: state.ask.class,
+                model: state.ask.model.clone(),
+                target: target_name(target),
+                work: state.ask.work,
+                prompt: state.prompt,
+                isolated: false,
+            };
+            held.entry((target / targets, state.instance)).or_default().push(report);
+        }
+        for ((domain, index), slots) in held {
+            let actions = self.leads[domain].on_sync(&instance(index), &slots, self.now);
+            self.apply(domain, actions);
+        }
+    }
+
+    fn send_in_turn(&mut self, request: usize) {
+        let targets = self.engines.len();
+        let first = self.scenario.deployment.targets;
+        self.turn = (self.turn + 1) % targets;
+        if self.out && self.turn < first {
+            self.turn = first;
+        }
+        let target = self.turn;
+        self.after(Duration::from_millis(1), Event::Start { request, target, key: (0, 0) });
+    }
+
+    fn count_batch(&mut self, request: usize, tokens: u64) {
+        if self.requests[request].ask.class == Class::Batch {
+            let second = self.now.as_micros() / 1_000_000;
+            *self.report.batch_tokens.entry(second).or_default() += tokens;
+        }
+    }
+
+    fn next_arrival(&mut self, account: usize) {
+        let rate = self.scenario.online[account];
+        if rate > 0.0 {
+            let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+            self.after(Duration::from_secs_f64(gap), Event::Arrive { account });
+        }
+    }
+
+    fn config(&self, domain: usize, domain_out: bool) -> Config {
+        let targets = self.scenario.deployment.targets;
+        let info = |index: usize| TargetInfo {
+            name: target_name(index),
+            address: String::new(),
+            models: vec![ModelName::from("m")],
+            max_limit: self.scenario.max_limit,
+            leaving: false,
+        };
+        let targets = (domain * targets..(domain + 1) * targets).map(info).collect();
+        Config { targets, domain_out }
+    }
+
+    fn delay(&self, home: usize, domain: usize) -> Duration {
+        Duration::from_micros(if home == domain { 200 } else { 900 })
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.at(self.now + delay, event);
+    }
+
+    fn at(&mut self, at: Time, event: Event) {
+        self.events.push(Reverse((at, self.next)));
+        self.bodies.insert(self.next, event);
+        self.next += 1;
+    }
+}
+
+fn instance(index: usize) -> InstanceName {
+    InstanceName::from(format!("instance-{index}"))
+}
+
+fn target_name(index: usize) -> TargetName {
+    TargetName::from(format!("target-{index:03}"))
+}
+
+fn target_index(name: &TargetName) -> usize {
+    name.as_str().trim_start_matches("target-").parse().unwrap_or(0)
+}
--- a/crates/sesamewall-bench/src/lib.rs
+++ b/crates/sesamewall-bench/src/lib.rs
@@ -1,1 +1,7 @@
 //! Experiments on virtual time that measure decisions against plain alternatives.
+
+pub mod domain_outage;
+pub mod engine_model;
+pub mod fairness;
+pub mod fleet_model;
+pub mod online_tail;
--- a/crates/sesamewall-schedule/src/limit.rs
+++ b/crates/sesamewall-schedule/src/limit.rs
@@ -155,9 +155,10 @@
             self.step += 1;
             self.cold = self.limit < max;
         } else if !self.cold && !self.is_slow() {
-            // Responses take many times longer than first tokens, so one step a response is needed
-            // to find a higher limit within minutes.
-            self.limit = (self.limit + 0.5).min(max);
+            // Responses take many times longer than first tokens, so one response at the current
+            // limit must be enough to find a higher one within minutes.
+            self.limit = (self.limit.floor() + 1.0).min(max);
+            self.step += 1;
         }
     }
 
--- a/crates/sesamewall-schedule/src/state.rs
+++ b/crates/sesamewall-schedule/src/state.rs
@@ -169,7 +169,7 @@
 
 /// Weight of prompt tokens not yet computed over tokens in progress. A new request waits for all
 /// earlier prompts, but runs together with streams in progress.
-const PROMPT_WEIGHT: u64 = 16;
+const PROMPT_WEIGHT: u64 = 256;
 
 /// Longest usual time from the end of a request until its report arrives.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
