--- a/crates/sesamewall-schedule/src/fleet.rs
+++ b/crates/sesamewall-schedule/src/fleet.rs
@@ -183,7 +183,7 @@
     /// Chooses a target for the request, with the reason.
     pub(crate) fn place(&self, ask: &SlotAsk, now: Time) -> Option<(TargetName, &'static str)> {
         let serving = self.serving(&ask.model, now);
-        if ask.class == Class::Batch && self.is_batch_starting(&serving, now) {
+        if ask.class == Class::Batch && self.is_in_prompts(&serving, now) {
             return None;
         }
         let reachable = serving.iter().any(|state| state.avoid_until <= now);
@@ -291,12 +291,13 @@
         self.targets.values().map(view).collect()
     }
 
-    /// Tells whether batch streams are starting on half of the targets.
-    fn is_batch_starting(&self, serving: &[&TargetState], now: Time) -> bool {
-        let starting = serving.iter().filter(|state| state.in_batch_prompt(now)).count();
+    /// Tells whether prompts are in progress on more than half of the targets. A batch stream does not
+    /// start then, so that the next online requests find targets without a prompt in progress.
+    fn is_in_prompts(&self, serving: &[&TargetState], now: Time) -> bool {
+        let busy = serving.iter().filter(|state| state.in_prompt(now)).count();
         self.settings.stagger
             && self.settings.policy == Policy::OnlineFirst
-            && starting >= (serving.len() / 2).max(1)
+            && 2 * busy > serving.len()
     }
 
     fn is_free_for(&self, state: &TargetState, request: &RequestId) -> bool {
--- a/crates/sesamewall-schedule/src/state.rs
+++ b/crates/sesamewall-schedule/src/state.rs
@@ -60,8 +60,8 @@
     pub leaving_hold: Duration,
     /// Longest wait in a queue.
     pub max_wait: Duration,
-    /// Starts batch streams one after the other on a target, and on at most half of a model's
-    /// targets at once, so that online requests find a target that computes no batch prompt.
+    /// Starts batch streams one after the other on a target, and only while at least half of a
+    /// model's targets compute no prompt, so that online requests find such a target.
     pub stagger: bool,
 }
 
