--- a/crates/sesamewall-schedule/src/limit.rs
+++ b/crates/sesamewall-schedule/src/limit.rs
@@ -124,7 +124,7 @@
         }
         // The baseline falls quickly to faster samples and rises slowly, so that a long overload
         // does not become the new normal.
-        let gain = if sample < baseline { 0.05 } else { 0.005 };
+        let gain = if sample < baseline { 0.1 } else { 0.005 };
         self.baseline_us = Some(baseline + gain * (sample - baseline));
         // The slow first response of a cold target must not end its ramp alone.
         let bounded = sample.min(self.settings.cold_ratio * baseline);
@@ -155,9 +155,10 @@
             self.step += 1;
             self.cold = self.limit < max;
         } else if !self.cold && !self.is_slow() {
-            // Responses take many times longer than first tokens, so one step a response is needed
-            // to find a higher limit within minutes.
-            self.limit = (self.limit + 0.5).min(max);
+            // Responses take many times longer than first tokens, so one response at the current
+            // limit must be enough to find a higher one within minutes.
+            self.limit = (self.limit.floor() + 1.0).min(max);
+            self.step += 1;
         }
     }
 
