--- a/crates/sesamewall-membership/src/lead.rs
+++ b/crates/sesamewall-membership/src/lead.rs
@@ -17,9 +17,15 @@
 use sesamewall_protocol::peer::PromiseAsk;
 use sesamewall_protocol::peer::PromiseReply;
 
+use crate::lead_types::Call;
+use crate::lead_types::HandOver;
+use crate::lead_types::Held;
 use crate::lead_types::LeadAction;
 use crate::lead_types::LeadRecord;
 use crate::lead_types::LeadSettings;
+use crate::lead_types::Promise;
+use crate::lead_types::Round;
+use crate::lead_types::Seen;
 
 const RETRY: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -27,43 +33,6 @@
 const MAX_RANK: u32 = 5;
 const NOTIFIED: usize = 2;
 
-#[derive(Clone, Debug)]
-struct Held {
-    epoch: u64,
-    version: Option<u64>,
-    renewed: Time,
-    store_until: Time,
-    promise_until: Time,
-}
-
-#[derive(Clone, Debug)]
-struct Seen {
-    version: u64,
-    record: Option<LeadRecord>,
-    since: Time,
-}
-
-#[derive(Clone, Debug)]
-struct Call {
-    number: u64,
-    start: Time,
-    put: Option<LeadRecord>,
-}
-
-#[derive(Clone, Debug)]
-struct Round {
-    sequence: u64,
-    start: Time,
-    epoch: u64,
-    promised: BTreeSet<InstanceName>,
-}
-
-#[derive(Clone, Debug)]
-struct Promise {
-    to: InstanceName,
-    until: Time,
-}
-
 /// The lead lease of one failure domain as one of its instances sees it.
 #[derive(Clone, Debug)]
 pub struct Lead {
@@ -90,6 +59,8 @@
     last_tick: Time,
     running: Time,
     leaving: bool,
+    handing: Option<HandOver>,
+    handed: Option<(InstanceName, LeadNotice)>,
 }
 
 impl Lead {
@@ -118,6 +89,8 @@
             last_tick: now,
             running: now,
             leaving: false,
+            handing: None,
+            handed: None,
         }
     }
 
@@ -217,6 +190,11 @@
         result: Result<u64, StoreError>,
     ) -> Vec<LeadAction> {
         let mut actions = Vec::new();
+        if let Some(HandOver { to, mut notice, .. }) = self.handing.take_if(|h| h.call == call) {
+            notice.version = result.unwrap_or(notice.version);
+            actions.push(send(&to, MembershipMessage::HandOver(notice)));
+            return actions;
+        }
         if self.call.as_ref().is_none_or(|own| own.number != call) {
             return actions;
         }
@@ -268,8 +246,8 @@
             MembershipMessage::PromiseReply(reply) => self.promised(now, from, reply, &mut actions),
             MembershipMessage::HandOver(notice) if notice.epoch >= self.highest => {
                 self.highest = notice.epoch;
-                self.seen = Some(Seen { version: notice.version, record: None, since: Time::ZERO });
-                (self.lead, self.contact, self.running) = (None, Time::ZERO, Time::ZERO);
+                self.see(notice.version, None, now);
+                self.handed = Some((from.clone(), notice.clone()));
                 self.promise = self.promise.take().filter(|promise| &promise.to != from);
             }
             _ => {}
@@ -286,13 +264,19 @@
         let successor = self.peers.iter().find(live).cloned();
         self.lose(&mut actions);
         let Some(to) = successor else { return actions };
-        actions.push(send(&to, MembershipMessage::HandOver(notice.clone())));
-        if notice.version > 0 && self.call.is_none() {
+        let renewal = self.call.take_if(|call| call.put.is_some());
+        if let Some(Call { number: call, .. }) = renewal {
+            // The successor needs the version that the renewal in flight writes.
+            self.handing = Some(HandOver { call, to, notice });
+        } else if notice.version > 0 {
             let (epoch, token) = (notice.epoch, rng.next_u64());
-            let record = LeadRecord { instance: to, epoch, token, handed_over: true };
+            let record = LeadRecord { instance: to.clone(), epoch, token, handed_over: true };
             self.calls += 1;
-            let expect = Expect::Version(notice.version);
-            actions.push(LeadAction::Put { call: self.calls, record, expect });
+            let (call, expect) = (self.calls, Expect::Version(notice.version));
+            self.handing = Some(HandOver { call, to, notice });
+            actions.push(LeadAction::Put { call, record, expect });
+        } else {
+            actions.push(send(&to, MembershipMessage::HandOver(notice)));
         }
         actions
     }
@@ -383,7 +367,7 @@
             promise_until: zero,
         });
         self.highest = self.highest.max(epoch);
-        (self.lead, self.promise) = (Some(self.own.clone()), None);
+        (self.lead, self.promise, self.handed) = (Some(self.own.clone()), None, None);
         actions.push(LeadAction::Gained(epoch));
     }
 
@@ -412,7 +396,8 @@
     }
 
     fn tick_follower(&mut self, now: Time, rng: &mut dyn RngCore, actions: &mut Vec<LeadAction>) {
-        if now.since(self.contact) < self.settings.suspect && self.settings.wait {
+        let quiet = now.since(self.contact) >= self.settings.suspect;
+        if !quiet && self.settings.wait && self.handed.is_none() {
             return;
         }
         if now.since(self.last_ask) >= RETRY {
@@ -432,10 +417,8 @@
         if self.call.is_some() {
             return;
         }
-        let own = &self.own;
-        let handed =
-            |seen: &Seen| seen.record.as_ref().is_some_and(|r| r.handed_over && r.instance == *own);
-        let rank = u32::try_from(self.peers.range(..own.clone()).count()).unwrap_or(MAX_RANK);
+        let handed = |seen: &Seen| self.is_handed_over(seen);
+        let rank = u32::try_from(self.peers.range(..self.own.clone()).count()).unwrap_or(MAX_RANK);
         let wait = self.wait() + RANK_DELAY * rank.min(MAX_RANK);
         let ready = |seen: &Seen| handed(seen) || now.since(seen.since) >= wait;
         let free = self.seen.as_ref().is_some_and(handed) || self.may_claim(now);
@@ -452,6 +435,16 @@
         }
     }
 
+    /// Returns whether the state of the record is one that its last holder handed over.
+    fn is_handed_over(&self, seen: &Seen) -> bool {
+        match (&seen.record, &self.handed) {
+            (Some(r), _) if r.handed_over => r.instance == self.own,
+            (Some(r), Some((from, notice))) => r.instance == *from && r.epoch == notice.epoch,
+            (None, Some((_, notice))) => seen.version == notice.version && notice.version > 0,
+            _ => false,
+        }
+    }
+
     /// Returns whether no lead has been heard of for the wait before a claim.
     fn may_claim(&self, now: Time) -> bool {
         let wait = self.wait();
@@ -538,6 +531,7 @@
             return;
         }
         (self.highest, self.contact, self.lead) = (notice.epoch, now, Some(from.clone()));
+        self.handed = self.handed.take().filter(|(_, handed)| handed.epoch >= notice.epoch);
         if notice.version > 0 && self.seen.as_ref().is_none_or(|s| s.version < notice.version) {
             self.see(notice.version, None, now - Duration::from_millis(notice.age_ms));
         }
@@ -558,11 +552,12 @@
         let led = self.lead.as_ref() != Some(from) && now.since(self.contact) < self.wait();
         let claiming = self.held.is_none() && self.claim_until > now;
         let old = ask.epoch < self.highest;
+        // A refused candidate may still become lead, if others count this instance as lost.
+        self.offered = self.offered.max(ask.epoch);
         let promised = self.held.is_none() && !other && !claiming && !old && (ask.holds || !led);
         if promised {
             let until = now + self.settings.lease;
             self.promise = Some(Promise { to: from.clone(), until });
-            self.offered = self.offered.max(ask.epoch);
             if ask.holds {
                 (self.highest, self.contact) = (ask.epoch, now);
                 self.lead = Some(from.clone());
--- a/crates/sesamewall-membership/src/lead_types.rs
+++ b/crates/sesamewall-membership/src/lead_types.rs
@@ -1,11 +1,14 @@
 //! Settings, record and actions of the lead lease.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use sesamewall_ports::Expect;
 use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::LeadNotice;
 use sesamewall_protocol::peer::MembershipMessage;
 
 /// The lease time of a lead.
@@ -88,3 +91,53 @@
     /// This instance is no longer lead.
     Lost(u64),
 }
+
+/// The own lease.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    pub(crate) epoch: u64,
+    pub(crate) version: Option<u64>,
+    pub(crate) renewed: Time,
+    pub(crate) store_until: Time,
+    pub(crate) promise_until: Time,
+}
+
+/// The newest known state of the record; the record is unknown if a notice named the version.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) version: u64,
+    pub(crate) record: Option<LeadRecord>,
+    pub(crate) since: Time,
+}
+
+/// The store call in flight; `put` is the value of a write.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) number: u64,
+    pub(crate) start: Time,
+    pub(crate) put: Option<LeadRecord>,
+}
+
+/// The newest round of promise asks.
+#[derive(Clone, Debug)]
+pub(crate) struct Round {
+    pub(crate) sequence: u64,
+    pub(crate) start: Time,
+    pub(crate) epoch: u64,
+    pub(crate) promised: BTreeSet<InstanceName>,
+}
+
+/// The newest promise given.
+#[derive(Clone, Debug)]
+pub(crate) struct Promise {
+    pub(crate) to: InstanceName,
+    pub(crate) until: Time,
+}
+
+/// The own hand-over: the call that writes it, the successor and the last own notice.
+#[derive(Clone, Debug)]
+pub(crate) struct HandOver {
+    pub(crate) call: u64,
+    pub(crate) to: InstanceName,
+    pub(crate) notice: LeadNotice,
+}
--- a/crates/sesamewall-membership/src/members.rs
+++ b/crates/sesamewall-membership/src/members.rs
@@ -36,8 +36,6 @@
     pub lead: Option<&'a InstanceName>,
     /// Its own lead notice, if it is lead now.
     pub notice: Option<LeadNotice>,
-    /// Highest lead epoch that it has seen.
-    pub epoch: u64,
     /// Revision of the configuration in force.
     pub revision: u64,
     /// Suspects to pass on.
@@ -173,7 +171,6 @@
             (None, Some(lead)) if *lead != self.own => {
                 let heartbeat = Heartbeat {
                     revision: report.revision,
-                    epoch: report.epoch,
                     view: leads_view(&self.leads),
                     leaving: self.leaving,
                     suspects: report.suspects.clone(),
--- a/crates/sesamewall-membership/src/store_budget.rs
+++ b/crates/sesamewall-membership/src/store_budget.rs
@@ -30,7 +30,7 @@
         Self {
             writes: 300.0,
             reads: 1_500.0,
-            part: 0.9,
+            part: 0.8,
             lead_calls: 2.0,
             delay: Duration::from_secs(5),
             start: 0.125,
@@ -186,8 +186,8 @@
 
     fn ramp(&self, now: Time) -> f64 {
         let doubled = |from: Time| {
-            let seconds = now.since(from).as_secs().min(32);
-            (self.settings.start * f64::from(2_u32.pow(seconds as u32))).min(1.0)
+            let seconds = now.since(from).as_secs_f64().floor();
+            (self.settings.start * seconds.exp2()).min(1.0)
         };
         self.ramp_from.map_or(1.0, doubled)
     }
--- a/crates/sesamewall-membership/tests/main.rs
+++ b/crates/sesamewall-membership/tests/main.rs
@@ -2,7 +2,11 @@
 
 //! Tests of membership, one module per topic.
 
+mod config_log;
 mod configuration;
+mod control_bytes;
 mod faults;
 mod fixtures;
+mod lead;
 mod sim;
+mod store_budget;
--- a/crates/sesamewall-protocol/src/peer/membership.rs
+++ b/crates/sesamewall-protocol/src/peer/membership.rs
@@ -12,8 +12,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum MembershipMessage {
     /// Reports that the sender is live.
+    #[serde(rename = "hb")]
     Heartbeat(Heartbeat),
     /// Answers a heartbeat.
+    #[serde(rename = "hr")]
     HeartbeatReply(HeartbeatReply),
     /// Exchanges the state of two failure domains between their leads.
     Digest(DomainDigest),
@@ -46,20 +48,21 @@
     Ack,
 }
 
-/// Reports that an instance is live.
+/// Reports that an instance is live. A lead at the planned size exchanges 54 of these a second, so
+/// the fields have short names on the wire.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Revision of the configuration in force.
+    #[serde(rename = "r")]
     pub revision: u64,
-    /// Lead epoch that the sender believes, zero if none.
-    pub epoch: u64,
     /// Checksum of the leads that the sender knows, so that the reply need not repeat them.
+    #[serde(rename = "v")]
     pub view: u32,
     /// The sender is about to stop.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(rename = "g", default, skip_serializing_if = "std::ops::Not::not")]
     pub leaving: bool,
     /// Body hashes of requests that were running at a crash: account, hash in hex, marks.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<(String, String, u8)>,
 }
 
@@ -67,15 +70,16 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HeartbeatReply {
     /// Revision of the configuration in force at the receiver.
+    #[serde(rename = "r")]
     pub revision: u64,
     /// The receiver's lead notice; absent if it is not the lead.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
     pub notice: Option<LeadNotice>,
     /// Reachable leads of all failure domains, if the sender of the heartbeat knows others.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub leads: Option<Vec<(DomainName, InstanceName, u64)>>,
     /// Suspects known at the receiver.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<(String, String, u8)>,
 }
 
@@ -83,10 +87,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeadNotice {
     /// Epoch of the lead.
+    #[serde(rename = "e")]
     pub epoch: u64,
     /// Version of the lead record in the store; zero if the sender has not written it.
+    #[serde(rename = "v")]
     pub version: u64,
     /// Milliseconds since the start of the renewal that wrote the version.
+    #[serde(rename = "a")]
     pub age_ms: u64,
 }
 
