Check single instances without store and missing revisions

Cause: the random faults had no instance that alone loses the store, and two checks (6 s for a revision, a lead after faults) had no test that they can fail.

Change: fault NoStore; switches that leave out the ask for missing revisions and that stretch the wait.

--- a/crates/sesamewall-membership/tests/faults.rs
+++ b/crates/sesamewall-membership/tests/faults.rs
@@ -64,6 +64,7 @@
         Fault::StoreDown { from, len }
         | Fault::Partition { from, len, .. }
         | Fault::Pause { from, len, .. }
+        | Fault::NoStore { from, len, .. }
         | Fault::Crash { from, len, .. } => from + len,
         Fault::ShutDown { from, len, .. } => from + len + 1_000,
     }
@@ -155,3 +156,9 @@
     ];
     check(&Sim::run(Plan { seed: 194_748_798, faults, ..Plan::default() })).unwrap();
 }
+
+#[test]
+fn checker_reports_a_failure_domain_without_lead() {
+    let outcome = Sim::run(Plan { margin_ms: 3_600_000, ..Plan::default() });
+    assert!(outcome.breaches.contains("no lead after the faults ended"), "{outcome:?}");
+}
--- a/crates/sesamewall-membership/tests/lead.rs
+++ b/crates/sesamewall-membership/tests/lead.rs
@@ -12,6 +12,7 @@
 use sesamewall_protocol::peer::MembershipMessage;
 
 use crate::sim::Fault;
+use crate::sim::Outcome;
 use crate::sim::Plan;
 use crate::sim::Sim;
 
@@ -89,16 +90,23 @@
     assert!(stops.iter().all(|gap| *gap <= 500), "{stops:?}");
 }
 
+/// Runs with failure domain 1 cut off from the store and with the crash of an instance there.
+fn cut_off(seed: u64, ask: bool) -> Outcome {
+    let writes = vec![(0, 9_100), (0, 12_000), (1, 15_000), (2, 18_000)];
+    let faults = vec![
+        Fault::Partition { domain: 1, peers: false, store: true, from: 8_000, len: 14_000 },
+        Fault::Crash { node: 5, from: 9_000, len: 3_000 },
+    ];
+    Sim::run(Plan { seed, faults, writes, ask, strict: true, ..Plan::default() })
+}
+
 #[test]
 fn a_reachable_instance_has_a_revision_within_6_s_during_faults() {
-    let writes = vec![(0, 9_100), (0, 12_000), (1, 15_000), (2, 18_000)];
-    let cut = Fault::Partition { domain: 1, peers: false, store: true, from: 8_000, len: 14_000 };
-    let crash = Fault::Crash { node: 5, from: 9_000, len: 3_000 };
     for seed in 0..20 {
-        let faults = vec![cut.clone(), crash.clone()];
-        let plan = Plan { seed, faults, writes: writes.clone(), strict: true, ..Plan::default() };
-        let outcome = Sim::run(plan);
+        let outcome = cut_off(seed, true);
         assert!(outcome.breaches.is_empty(), "seed {seed}: {:?}", outcome.breaches);
         assert!(outcome.accepted > 0);
     }
+    let without = cut_off(0, false);
+    assert!(without.breaches.contains("a revision is not in force everywhere"), "{without:?}");
 }
--- a/crates/sesamewall-membership/tests/sim.rs
+++ b/crates/sesamewall-membership/tests/sim.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -33,6 +34,7 @@
     Pause { node: usize, from: u64, len: u64 },
     Crash { node: usize, from: u64, len: u64 },
     ShutDown { node: usize, from: u64, len: u64 },
+    NoStore { node: usize, from: u64, len: u64 },
 }
 
 /// A run: faults, operators' writes as (node, time), and which mechanisms are in.
@@ -50,6 +52,9 @@
     pub read_back: bool,
     /// Checks the 6 s of an accepted revision during faults too.
     pub strict: bool,
+    /// Asks for missing revisions that a heartbeat or digest shows.
+    pub ask: bool,
+    pub margin_ms: u64,
 }
 
 impl Default for Plan {
@@ -65,6 +70,8 @@
             in_order: true,
             read_back: true,
             strict: false,
+            ask: true,
+            margin_ms: 500,
         }
     }
 }
@@ -225,6 +232,7 @@
         let settings = LeadSettings {
             wait: self.plan.wait,
             expire: self.plan.expire,
+            margin: Duration::from_millis(self.plan.margin_ms),
             ..LeadSettings::default()
         };
         let mut members = Members::new(name.clone(), domain_name(domain(node)));
@@ -287,6 +295,7 @@
             Fault::Partition { domain: d, store: true, from, len, .. } => {
                 (*d == domain(node)).then_some((*from, *len))
             }
+            Fault::NoStore { node: n, from, len } if *n == node => Some((*from, *len)),
             _ => None,
         })
     }
@@ -416,12 +425,12 @@
         for action in actions {
             match action {
                 MemberAction::Send { to, message } => self.send(node, &to, message),
-                MemberAction::Revision { from, revision } => {
+                MemberAction::Revision { from, revision } if self.plan.ask => {
                     let now = self.clock(node);
                     let actions = self.nodes[node].follower.hear(now, &from, revision);
                     self.log_actions(node, actions);
                 }
-                MemberAction::Suspects(_) => {}
+                MemberAction::Revision { .. } | MemberAction::Suspects(_) => {}
             }
         }
     }
