Keep epochs rising when a whole failure domain restarts around an outage

Change: an instance reads the record at its start, and takes over on a timeout only once it knows an epoch from the store, a lead or a peer. A failure domain in which nobody knows one has no lead until the store returns.

--- a/crates/sesamewall-membership/src/lead.rs
+++ b/crates/sesamewall-membership/src/lead.rs
@@ -59,6 +59,8 @@
     last_tick: Time,
     running: Time,
     leaving: bool,
+    /// An epoch is known since the start; else a takeover could repeat an epoch held before.
+    informed: bool,
     handing: Option<HandOver>,
     handed: Option<(InstanceName, LeadNotice)>,
 }
@@ -89,6 +91,7 @@
             last_tick: now,
             running: now,
             leaving: false,
+            informed: false,
             handing: None,
             handed: None,
         }
@@ -320,6 +323,7 @@
     }
 
     fn see(&mut self, version: u64, record: Option<LeadRecord>, since: Time) {
+        self.informed = true;
         self.highest = self.highest.max(record.as_ref().map_or(0, |record| record.epoch));
         match &mut self.seen {
             Some(seen) if seen.version == version => seen.record = record.or(seen.record.take()),
@@ -396,6 +400,9 @@
     }
 
     fn tick_follower(&mut self, now: Time, rng: &mut dyn RngCore, actions: &mut Vec<LeadAction>) {
+        if !self.informed && self.call.is_none() && now.since(self.last_call) >= RETRY {
+            self.start_read(now, actions);
+        }
         let quiet = now.since(self.contact) >= self.settings.suspect;
         if !quiet && self.settings.wait && self.handed.is_none() {
             return;
@@ -407,7 +414,7 @@
                 *name < self.own
                     && self.evidence.get(name).is_some_and(|last| now.since(*last) < wait)
             });
-            if silent && !lower {
+            if silent && !lower && self.informed {
                 self.start_round(now, self.next_epoch(), false, actions);
             } else {
                 self.last_ask = now;
@@ -531,6 +538,7 @@
             return;
         }
         (self.highest, self.contact, self.lead) = (notice.epoch, now, Some(from.clone()));
+        self.informed = true;
         self.handed = self.handed.take().filter(|(_, handed)| handed.epoch >= notice.epoch);
         if notice.version > 0 && self.seen.as_ref().is_none_or(|s| s.version < notice.version) {
             self.see(notice.version, None, now - Duration::from_millis(notice.age_ms));
@@ -554,6 +562,7 @@
         let old = ask.epoch < self.highest;
         // A refused candidate may still become lead, if others count this instance as lost.
         self.offered = self.offered.max(ask.epoch);
+        self.informed = true;
         let promised = self.held.is_none() && !other && !claiming && !old && (ask.holds || !led);
         if promised {
             let until = now + self.settings.lease;
@@ -576,6 +585,7 @@
         actions: &mut Vec<LeadAction>,
     ) {
         self.offered = self.offered.max(reply.epoch);
+        self.informed |= reply.epoch > 0;
         let Some(round) = &mut self.round else { return };
         if reply.promised && round.sequence == reply.sequence {
             round.promised.insert(from.clone());
--- a/crates/sesamewall-membership/tests/faults.rs
+++ b/crates/sesamewall-membership/tests/faults.rs
@@ -155,6 +155,14 @@
         Fault::Crash { node: 0, from: 5_552, len: 649 },
     ];
     check(&Sim::run(Plan { seed: 194_748_798, faults, ..Plan::default() })).unwrap();
+    // Found with 2,200 cases and seed 11: each instance restarted around a store outage.
+    let faults = vec![
+        Fault::ShutDown { node: 4, from: 9_105, len: 3_500 },
+        Fault::Crash { node: 5, from: 6_064, len: 6_342 },
+        Fault::Crash { node: 3, from: 13_537, len: 3_371 },
+        Fault::StoreDown { from: 12_805, len: 4_098 },
+    ];
+    check(&Sim::run(Plan { seed: 217_064_144, faults, ..Plan::default() })).unwrap();
 }
 
 #[test]
