Stop late jobs, bound looks for lapsed claims, keep waiting accounts' work

Cause: full workers never looked at due times; with many taken jobs the looks of all instances exceeded the store's reads; an account whose segments were all taken lost its place. Change: due times are checked with each renewal, looks pause by the number of live instances, and the claim book keeps the work of all open jobs' accounts. Changes of state are counted.

--- a/crates/sesamewall-batch/src/claim.rs
+++ b/crates/sesamewall-batch/src/claim.rs
@@ -35,30 +35,33 @@
 }
 
 impl ClaimBook {
-    /// Returns the job to take a segment from: of the account with the least weighted work, the
-    /// job that is due first.
+    /// Returns the job to take a segment from: of the account with the least weighted work among
+    /// those with a ready job, the ready job that is due first. `jobs` has all open jobs, each with
+    /// whether it is ready, so that an account keeps its work while its jobs wait.
     pub fn choose_job<'a>(
         &mut self,
-        jobs: impl Iterator<Item = &'a JobRecord> + Clone,
+        jobs: impl Iterator<Item = (&'a JobRecord, bool)> + Clone,
     ) -> Option<JobId> {
         // An account that returns after a pause starts at the least active level; otherwise it
         // would be served alone until it had caught up.
         let floor = jobs
             .clone()
-            .filter_map(|job| self.work.get(&job.account))
+            .filter_map(|(job, _)| self.work.get(&job.account))
             .fold(f64::INFINITY, |least, work| least.min(*work));
         let floor = if floor.is_finite() { floor } else { 0.0 };
         let mut active: BTreeMap<AccountName, f64> = BTreeMap::new();
-        for job in jobs.clone() {
-            let work = self.work.get(&job.account).map_or(floor, |work| work.max(floor));
+        for (job, _) in jobs.clone() {
+            let work = self.work.get(&job.account).copied().unwrap_or(floor);
             active.insert(job.account.clone(), work);
         }
         self.work = active;
         let work = |job: &JobRecord| self.work.get(&job.account).copied().unwrap_or(floor);
-        jobs.min_by(|a, b| {
-            work(a).total_cmp(&work(b)).then(a.due_ms.cmp(&b.due_ms)).then(a.id.cmp(&b.id))
-        })
-        .map(|job| job.id.clone())
+        jobs.filter(|(_, ready)| *ready)
+            .map(|(job, _)| job)
+            .min_by(|a, b| {
+                work(a).total_cmp(&work(b)).then(a.due_ms.cmp(&b.due_ms)).then(a.id.cmp(&b.id))
+            })
+            .map(|job| job.id.clone())
     }
 
     /// Adds `items` of work given to an account with `weight`.
--- a/crates/sesamewall-batch/tests/claim.rs
+++ b/crates/sesamewall-batch/tests/claim.rs
@@ -64,7 +64,7 @@
     let mut book = ClaimBook::default();
     let mut turns = BTreeMap::new();
     for _ in 0..100 {
-        let id = book.choose_job(jobs.iter()).unwrap();
+        let id = book.choose_job(jobs.iter().map(|job| (job, true))).unwrap();
         let chosen = jobs.iter().find(|job| job.id == id).unwrap();
         assert!(chosen.account.as_str() == "b" || id.as_str() == "many49", "{id}");
         book.charge(&chosen.account, 500, 1.0);
@@ -79,18 +79,29 @@
     let (a, b) = (job("a", "a", 1), job("b", "b", 1));
     let mut book = ClaimBook::default();
     for _ in 0..10 {
-        assert_eq!(book.choose_job([&a].into_iter()), Some("a".into()));
+        assert_eq!(book.choose_job([(&a, true)].into_iter()), Some("a".into()));
         book.charge(&a.account, 500, 1.0);
     }
     let mut turns = 0;
     for _ in 0..10 {
-        let id = book.choose_job([&a, &b].into_iter()).unwrap();
+        let id = book.choose_job([(&a, true), (&b, true)].into_iter()).unwrap();
         turns += i32::from(id.as_str() == "b");
         book.charge(if id.as_str() == "b" { &b.account } else { &a.account }, 500, 1.0);
     }
     assert!((5..=6).contains(&turns), "{turns}");
 }
 
+/// Guards against an account whose work is forgotten while all its segments are taken.
+#[test]
+fn waiting_account_keeps_its_work() {
+    let (a, b) = (job("a", "a", 1), job("b", "b", 2));
+    let mut book = ClaimBook::default();
+    book.charge(&a.account, 5_000, 1.0);
+    book.charge(&b.account, 500, 1.0);
+    assert_eq!(book.choose_job([(&a, false), (&b, true)].into_iter()), Some("b".into()));
+    assert_eq!(book.choose_job([(&a, true), (&b, true)].into_iter()), Some("b".into()));
+}
+
 /// Guards against a claim that is taken from a live worker, or never from a lost one.
 #[test]
 fn claim_lapses_by_the_observers_clock() {
--- a/crates/sesamewall-server/src/batch/claims.rs
+++ b/crates/sesamewall-server/src/batch/claims.rs
@@ -37,10 +37,24 @@
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Accounts share batch claims equally; their weights apply at admission.
 const EQUAL_WEIGHT: f64 = 1.0;
+/// Store reads a second that all instances together spend on looking for lapsed claims.
+const LOOK_READS_PER_SECOND: f64 = 600.0;
+const READS_PER_LOOK: f64 = 2.0;
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
 const WATCH_MS: u64 = 10_000;
 /// An entry of the open list whose job was never written is removed after this long.
 const DANGLING_MS: u64 = 600_000;
 
+/// What a look at the open jobs found.
+enum Look {
+    /// Something was done; look on at once.
+    Again,
+    /// All segments of the job are taken.
+    Taken,
+    /// No job is ready.
+    Nothing,
+}
+
 /// A segment that this process has claimed.
 pub(super) struct Claim {
     pub(super) job: JobRecord,
@@ -119,10 +133,29 @@
                 !state.jobs.is_empty() || !state.active.is_empty()
             };
             let renewed = if busy { self.renew().await.is_ok() } else { true };
+            self.stop_due_jobs().await;
             tokio::time::sleep(if renewed { RENEW_EVERY } else { RETRY_PAUSE }).await;
         }
     }
 
+    /// Stops the jobs that this process works on and that are past their due time. Workers without
+    /// room look at no job, so they would not notice it otherwise.
+    async fn stop_due_jobs(&self) {
+        let wall_ms = self.node.clock.wall_ms();
+        let late: Vec<JobId> = {
+            let state = self.state();
+            let running = |id: &JobId| state.active.iter().any(|(job, _)| job == id);
+            let late = state.jobs.values().map(|job| &job.record).filter(|job| {
+                job.state == JobState::InProgress && job.due_ms <= wall_ms && running(&job.id)
+            });
+            late.map(|job| job.id.clone()).collect()
+        };
+        for job in late {
+            // A failure is tried again with the next renewal.
+            let _ = self.stop_job(job.as_str(), true).await;
+        }
+    }
+
     pub(super) async fn watch_loop(self: Arc<Self>) {
         // The version of an own write before the listing: later changes come from the watch.
         let mut after = loop {
@@ -171,8 +204,9 @@
             let _ = tokio::time::timeout(IDLE_POLL, self.wake.notified()).await;
             while self.has_room().await {
                 match self.claim_next().await {
-                    Ok(true) => {}
-                    Ok(false) => break,
+                    Ok(Look::Again) => {}
+                    Ok(Look::Nothing) => break,
+                    Ok(Look::Taken) => tokio::time::sleep(self.look_pause()).await,
                     Err(_) => {
                         tokio::time::sleep(RETRY_PAUSE).await;
                         break;
@@ -182,6 +216,13 @@
         }
     }
 
+    /// Returns the pause after a look at a job whose segments are all taken. The reads of all
+    /// instances together stay within [`LOOK_READS_PER_SECOND`].
+    fn look_pause(&self) -> Duration {
+        let live = self.node.directory.instances().len().max(1) as f64;
+        Duration::from_secs_f64(READS_PER_LOOK * live / LOOK_READS_PER_SECOND).max(LEAST_PAUSE)
+    }
+
     async fn has_room(&self) -> bool {
         let now = self.node.clock.now();
         let (room, valid) = {
@@ -194,23 +235,23 @@
         room && !draining && (valid || self.renew().await.is_ok())
     }
 
-    /// Looks at the job whose turn it is. Returns whether to look on at once.
-    async fn claim_next(self: &Arc<Self>) -> Result<bool> {
+    /// Looks at the job whose turn it is.
+    async fn claim_next(self: &Arc<Self>) -> Result<Look> {
         let now = self.node.clock.now();
         let chosen = {
             let state = &mut *self.state();
-            let ready = state.jobs.values().filter(|job| job.look_at <= now);
-            let chosen = state.claims.choose_job(ready.map(|job| &job.record));
+            let jobs = state.jobs.values().map(|job| (&job.record, job.look_at <= now));
+            let chosen = state.claims.choose_job(jobs);
             chosen
                 .and_then(|id| state.jobs.get(&id))
                 .map(|job| (job.record.clone(), job.stop.clone()))
         };
-        let Some((job, stop)) = chosen else { return Ok(false) };
+        let Some((job, stop)) = chosen else { return Ok(Look::Nothing) };
         // An error leaves the job for later, so that it does not keep other jobs waiting.
         self.look_later(&job.id, RETRY_PAUSE);
         if job.state == JobState::InProgress && self.node.clock.wall_ms() >= job.due_ms {
             self.stop_job(job.id.as_str(), true).await?;
-            return Ok(true);
+            return Ok(Look::Again);
         }
         let stored = self.segments(&job.id).await?;
         let records: BTreeMap<u32, SegmentRecord> =
@@ -221,10 +262,13 @@
                 let prior = stored.get(&index).cloned();
                 self.start_segment(job, index, prior, stop).await?;
             }
-            SegmentChoice::Taken => self.look_later(&job.id, LOOK_AGAIN),
+            SegmentChoice::Taken => {
+                self.look_later(&job.id, LOOK_AGAIN);
+                return Ok(Look::Taken);
+            }
             SegmentChoice::Ended => self.finish_job(&job.id).await?,
         }
-        Ok(true)
+        Ok(Look::Again)
     }
 
     async fn choose(
@@ -330,6 +374,7 @@
         let Some(version) = self.records.put(&key, &record, expect).await? else {
             return Ok(None);
         };
+        self.count(if fence == 1 { "batch_claim" } else { "batch_takeover" });
         // A job that stopped before the claim was written may already count as stopped.
         let (now, seen) = self.job(job.id.as_str()).await?;
         self.note_job(&now, seen);
--- a/crates/sesamewall-server/src/batch/lifecycle.rs
+++ b/crates/sesamewall-server/src/batch/lifecycle.rs
@@ -15,6 +15,7 @@
 use sesamewall_protocol::Error;
 use sesamewall_protocol::JobId;
 use sesamewall_protocol::Result;
+use slog::info;
 
 use super::BatchService;
 use super::records::decode;
@@ -126,7 +127,12 @@
         job.token = self.token();
         let expect = Expect::Version(version);
         match self.records.put(&job_key(id.as_str()), &job, expect).await? {
-            Some(version) => self.close_job(&job, version).await,
+            Some(version) => {
+                self.count("batch_job_end");
+                info!(self.node.log, "batch job ended";
+                    "job" => job.id.as_str(), "state" => %job.state);
+                self.close_job(&job, version).await
+            }
             None => Ok(()),
         }
     }
--- a/crates/sesamewall-server/src/batch/repair.rs
+++ b/crates/sesamewall-server/src/batch/repair.rs
@@ -195,11 +195,13 @@
             let limit = (blob.length - at).min(CHUNK_BYTES as u64);
             at += self.storage.read_any(&others, at, limit).await?.len() as u64;
         }
+        self.count("batch_mend");
         self.storage.delete(own, &blob.name).await?;
         self.copy(&others, own, 0).await
     }
 
     async fn refill(&self, blob: &BlobRef, holder: &InstanceName) -> Result<()> {
+        self.count("batch_refill");
         self.storage.delete(holder, &blob.name).await?;
         let mut from = blob.clone();
         from.holders = vec![self.node.own.name.clone()];
@@ -230,6 +232,7 @@
         let mut from = blob.clone();
         from.holders = vec![self.node.own.name.clone()];
         self.copy(&from, &to, 0).await?;
+        self.count("batch_replace");
         let mut next = blob.clone();
         next.holders.retain(|holder| Some(holder) != lost.as_ref());
         next.holders.push(to);
--- a/crates/sesamewall-server/src/batch/service.rs
+++ b/crates/sesamewall-server/src/batch/service.rs
@@ -157,6 +157,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a change of state.
+    pub(super) fn count(&self, kind: &str) {
+        self.node.metrics.changes.with_label_values(&[kind]).inc();
+    }
+
     /// Returns a unique text of 96 random bits.
     pub(super) fn token(&self) -> String {
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/sesamewall-server/src/batch/worker.rs
+++ b/crates/sesamewall-server/src/batch/worker.rs
@@ -60,6 +60,7 @@
             info!(self.node.log, "batch segment given back";
                 "job" => claim.job.id.as_str(), "segment" => claim.index,
                 "fence" => claim.record.fence, "error" => %error);
+            self.count("batch_release");
             self.look_later(&claim.job.id, PAUSE);
             claim.record.state = SegmentState::Released;
             claim.record.token = self.token();
@@ -347,7 +348,10 @@
                 expect = Expect::Version(version);
             }
             match self.records.put(&key, &record, expect).await {
-                Ok(Some(_)) => return Ok(()),
+                Ok(Some(_)) => {
+                    self.count("batch_commit");
+                    return Ok(());
+                }
                 Ok(None) if self.options.fence_compare => return Err(superseded(claim)),
                 Ok(None) => {}
                 Err(error) => last = error,
--- a/crates/sesamewall-server/tests/batch/copies.rs
+++ b/crates/sesamewall-server/tests/batch/copies.rs
@@ -10,6 +10,7 @@
 use sesamewall_server::BatchOptions;
 
 use crate::fleet::Fleet;
+use crate::fleet::RETENTION_SECONDS;
 
 const MODEL: &str = "/v1/chat/completions";
 const NAMES: [&str; 3] = ["i1", "i2", "i3"];
@@ -89,3 +90,20 @@
     }
     assert!(damaged >= 6, "{damaged}");
 }
+
+/// Guards against results that are removed before or kept after their retention.
+#[tokio::test(start_paused = true)]
+async fn results_are_removed_after_their_retention() {
+    let fleet = Fleet::new(24, BatchOptions::default());
+    let job = fleet.job("a", MODEL, 5).await;
+    let ended = fleet.wait("a", &job, 60).await;
+    let content = format!("/v1/files/{}/content", ended["output_file_id"].as_str().unwrap());
+    tokio::time::sleep(Duration::from_secs(RETENTION_SECONDS - 120)).await;
+    assert_eq!(fleet.get("a", &content).await.0, 200);
+    tokio::time::sleep(Duration::from_secs(120)).await;
+    assert_eq!(fleet.get("a", &content).await.0, 404);
+    tokio::time::sleep(Duration::from_secs(2 * 3600)).await;
+    for name in NAMES {
+        assert_eq!(fleet.bulks[name].list().await.unwrap(), Vec::<String>::new(), "{name}");
+    }
+}
--- a/crates/sesamewall-server/tests/batch/faults.rs
+++ b/crates/sesamewall-server/tests/batch/faults.rs
@@ -1,5 +1,6 @@
 //! Tests of workers, store and disks that fail while a job runs.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -112,7 +113,6 @@
 
 /// Pauses a worker between its last outcome and its commit until a successor has committed.
 async fn late_commit(options: BatchOptions) -> Vec<String> {
-    use std::sync::atomic::Ordering;
     let fleet = Fleet::new(11, options);
     fleet.faults.pause_commit.store(true, Ordering::Relaxed);
     // The job is queried at instances that may be the paused one, so the wait comes afterwards.
@@ -181,3 +181,19 @@
     let without = BatchOptions { seal: false, ..BatchOptions::default() };
     assert!(!paused_worker(without).await.is_empty(), "the check does not notice a missing seal");
 }
+
+/// Guards against a job that runs on after its due time, also where every worker is full. Each of
+/// the three workers ends two rounds of four items, after 10 and 20 hours.
+#[tokio::test(start_paused = true)]
+async fn late_job_expires() {
+    let options = BatchOptions { segments_at_once: 1, ..BatchOptions::default() };
+    let fleet = Fleet::new(25, options);
+    let hour_ms = 3_600_000;
+    fleet.targets.run_ms.store(10 * hour_ms, Ordering::Relaxed);
+    let job = fleet.job("a", MODEL, 1_500).await;
+    tokio::time::sleep(Duration::from_millis(24 * hour_ms)).await;
+    let ended = fleet.wait("a", &job, 60).await;
+    assert_eq!(ended["status"], "expired");
+    assert_eq!(ended["request_counts"]["completed"], 24);
+    assert_eq!(fleet.lines("a", &ended).await.unwrap().len(), 24);
+}
--- a/crates/sesamewall-server/tests/batch/fleet.rs
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -30,6 +30,8 @@
 use sesamewall_server::*;
 use tokio::sync::watch;
 
+/// Longer than the time for which input files are kept for running jobs.
+pub const RETENTION_SECONDS: u64 = 27 * 3600;
 const NAMES: [&str; 3] = ["i1", "i2", "i3"];
 
 struct VirtualClock(tokio::time::Instant);
@@ -323,7 +325,11 @@
         let node = Arc::new(Node {
             recorder: Recorder::new(own.name.clone(), self.clock.clone()),
             own,
-            settings: Settings { batch_workers: 4, ..Settings::default() },
+            settings: Settings {
+                batch_workers: 4,
+                retention_seconds: RETENTION_SECONDS,
+                ..Settings::default()
+            },
             clock: self.clock.clone(),
             store: Arc::new(GatedStore {
                 inner: Arc::clone(&self.store),
--- a/crates/sesamewall-server/tests/batch/http.rs
+++ b/crates/sesamewall-server/tests/batch/http.rs
@@ -18,6 +18,22 @@
     assert_eq!(fleet.breaches(&ended, 1_100, true).await, Vec::<String>::new());
 }
 
+/// Guards against store writes for each item: a segment takes one claim and one commit. The rest is
+/// worker renewals and the records of the file and the job.
+#[tokio::test(start_paused = true)]
+async fn segment_takes_two_writes() {
+    let fleet = Fleet::new(8, BatchOptions::default());
+    let (_, before) = fleet.store.calls();
+    let job = fleet.job("a", MODEL, 20 * 500).await;
+    let start = tokio::time::Instant::now();
+    let ended = fleet.wait("a", &job, 3_600).await;
+    assert_eq!(ended["status"], "completed");
+    let renewals = 3 * (start.elapsed().as_secs() / 3 + 2);
+    let (_, after) = fleet.store.calls();
+    // Ten for the file, the job, its lists and its end; workers may race once for each segment.
+    assert!(after - before <= 3 * 20 + renewals + 10, "{} writes", after - before);
+}
+
 /// Guards against one account reading another's objects.
 #[tokio::test(start_paused = true)]
 async fn other_accounts_see_nothing() {
