Test that slots of lost instances stay counted

Cause: no test failed when the slots of a lost instance were returned at once.

Change: run the random world with no hold and require that the checks report a breach.

--- a/crates/sesamewall-schedule/tests/admission.rs
+++ b/crates/sesamewall-schedule/tests/admission.rs
@@ -113,6 +113,13 @@
     assert!(world.lead.outstanding() > 0);
 }
 
+#[test]
+fn checks_notice_slots_of_lost_instances() {
+    let settings = Settings { lost_hold: Duration::ZERO, ..Settings::default() };
+    let found = breaches(settings, Without::default(), true, false);
+    assert!(found.iter().any(|text| text.contains("at ramp")), "{found:?}");
+}
+
 #[test]
 fn checks_notice_missing_yields() {
     let settings = Settings { policy: Policy::FixedSplit { batch: 0.5 }, ..Settings::default() };
--- a/crates/sesamewall-schedule/tests/world.rs
+++ b/crates/sesamewall-schedule/tests/world.rs
@@ -31,7 +31,6 @@
 pub struct Without {
     pub sync: bool,
     pub config: bool,
-    pub lost_hold: bool,
 }
 
 struct Running {
@@ -320,15 +319,12 @@
 
     fn lose_instance(&mut self) {
         let lost = self.rng.random_range(0..2);
-        let mut actions = Vec::new();
         for running in self.running.values_mut().filter(|running| running.holder == lost) {
             running.orphan = true;
             running.since = self.now;
         }
-        if !self.without.lost_hold {
-            actions = self.lead.on_instance_lost(&instance(lost), self.now);
-        }
         // The engines notice the closed connections within the stated time.
+        let actions = self.lead.on_instance_lost(&instance(lost), self.now);
         self.apply(actions);
     }
 
