Do not search the batch queue while no batch stream may start

Cause: with many prompts in progress each event tried every waiting batch item in vain.

Change: check once before the queue is searched.

The cost of one decision was not measured.

--- a/crates/sesamewall-schedule/src/dispatch.rs
+++ b/crates/sesamewall-schedule/src/dispatch.rs
@@ -86,10 +86,12 @@
                 return;
             }
             let fleet = &self.fleet;
-            let open = fleet
-                .serving(model, now)
-                .iter()
-                .any(|state| state.outstanding == 0 || fleet.has_room(state, class, now));
+            let serving = fleet.serving(model, now);
+            // Without this check a full queue would be searched although nothing can start.
+            let open = !(class == Class::Batch && fleet.is_in_prompts(&serving, now))
+                && serving
+                    .iter()
+                    .any(|state| state.outstanding == 0 || fleet.has_room(state, class, now));
             let mut chosen = None;
             let entry = match open {
                 true => queues[index].pop(now, |entry| {
--- a/crates/sesamewall-schedule/src/fleet.rs
+++ b/crates/sesamewall-schedule/src/fleet.rs
@@ -293,7 +293,7 @@
 
     /// Tells whether prompts are in progress on more than half of the targets. A batch stream does not
     /// start then, so that the next online requests find targets without a prompt in progress.
-    fn is_in_prompts(&self, serving: &[&TargetState], now: Time) -> bool {
+    pub(crate) fn is_in_prompts(&self, serving: &[&TargetState], now: Time) -> bool {
         let busy = serving.iter().filter(|state| state.in_prompt(now)).count();
         self.settings.stagger
             && self.settings.policy == Policy::OnlineFirst
