--- a/crates/sesamewall-server/src/batch/files.rs
+++ b/crates/sesamewall-server/src/batch/files.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Extension;
 use axum::body::Body;
@@ -11,6 +12,7 @@
 use axum::extract::State;
 use axum::extract::multipart::Field;
 use axum::extract::multipart::MultipartRejection;
+use axum::extract::rejection::QueryRejection;
 use axum::http::header;
 use axum::response::IntoResponse;
 use axum::response::Response;
@@ -33,6 +35,7 @@
 
 use super::BatchService;
 use super::jobs::Page;
+use super::jobs::parse_page;
 use super::jobs::reply;
 use super::records::decode;
 use super::records::file_key;
@@ -73,9 +76,13 @@
 pub(super) async fn list(
     State(service): State<Arc<BatchService>>,
     Extension(caller): Extension<Caller>,
-    Query(page): Query<Page>,
+    query: std::result::Result<Query<Page>, QueryRejection>,
 ) -> Response {
-    reply(service.account_files(&caller.account, &page).await, &caller)
+    let result = match parse_page(query) {
+        Ok(page) => service.account_files(&caller.account, &page).await,
+        Err(error) => Err(error),
+    };
+    reply(result, &caller)
 }
 
 pub(super) async fn describe(
@@ -323,7 +330,14 @@
         let mut scan = InputScan::new(self.node.settings.body_limit);
         let mut pending = Vec::new();
         let mut bytes = 0;
-        while let Some(piece) = part.chunk().await.map_err(malformed)? {
+        let seconds = self.node.settings.body_seconds;
+        let pause = Duration::from_secs(seconds);
+        // A large file takes long, so the time limit is for each piece.
+        while let Some(piece) = tokio::time::timeout(pause, part.chunk())
+            .await
+            .map_err(|_| Error::BodyTimeout { seconds })?
+            .map_err(malformed)?
+        {
             scan.push(&piece)?;
             pending.extend_from_slice(&piece);
             if bytes + pending.len() as u64 > self.options.file_limit as u64 {
--- a/crates/sesamewall-server/src/batch/jobs.rs
+++ b/crates/sesamewall-server/src/batch/jobs.rs
@@ -7,7 +7,10 @@
 use axum::extract::Path;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::extract::rejection::BytesRejection;
+use axum::extract::rejection::QueryRejection;
 use axum::http::HeaderMap;
+use axum::http::HeaderValue;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use bytes::Bytes;
@@ -66,11 +69,23 @@
 /// Returns the JSON answer for a result.
 pub(super) fn reply(result: Result<Value>, caller: &Caller) -> Response {
     match result {
-        Ok(value) => Json(value).into_response(),
+        Ok(value) => {
+            let mut response = Json(value).into_response();
+            if let Ok(id) = HeaderValue::from_str(caller.request.as_str()) {
+                response.headers_mut().insert("x-request-id", id);
+            }
+            response
+        }
         Err(error) => error_response(&error, &caller.request),
     }
 }
 
+/// Returns the page that a list's query asks for.
+pub(super) fn parse_page(query: std::result::Result<Query<Page>, QueryRejection>) -> Result<Page> {
+    let Query(page) = query.map_err(|error| field("limit", &error.body_text()))?;
+    Ok(page)
+}
+
 fn field(name: &str, detail: &str) -> Error {
     Error::FieldInvalid { field: name.to_owned(), detail: detail.to_owned() }
 }
@@ -79,19 +94,27 @@
     State(service): State<Arc<BatchService>>,
     Extension(caller): Extension<Caller>,
     headers: HeaderMap,
-    body: Bytes,
+    body: std::result::Result<Bytes, BytesRejection>,
 ) -> Response {
     let key = headers.get("idempotency-key").map(|value| value.as_bytes().to_vec());
-    let result = service.create_job(&caller.account, key.as_deref(), &body).await;
+    let limit = service.node.settings.body_limit;
+    let result = match body {
+        Ok(body) => service.create_job(&caller.account, key.as_deref(), &body).await,
+        Err(_) => Err(Error::BodyTooLarge { limit }),
+    };
     reply(result, &caller)
 }
 
 pub(super) async fn list(
     State(service): State<Arc<BatchService>>,
     Extension(caller): Extension<Caller>,
-    Query(page): Query<Page>,
+    query: std::result::Result<Query<Page>, QueryRejection>,
 ) -> Response {
-    reply(service.account_jobs(&caller.account, &page).await, &caller)
+    let result = match parse_page(query) {
+        Ok(page) => service.account_jobs(&caller.account, &page).await,
+        Err(error) => Err(error),
+    };
+    reply(result, &caller)
 }
 
 pub(super) async fn describe(
--- a/crates/sesamewall-server/src/batch/repair.rs
+++ b/crates/sesamewall-server/src/batch/repair.rs
@@ -24,7 +24,8 @@
 use super::records::segment_prefix;
 use super::storage::CHUNK_BYTES;
 
-/// A deleted input file is kept until the jobs created before must have ended.
+/// An input file that takes no new jobs, deleted or past its retention, is kept until the jobs
+/// created before must have ended.
 const DELETED_KEEP: Duration = Duration::from_secs(25 * 3600);
 
 /// The record that names a blob.
@@ -63,15 +64,24 @@
         let last = next.last().map_or(String::new(), |name| (*name).clone());
         let ended = next.len() < self.options.repair_blobs;
         for name in next {
-            match self.owner(name).await? {
-                Some(owner) => self.keep(owner).await?,
-                None => self.drop_orphan(name).await?,
+            match self.look_after(name).await {
+                Err(error @ Error::StoreUnavailable { .. }) => return Err(error),
+                // One blob that cannot be repaired does not keep the others from it.
+                Err(_) => self.count("batch_repair_failed"),
+                Ok(()) => {}
             }
         }
         self.state().repair_after = if ended { String::new() } else { last };
         Ok(())
     }
 
+    async fn look_after(&self, name: &str) -> Result<()> {
+        match self.owner(name).await? {
+            Some(owner) => self.keep(owner).await,
+            None => self.drop_orphan(name).await,
+        }
+    }
+
     /// Returns the record that names the blob, unless the time for which it is kept is over.
     async fn owner(&self, name: &str) -> Result<Option<Owner>> {
         if let Some(id) = name.strip_prefix("f.") {
@@ -107,7 +117,7 @@
         let deleted = file
             .deleted_ms
             .is_some_and(|deleted| !is_retained(deleted, DELETED_KEEP.as_secs(), now));
-        let longest = retention.max(DELETED_KEEP.as_secs());
+        let longest = retention.saturating_add(DELETED_KEEP.as_secs());
         if deleted || !is_retained(file.created_ms, longest, now) {
             self.forget_file(&file).await?;
             return Ok(None);
--- a/crates/sesamewall-server/src/batch/service.rs
+++ b/crates/sesamewall-server/src/batch/service.rs
@@ -109,15 +109,19 @@
 
     /// Returns the routes for callers.
     pub fn router(self: &Arc<Self>) -> Router {
-        let limit = self.options.file_limit.saturating_add(1 << 20);
+        let upload = self.options.file_limit.saturating_add(1 << 20);
+        let body = self.node.settings.body_limit;
         Router::new()
             .route("/v1/files", post(files::upload).get(files::list))
+            .layer(DefaultBodyLimit::max(upload))
             .route("/v1/files/{id}", get(files::describe).delete(files::remove))
             .route("/v1/files/{id}/content", get(files::content))
-            .route("/v1/batches", post(jobs::create).get(jobs::list))
+            .route(
+                "/v1/batches",
+                post(jobs::create).get(jobs::list).layer(DefaultBodyLimit::max(body)),
+            )
             .route("/v1/batches/{id}", get(jobs::describe))
             .route("/v1/batches/{id}/cancel", post(jobs::cancel))
-            .layer(DefaultBodyLimit::max(limit))
             .with_state(Arc::clone(self))
     }
 
--- a/crates/sesamewall-server/tests/batch/copies.rs
+++ b/crates/sesamewall-server/tests/batch/copies.rs
@@ -37,6 +37,29 @@
     assert!(!lost_disks(without).await.is_empty(), "the check does not notice a missing copy");
 }
 
+/// Loses the disk of one holder of the input as soon as the job is accepted.
+async fn lost_input(options: BatchOptions) -> Vec<String> {
+    let fleet = Fleet::new(26, options);
+    let job = fleet.job("a", MODEL, 40).await;
+    let mut lost = None;
+    for name in NAMES {
+        if !fleet.bulks[name].list().await.unwrap().is_empty() {
+            lost = Some(name);
+        }
+    }
+    fleet.fakes[lost.unwrap()].lose();
+    let ended = fleet.wait("a", &job, 600).await;
+    fleet.breaches(&ended, 40, false).await
+}
+
+/// Guards against a job that is accepted before its input is on two disks.
+#[tokio::test(start_paused = true)]
+async fn accepted_input_outlives_a_disk() {
+    assert_eq!(lost_input(BatchOptions::default()).await, Vec::<String>::new());
+    let without = BatchOptions { copies: 1, ..BatchOptions::default() };
+    assert!(!lost_input(without).await.is_empty(), "the check does not notice a missing copy");
+}
+
 /// Guards against a lost instance whose copies are never made again.
 #[tokio::test(start_paused = true)]
 async fn lost_instance_is_replaced() {
@@ -102,7 +125,8 @@
     assert_eq!(fleet.get("a", &content).await.0, 200);
     tokio::time::sleep(Duration::from_secs(120)).await;
     assert_eq!(fleet.get("a", &content).await.0, 404);
-    tokio::time::sleep(Duration::from_secs(2 * 3600)).await;
+    // Input files are kept for the longest run of a job more, and blobs without record an hour.
+    tokio::time::sleep(Duration::from_secs(27 * 3600)).await;
     for name in NAMES {
         assert_eq!(fleet.bulks[name].list().await.unwrap(), Vec::<String>::new(), "{name}");
     }
--- a/crates/sesamewall-server/tests/batch/faults.rs
+++ b/crates/sesamewall-server/tests/batch/faults.rs
@@ -109,6 +109,63 @@
         let breaches = run(seed, url, &faults, lost_disk);
         prop_assert!(breaches.is_empty(), "seed {seed}: {breaches:?}");
     }
+
+    /// Guards against a cancelled job that goes on, never ends or reports other counts than lines.
+    #[test]
+    fn cancelled_job_ends_under_faults(
+        seed in 0..1_000_000_u64,
+        once in any::<bool>(),
+        faults in prop::collection::vec((0..6_000_u64, fault()), 1..5),
+        at in 0..5_usize,
+    ) {
+        let url = if once { PLAIN } else { MODEL };
+        let breaches = run_cancelled(seed, url, &faults, at);
+        prop_assert!(breaches.is_empty(), "seed {seed}: {breaches:?}");
+    }
+}
+
+/// Cancels a job of 900 items between faults and returns the breaches.
+fn run_cancelled(seed: u64, url: &str, faults: &[(u64, Fault)], at: usize) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let mut fleet = Fleet::new(seed, BatchOptions::default());
+        let job = fleet.job("a", url, 900).await;
+        for (number, (after, fault)) in faults.iter().enumerate() {
+            tokio::time::sleep(Duration::from_millis(*after)).await;
+            if number == at % faults.len() {
+                let path = format!("/v1/batches/{job}/cancel");
+                // A job that has completed before refuses with 409.
+                while !matches!(fleet.post("a", &path).await, 200 | 409) {
+                    tokio::time::sleep(Duration::from_secs(1)).await;
+                }
+            }
+            cause(&mut fleet, fault).await;
+        }
+        let ended = fleet.wait("a", &job, 1_800).await;
+        let sends = fleet.targets.sends.lock().unwrap().clone();
+        tokio::time::sleep(Duration::from_secs(60)).await;
+        let mut found = Vec::new();
+        if !matches!(ended["status"].as_str(), Some("cancelled" | "completed")) {
+            found.push(format!("the job did not end: {ended}"));
+        }
+        if sends != *fleet.targets.sends.lock().unwrap() {
+            found.push("items were sent after the end of the job".to_owned());
+        }
+        if url == PLAIN && sends.values().any(|sends| *sends > 1) {
+            found.push("a non-idempotent item was sent twice".to_owned());
+        }
+        let counts = &ended["request_counts"];
+        let counted = counts["completed"].as_u64().unwrap() + counts["failed"].as_u64().unwrap();
+        match fleet.lines("a", &ended).await {
+            Ok(lines) if lines.len() as u64 == counted => {}
+            lines => found.push(format!("{counted} counted, lines {:?}", lines.map(|l| l.len()))),
+        }
+        found
+    })
 }
 
 /// Pauses a worker between its last outcome and its commit until a successor has committed.
--- a/crates/sesamewall-server/tests/batch/fleet.rs
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -30,8 +30,7 @@
 use sesamewall_server::*;
 use tokio::sync::watch;
 
-/// Longer than the time for which input files are kept for running jobs.
-pub const RETENTION_SECONDS: u64 = 27 * 3600;
+pub const RETENTION_SECONDS: u64 = 2 * 3600;
 const NAMES: [&str; 3] = ["i1", "i2", "i3"];
 
 struct VirtualClock(tokio::time::Instant);
@@ -408,6 +407,11 @@
         self.call(account, request).await
     }
 
+    pub async fn post(&self, account: &str, path: &str) -> u16 {
+        let request = axum::http::Request::post(path).body(Body::empty()).unwrap();
+        self.call(account, request).await.0
+    }
+
     pub async fn upload(&self, account: &str, content: &str) -> (u16, Value) {
         let text = format!(
             "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
@@ -480,6 +484,11 @@
         Ok(lines)
     }
 
+    /// Returns the number of writes of segment records that took effect.
+    pub fn segment_writes(&self) -> usize {
+        self.commits.lock().unwrap().len()
+    }
+
     /// Returns the breaches of the promises about items: one committed result for each segment,
     /// one line for each item, and at most one send of each item if `once`.
     pub async fn breaches(&self, job: &Value, count: u64, once: bool) -> Vec<String> {
--- a/crates/sesamewall-server/tests/batch/http.rs
+++ b/crates/sesamewall-server/tests/batch/http.rs
@@ -28,6 +28,7 @@
     let start = tokio::time::Instant::now();
     let ended = fleet.wait("a", &job, 3_600).await;
     assert_eq!(ended["status"], "completed");
+    assert_eq!(fleet.segment_writes(), 2 * 20);
     let renewals = 3 * (start.elapsed().as_secs() / 3 + 2);
     let (_, after) = fleet.store.calls();
     // Ten for the file, the job, its lists and its end; workers may race once for each segment.
