Bound how often a failed segment is given back and claimed again

Change: a worker waits up to 8 s before it gives a segment back, and an unused blob leaves the record.

--- a/crates/sesamewall-batch/src/record.rs
+++ b/crates/sesamewall-batch/src/record.rs
@@ -148,6 +148,9 @@
     pub incarnation: String,
     /// Fencing token; rises with each claim.
     pub fence: u64,
+    /// Number of claims before this one; a segment that is given back waits longer each time.
+    #[serde(default)]
+    pub attempt: u32,
     /// Result blobs with outcomes, oldest first; one once committed.
     pub blobs: Vec<BlobRef>,
     /// Counts, set by the commit.
--- a/crates/sesamewall-batch/tests/claim.rs
+++ b/crates/sesamewall-batch/tests/claim.rs
@@ -43,6 +43,7 @@
         holder: "w".into(),
         incarnation: "a".to_owned(),
         fence: 1,
+        attempt: 0,
         blobs: Vec::new(),
         counts: Counts::default(),
         output_bytes: 0,
--- a/crates/sesamewall-server/src/batch/claims.rs
+++ b/crates/sesamewall-server/src/batch/claims.rs
@@ -63,6 +63,8 @@
     pub(super) version: u64,
     /// Bytes that the own result blob has.
     pub(super) length: u64,
+    /// Frames behind the header may have been appended to the own blob.
+    pub(super) started: bool,
     pub(super) stop: CancellationToken,
 }
 
@@ -354,6 +356,7 @@
         // The header is on all copies before the record names the blob, so a copy without it has
         // lost its disk.
         self.storage.append_all(&blob, 0, &header).await?;
+        let attempt = prior.as_ref().map_or(0, |(record, _)| record.attempt + 1);
         let (mut blobs, expect) = match prior {
             Some((record, version)) => (record.blobs, Expect::Version(version)),
             None => (Vec::new(), Expect::Absent),
@@ -364,6 +367,7 @@
             holder: self.node.own.name.clone(),
             incarnation: self.incarnation.clone(),
             fence,
+            attempt,
             blobs,
             counts: Default::default(),
             output_bytes: 0,
@@ -379,7 +383,7 @@
         let (now, seen) = self.job(job.id.as_str()).await?;
         self.note_job(&now, seen);
         let length = header.len() as u64;
-        let claim = Claim { job: now, index, record, version, length, stop };
+        let claim = Claim { job: now, index, record, version, length, started: false, stop };
         if claim.job.state.is_ended() {
             return Ok(None);
         }
--- a/crates/sesamewall-server/src/batch/worker.rs
+++ b/crates/sesamewall-server/src/batch/worker.rs
@@ -42,6 +42,9 @@
 const SEAL_TRIES: u32 = 8;
 const COMMIT_TRIES: u32 = 120;
 const PAUSE: Duration = Duration::from_secs(1);
+/// Longest wait before a failed segment is given back. Without it, all instances would claim a
+/// segment whose input cannot be read over and over.
+const RELEASE_PAUSE: Duration = Duration::from_secs(8);
 const LEASE_POLL: Duration = Duration::from_millis(100);
 const BACKOFF: Duration = Duration::from_millis(500);
 
@@ -63,6 +66,14 @@
             self.count("batch_release");
             self.look_later(&claim.job.id, PAUSE);
             claim.record.state = SegmentState::Released;
+            if !claim.started {
+                // The own blob has only its header; naming it would let the chain grow each time.
+                claim.record.blobs.pop();
+            }
+            if !self.node.draining.load(Ordering::Relaxed) {
+                let doubled = PAUSE * 2_u32.saturating_pow(claim.record.attempt.min(8));
+                tokio::time::sleep(doubled.min(RELEASE_PAUSE)).await;
+            }
             claim.record.token = self.token();
             let key = segment_key(claim.job.id.as_str(), claim.index);
             // A successor's record stays as it is. Without the store the claim lapses.
@@ -78,6 +89,7 @@
         };
         let once: Vec<bool> = lines.iter().map(once).collect();
         let states = self.recover_items(claim, &once).await?;
+        claim.started = true;
         let (journal, writer) =
             Journal::start(self.storage.clone(), claim.own_blob(), claim.length);
         let ended = self.run_states(claim, &journal, lines, once, states).await;
