End a stopped job whose given-back segments were never started

Cause: a cancelled job with unreadable input waited for a commit that could not come. Change: a given-back segment without result blobs counts as settled once the job stops.

--- a/crates/sesamewall-batch/src/claim.rs
+++ b/crates/sesamewall-batch/src/claim.rs
@@ -118,6 +118,7 @@
         let index = ((u64::from(start) + u64::from(step)) % u64::from(segments)) as u32;
         let free = match records.get(&index) {
             None => !stopping,
+            Some(record) if record.is_settled(stopping) => continue,
             Some(record) => match record.state {
                 SegmentState::Committed => continue,
                 SegmentState::Released => true,
--- a/crates/sesamewall-batch/src/record.rs
+++ b/crates/sesamewall-batch/src/record.rs
@@ -163,6 +163,15 @@
     pub token: String,
 }
 
+impl SegmentRecord {
+    /// Tells whether nothing is left to commit: the segment is committed, or the job stops and no
+    /// claim of the segment came to run items.
+    pub fn is_settled(&self, stopping: bool) -> bool {
+        let unused = self.state == SegmentState::Released && self.blobs.is_empty();
+        self.state == SegmentState::Committed || (stopping && unused)
+    }
+}
+
 /// A worker's heartbeat, under `batch/worker/<instance>`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
--- a/crates/sesamewall-batch/tests/claim.rs
+++ b/crates/sesamewall-batch/tests/claim.rs
@@ -143,6 +143,9 @@
     let mut records = BTreeMap::from([(1, segment(SegmentState::Committed))]);
     assert_eq!(choose_segment(3, false, &records, 1, |_| false), SegmentChoice::Claim(2));
     assert_eq!(choose_segment(3, true, &records, 1, |_| false), SegmentChoice::Ended);
+    records.insert(0, segment(SegmentState::Released));
+    assert_eq!(choose_segment(3, false, &records, 0, |_| false), SegmentChoice::Claim(0));
+    assert_eq!(choose_segment(3, true, &records, 0, |_| false), SegmentChoice::Ended);
     records.insert(2, segment(SegmentState::Claimed));
     assert_eq!(choose_segment(3, true, &records, 1, |_| false), SegmentChoice::Taken);
     assert_eq!(choose_segment(3, true, &records, 1, |_| true), SegmentChoice::Claim(2));
--- a/crates/sesamewall-server/src/batch/lifecycle.rs
+++ b/crates/sesamewall-server/src/batch/lifecycle.rs
@@ -94,10 +94,10 @@
     pub(super) async fn finish_job(&self, id: &JobId) -> Result<()> {
         let (mut job, mut version) = self.job(id.as_str()).await?;
         let segments = self.segments(id).await?;
-        let committed = |record: &SegmentRecord| record.state == SegmentState::Committed;
-        let settled = segments.values().all(|(record, _)| committed(record));
+        let stopping = job.state == JobState::Cancelling;
+        let settled = segments.values().all(|(record, _)| record.is_settled(stopping));
         let whole = segments.len() == job.segments as usize;
-        if !job.state.is_ended() && !(settled && (whole || job.state == JobState::Cancelling)) {
+        if !job.state.is_ended() && !(settled && (whole || stopping)) {
             return Ok(());
         }
         if let Some(next) = job.state.after(JobEvent::AllCommitted) {
