Keep the last known leads of other failure domains

Cause: after SIGKILL of a lead, 6 of 60 requests at the other instance of its failure domain were refused with 3002: the other leads are learned through the own lead and were forgotten 3 s after it was lost. Change: lead and instances of another failure domain stay in use for 15 s without a new report.

--- a/crates/sesamewall-server/src/membership/service.rs
+++ b/crates/sesamewall-server/src/membership/service.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use sesamewall_membership::DomainState;
+use sesamewall_membership::DomainView;
 use sesamewall_membership::Lead;
 use sesamewall_membership::LeadAction;
 use sesamewall_membership::LeadRecord;
@@ -22,6 +23,7 @@
 use sesamewall_ports::StoreError;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::MembershipMessage;
 use sesamewall_protocol::peer::PeerMessage;
 use slog::info;
@@ -39,10 +41,48 @@
 /// Addresses of instances that left the list are kept up to this number.
 const ADDRESS_LIMIT: usize = 4096;
 
+/// The last known lead and instances of another failure domain stay in use for this long after the
+/// own lead, which reports them, was lost. Asking one that is gone costs a refused connection.
+const REMOTE_LIFE: Duration = Duration::from_secs(15);
+
+/// Another failure domain as it was last reported.
+struct Remote {
+    at: Time,
+    lead: InstanceName,
+    live: Vec<InstanceName>,
+}
+
 struct State {
     lead: Lead,
     members: Members,
     addresses: HashMap<InstanceName, ListedInstance>,
+    remotes: HashMap<DomainName, Remote>,
+}
+
+impl State {
+    /// Returns lead and live instances of a failure domain, from the last report if there is no
+    /// current one.
+    fn peers_of(
+        &mut self,
+        view: DomainView,
+        own: &DomainName,
+        now: Time,
+    ) -> (Option<InstanceName>, Vec<InstanceName>) {
+        if view.name == *own {
+            return (self.lead.lead().cloned(), view.live);
+        }
+        if let Some((lead, _)) = view.lead {
+            let remote = Remote { at: now, lead: lead.clone(), live: view.live.clone() };
+            self.remotes.insert(view.name, remote);
+            return (Some(lead), view.live);
+        }
+        match self.remotes.get(&view.name) {
+            Some(remote) if now.since(remote.at) < REMOTE_LIFE => {
+                (Some(remote.lead.clone()), remote.live.clone())
+            }
+            _ => (None, Vec::new()),
+        }
+    }
 }
 
 /// Keeps the lead lease and the directory up to date.
@@ -66,7 +106,7 @@
         let lead = Lead::new(own.clone(), LeadSettings::default(), node.clock.now());
         let members = Members::new(own, domain);
         let addresses = HashMap::from([(node.own.name.clone(), node.own.clone())]);
-        let state = Mutex::new(State { lead, members, addresses });
+        let state = Mutex::new(State { lead, members, addresses, remotes: HashMap::new() });
         Arc::new(Self { node, state, config, floor, store })
     }
 
@@ -320,7 +360,7 @@
     fn publish(&self) {
         let now = self.node.clock.now();
         let configuration = self.node.config.current();
-        let state = self.lock();
+        let mut state = self.lock();
         let term = match (state.lead.epoch(now), state.lead.valid_until()) {
             (Some(epoch), Some(valid_until)) => {
                 let full_until = self.floor.full_until(now);
@@ -329,23 +369,20 @@
             _ => LeadTerm::default(),
         };
         self.node.lead.set(term);
-        let mut live = vec![self.node.own.clone()];
+        let own = &self.node.own;
+        let mut live = vec![own.clone()];
         let mut domains = 0;
         for view in state.members.domain_view(now, &configuration) {
             domains += usize::from(view.state != DomainState::Unreachable);
-            let own = view.name == self.node.own.domain;
-            let lead = match own {
-                true => state.lead.lead().cloned(),
-                false => view.lead.map(|(name, _)| name),
-            };
-            let known = |name: &InstanceName| state.addresses.get(name).cloned();
-            let lead = lead.filter(|name| state.addresses.contains_key(name));
-            live.extend(
-                view.live.iter().filter(|name| **name != self.node.own.name).filter_map(known),
+            let name = view.name.clone();
+            let (lead, mut peers) = state.peers_of(view, &own.domain, now);
+            let lead = lead.filter(|lead| state.addresses.contains_key(lead));
+            peers.extend(
+                lead.iter().filter(|lead| !peers.contains(lead)).cloned().collect::<Vec<_>>(),
             );
-            let extra = lead.iter().filter(|name| !view.live.contains(name));
-            live.extend(extra.filter(|name| **name != self.node.own.name).filter_map(known));
-            self.node.directory.set_lead(&view.name, lead);
+            let others = peers.iter().filter(|peer| **peer != own.name);
+            live.extend(others.filter_map(|peer| state.addresses.get(peer).cloned()));
+            self.node.directory.set_lead(&name, lead);
         }
         drop(state);
         self.store.set_fleet(live.len(), domains);
