--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use sesamewall_protocol::Error;
+use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::SlotEnd;
 use tokio::sync::mpsc;
 
@@ -54,6 +55,7 @@
 /// Progress of a call over its attempts.
 #[derive(Default)]
 struct Progress {
+    started: Time,
     made: u64,
     first_us: Option<u64>,
 }
@@ -62,6 +64,7 @@
     /// Runs a streamed call to its end and sends its pieces to `pieces`. A dropped receiver ends
     /// the call.
     pub async fn run_stream(&self, call: &Call, pieces: mpsc::Sender<Piece>) {
+        let started = self.node.clock.now();
         let mut attempts = match self.start(call).await {
             Ok(attempts) => attempts,
             Err(error) => {
@@ -70,7 +73,7 @@
                 return;
             }
         };
-        let mut progress = Progress::default();
+        let mut progress = Progress { started, ..Progress::default() };
         let result = loop {
             let lease = match self.place(call, &attempts, progress.made).await {
                 Ok(lease) => lease,
@@ -165,6 +168,7 @@
                 if progress.first_us.is_none() {
                     let since = self.node.clock.now().since(sent);
                     progress.first_us = Some(micros(since));
+                    self.note_first_token(call, progress);
                 }
                 let last = event.last;
                 let token = has_token(&event);
@@ -179,6 +183,15 @@
         }
     }
 
+    /// Observes the time to the first token of a call, not of a resumed attempt.
+    fn note_first_token(&self, call: &Call, progress: &Progress) {
+        if progress.made == 0 {
+            let since = self.node.clock.now().since(progress.started);
+            let label = [call.class_label()];
+            self.node.metrics.first_token.with_label_values(&label).observe(since.as_secs_f64());
+        }
+    }
+
     /// Counts and notes a call that was refused before its first attempt.
     pub fn refuse_call(&self, call: &Call, error: &Error) {
         let class = call.class_label();
--- a/crates/sesamewall-server/src/membership/budgeted_store.rs
+++ b/crates/sesamewall-server/src/membership/budgeted_store.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -29,13 +31,19 @@
     inner: Arc<dyn Store>,
     clock: Arc<dyn Clock>,
     budget: Mutex<StoreBudget>,
+    reachable: AtomicBool,
 }
 
 impl BudgetedStore {
     /// Creates the wrapper around `inner`.
     pub fn new(inner: Arc<dyn Store>, clock: Arc<dyn Clock>, settings: BudgetSettings) -> Self {
         let budget = StoreBudget::new(settings, clock.now(), &mut rand::rng());
-        Self { inner, clock, budget: Mutex::new(budget) }
+        Self { inner, clock, budget: Mutex::new(budget), reachable: AtomicBool::new(true) }
+    }
+
+    /// Tells whether the last call reached the store.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable.load(Ordering::Relaxed)
     }
 
     /// Sets the number of live instances and of failure domains.
@@ -60,6 +68,8 @@
 
     fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
         let now: Time = self.clock.now();
+        let reached = !matches!(result, Err(StoreError::Unavailable));
+        self.reachable.store(reached, Ordering::Relaxed);
         match &result {
             Err(StoreError::Unavailable | StoreError::RateLimited) => {
                 self.lock().failed(now, &mut rand::rng());
--- a/crates/sesamewall-server/src/membership/config_service.rs
+++ b/crates/sesamewall-server/src/membership/config_service.rs
@@ -104,8 +104,7 @@
                 LogAction::Applied(configuration) => {
                     let revision = configuration.revision();
                     self.node.config.set(Arc::new(configuration));
-                    let level = i64::try_from(revision).unwrap_or(i64::MAX);
-                    self.node.metrics.levels.with_label_values(&["revision"]).set(level);
+                    self.node.metrics.set_level("revision", revision);
                     self.node.metrics.changes.with_label_values(&["configuration"]).inc();
                     info!(self.node.log, "configuration in force"; "revision" => revision);
                     if lead {
--- a/crates/sesamewall-server/src/membership/service.rs
+++ b/crates/sesamewall-server/src/membership/service.rs
@@ -386,10 +386,13 @@
         }
         drop(state);
         self.store.set_fleet(live.len(), domains);
-        let level = i64::try_from(live.len()).unwrap_or(i64::MAX);
-        self.node.metrics.levels.with_label_values(&["live_instances"]).set(level);
-        let epoch = i64::try_from(term.epoch).unwrap_or(i64::MAX);
-        self.node.metrics.levels.with_label_values(&["lead_epoch"]).set(epoch);
+        let metrics = &self.node.metrics;
+        metrics.set_level("live_instances", live.len() as u64);
+        metrics.set_level("lead_epoch", term.epoch);
+        let full = term.epoch > 0 && now < term.full_until;
+        metrics.set_level("floor_full", u64::from(full));
+        metrics.set_level("store_reachable", u64::from(self.store.is_reachable()));
+        metrics.set_level("records_dropped", self.node.recorder.dropped());
         self.node.directory.set_instances(live);
     }
 
--- a/crates/sesamewall-server/src/slot_service.rs
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -281,6 +281,8 @@
 
     /// Reports all slots to the lead.
     fn sync(self: Arc<Self>) {
+        let outstanding = self.lock_lead().as_ref().map_or(0, |lead| lead.scheduler.outstanding());
+        self.node.metrics.set_level("slots_outstanding", outstanding as u64);
         let Some(lead) = self.node.directory.lead(&self.node.own.domain) else { return };
         let held = self.held_slots();
         if lead.name == self.node.own.name {
