Pause between batch asks, and name a cancelled call

Cause: a batch item whose queue was full or whose model had no target asked again without a pause, its wait for a rate token ignored a cancellation, and a caller's disconnect was recorded as a shutdown (4004). Change: 500 ms between asks, cancellation ends the wait, code 4006 with outcome unknown, and a sent call that must not be repeated is not cancelled.

--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -129,6 +129,9 @@
     /// The instance is shutting down.
     #[display("the instance is shutting down")]
     ShuttingDown,
+    /// The caller disconnected or cancelled the request before its end.
+    #[display("the request was cancelled before its end")]
+    Cancelled,
     /// The request was running at several target crashes.
     #[display("the request was running at {crashes} target crashes and is not run again")]
     PoisonRequest {
@@ -309,6 +312,7 @@
             Self::NoTarget { .. } => 4003,
             Self::ShuttingDown => 4004,
             Self::PoisonRequest { .. } => 4005,
+            Self::Cancelled => 4006,
             Self::TargetUnreachable { .. } => 5001,
             Self::TargetLost { .. } => 5002,
             Self::AnswerMismatch { .. } => 5003,
@@ -341,6 +345,7 @@
             2000..=2999 => 401,
             3001 | 4001 => 429,
             4005 => 422,
+            4006 => 408,
             5002..=5004 => 502,
             9001 => 500,
             _ => 503,
@@ -366,6 +371,7 @@
             3001 => "wait for the time in Retry-After, or ask the operators for a higher rate",
             3002 | 4001..=4004 | 5001 | 5005 | 8001..=8003 => "send the request again later",
             4005 => "change the request; it makes targets crash",
+            4006 => "send the request again and keep the connection open until its end",
             5002 | 5003 => "check whether the request took effect before sending it again",
             5004 => "see the target's own message",
             6001 => "correct the line and upload the file again",
@@ -384,9 +390,10 @@
     /// Returns what is known about the execution of the request that ended with this error.
     pub fn outcome(&self) -> Outcome {
         match self {
-            Self::TargetLost { .. } | Self::AnswerMismatch { .. } | Self::Internal { .. } => {
-                Outcome::Unknown
-            }
+            Self::TargetLost { .. }
+            | Self::AnswerMismatch { .. }
+            | Self::Cancelled
+            | Self::Internal { .. } => Outcome::Unknown,
             Self::TargetFailed { .. } => Outcome::Run,
             _ => Outcome::NotRun,
         }
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -33,6 +33,7 @@
             Self::NoTarget { model: text("model") },
             Self::ShuttingDown,
             Self::PoisonRequest { crashes: 0 },
+            Self::Cancelled,
             Self::TargetUnreachable { target: text("target"), detail: text("detail") },
             Self::TargetLost { target: text("target"), detail: text("detail") },
             Self::AnswerMismatch { target: text("target") },
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -14,6 +14,7 @@
 use super::Executor;
 use super::attempt;
 use super::attempt::Failure;
+use super::executor::BATCH_PAUSE;
 use super::executor::micros;
 use super::sse::EventParser;
 use crate::gate::SlotLease;
@@ -77,14 +78,17 @@
         let result = loop {
             let lease = match self.place(call, &attempts, progress.made).await {
                 Ok(lease) => lease,
-                Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
+                Err(Error::QueueTimeout { .. }) if call.may_wait() => {
+                    tokio::time::sleep(BATCH_PAUSE).await;
+                    continue;
+                }
                 Err(error) => break Err(after_delivery(error, progress.made)),
             };
             let slot = lease.slot.clone();
             match self.attempt_stream(call, lease, &mut progress, &pieces).await {
                 AttemptEnd::Whole => break Ok((200, progress.made)),
                 AttemptEnd::Status(status) => break Ok((status, 0)),
-                AttemptEnd::Gone => break Err(Error::ShuttingDown),
+                AttemptEnd::Gone => break Err(Error::Cancelled),
                 AttemptEnd::Yielded => {}
                 // A resumed stream repeats nothing that was delivered, so a part that reached the
                 // caller does not rule out another attempt.
--- a/crates/sesamewall-server/src/execute/executor.rs
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -40,6 +40,8 @@
 /// The account name under which open routes are queued.
 const OPEN_ACCOUNT: &str = "-open-";
 const MARK_PERIOD: Duration = Duration::from_millis(500);
+/// Pause before a batch item asks for a slot again, when there was none or the queue was full.
+pub const BATCH_PAUSE: Duration = Duration::from_millis(500);
 /// A batch item waits this long for a slot before it asks again.
 const BATCH_WAIT_US: u64 = 10_000_000;
 
@@ -82,7 +84,10 @@
         let account = account(call);
         let clearance = self.suspects.check(&account, &call.digest, now)?;
         if let (Some(account), false) = (&call.account, call.forwarded) {
-            self.rate.spend(account, call.class).await?;
+            tokio::select! {
+                () = call.cancel.cancelled() => return Err(Error::Cancelled),
+                spent = self.rate.spend(account, call.class) => spent?,
+            }
             let wait_us = micros(self.node.clock.now().since(now));
             self.note(call, Decision::RateSpent { wait_us });
         }
@@ -126,7 +131,7 @@
             isolated: attempts.isolated,
         };
         let placement = tokio::select! {
-            () = call.cancel.cancelled() => return Err(Error::ShuttingDown),
+            () = call.cancel.cancelled() => return Err(Error::Cancelled),
             placement = self.slots.acquire(ask, !call.forwarded) => placement?,
         };
         let lease = match placement {
--- a/crates/sesamewall-server/src/execute/item_runner.rs
+++ b/crates/sesamewall-server/src/execute/item_runner.rs
@@ -81,6 +81,7 @@
         };
         match result {
             Ok((status, body)) => ItemOutcome::Answered { status, body },
+            Err(Error::Cancelled) => ItemOutcome::Cancelled,
             Err(error) if item.cancel.is_cancelled() && error.outcome() == Outcome::NotRun => {
                 ItemOutcome::Cancelled
             }
--- a/crates/sesamewall-server/src/execute/plain_call.rs
+++ b/crates/sesamewall-server/src/execute/plain_call.rs
@@ -12,6 +12,7 @@
 use super::Executor;
 use super::attempt;
 use super::attempt::Failure;
+use super::executor::BATCH_PAUSE;
 use super::executor::micros;
 use crate::gate::SlotLease;
 use crate::gate::SlotReport;
@@ -64,12 +65,15 @@
         let result = loop {
             let lease = match self.place(call, &attempts, 0).await {
                 Ok(lease) => lease,
-                Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
+                Err(Error::QueueTimeout { .. }) if call.may_wait() => {
+                    tokio::time::sleep(BATCH_PAUSE).await;
+                    continue;
+                }
                 Err(error) => break Err(error),
             };
             match self.attempt_plain(call, lease).await {
                 AttemptEnd::Answered(answer) => break Ok(answer),
-                AttemptEnd::Gone => break Err(Error::ShuttingDown),
+                AttemptEnd::Gone => break Err(Error::Cancelled),
                 AttemptEnd::Yielded => {}
                 AttemptEnd::Failed(slot, failure) => {
                     if let Err(error) = self.retry(call, &mut attempts, &slot, failure, false) {
@@ -87,7 +91,8 @@
     }
 
     async fn attempt_plain(&self, call: &Call, lease: SlotLease) -> AttemptEnd {
-        // A call that must not be repeated is never given up for its slot.
+        // A call that must not be repeated is not given up once it was sent: its end would be
+        // unclear.
         let yielded = lease.yielded.clone();
         let gave_up = async {
             match call.idempotent {
@@ -95,9 +100,15 @@
                 false => std::future::pending().await,
             }
         };
+        let cancelled = async {
+            match call.idempotent {
+                true => call.cancel.cancelled().await,
+                false => std::future::pending().await,
+            }
+        };
         let sent = self.node.clock.now();
         let read = tokio::select! {
-            () = call.cancel.cancelled() => return AttemptEnd::Gone,
+            () = cancelled => return AttemptEnd::Gone,
             () = gave_up => return AttemptEnd::Yielded,
             read = self.read_plain(call, &lease) => read,
         };
