Refuse truthfully while an instance has no configuration

Cause: an instance that started during a store outage answered 401 for a valid key until its lead sent the configuration, a second later; it was ready meanwhile. Change: code 4007 (not run) and readiness false until the configuration was read.

--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -129,6 +129,9 @@
     /// The instance is shutting down.
     #[display("the instance is shutting down")]
     ShuttingDown,
+    /// The instance has not read the configuration since its start.
+    #[display("the instance is starting and has no configuration yet")]
+    Starting,
     /// The caller disconnected or cancelled the request before its end.
     #[display("the request was cancelled before its end")]
     Cancelled,
@@ -313,6 +316,7 @@
             Self::ShuttingDown => 4004,
             Self::PoisonRequest { .. } => 4005,
             Self::Cancelled => 4006,
+            Self::Starting => 4007,
             Self::TargetUnreachable { .. } => 5001,
             Self::TargetLost { .. } => 5002,
             Self::AnswerMismatch { .. } => 5003,
@@ -369,7 +373,7 @@
             2002 => "ask the operators for a new key",
             2003 => "send the operators' credential in the header `authorization: Bearer TOKEN`",
             3001 => "wait for the time in Retry-After, or ask the operators for a higher rate",
-            3002 | 4001..=4004 | 5001 | 5005 | 8001..=8003 => "send the request again later",
+            3002 | 4001..=4004 | 4007 | 5001 | 5005 | 8001..=8003 => "send the request again later",
             4005 => "change the request; it makes targets crash",
             4006 => "send the request again and keep the connection open until its end",
             5002 | 5003 => "check whether the request took effect before sending it again",
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -34,6 +34,7 @@
             Self::ShuttingDown,
             Self::PoisonRequest { crashes: 0 },
             Self::Cancelled,
+            Self::Starting,
             Self::TargetUnreachable { target: text("target"), detail: text("detail") },
             Self::TargetLost { target: text("target"), detail: text("detail") },
             Self::AnswerMismatch { target: text("target") },
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -140,6 +140,10 @@
     if let Err(error) = check_headers(request.headers()) {
         return service.refuse(&id, None, &error);
     }
+    // Without the configuration every key would look wrong.
+    if !service.node.config.is_loaded() {
+        return service.refuse(&id, None, &Error::Starting);
+    }
     request.extensions_mut().insert(id.clone());
     let mut answer = next.run(request).await;
     if !answer.headers().contains_key("x-request-id") {
--- a/crates/sesamewall-server/src/config_view.rs
+++ b/crates/sesamewall-server/src/config_view.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
 use sesamewall_membership::Configuration;
@@ -16,11 +18,16 @@
 pub struct ConfigView {
     current: RwLock<Arc<Configuration>>,
     revision: watch::Sender<Revision>,
+    loaded: AtomicBool,
 }
 
 impl Default for ConfigView {
     fn default() -> Self {
-        Self { current: RwLock::default(), revision: watch::channel(0).0 }
+        Self {
+            current: RwLock::default(),
+            revision: watch::channel(0).0,
+            loaded: AtomicBool::new(false),
+        }
     }
 }
 
@@ -41,6 +48,17 @@
         self.revision.send_replace(revision);
     }
 
+    /// Marks the configuration as read, from the store or from another instance. An instance without
+    /// it would refuse every key.
+    pub fn set_loaded(&self) {
+        self.loaded.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the configuration was read since the start.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed) || self.current().revision() > 0
+    }
+
     /// Returns a receiver that sees each revision that comes into force.
     pub fn subscribe(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
--- a/crates/sesamewall-server/src/membership/config_service.rs
+++ b/crates/sesamewall-server/src/membership/config_service.rs
@@ -176,6 +176,7 @@
             let decoded = found.iter().map(|entry| log_format::decode_change(&entry.value));
             self.offer(decoded.filter_map(Result::ok).collect());
             if found.len() < LIST_LIMIT || self.lock().config().revision() == revision {
+                self.node.config.set_loaded();
                 return Ok(());
             }
         }
--- a/crates/sesamewall-server/src/operator/health.rs
+++ b/crates/sesamewall-server/src/operator/health.rs
@@ -32,8 +32,10 @@
 
 /// Tells the load balancer whether to send requests here.
 pub(super) async fn ready(State(service): State<Arc<OperatorService>>) -> Response {
+    let unready = |reason: &'static str| (StatusCode::SERVICE_UNAVAILABLE, reason).into_response();
     match service.node.draining.load(Ordering::Relaxed) {
+        true => unready("shutting down\n"),
+        false if !service.node.config.is_loaded() => unready("configuration not read yet\n"),
         false => "ok\n".into_response(),
-        true => (StatusCode::SERVICE_UNAVAILABLE, "shutting down\n").into_response(),
     }
 }
--- a/crates/sesamewall-server/tests/operator.rs
+++ b/crates/sesamewall-server/tests/operator.rs
@@ -72,6 +72,8 @@
             assert!(body.contains("2003"), "{body}");
         }
     }
+    assert_eq!(send("GET", format!("{url}/readyz"), None, Value::Null).await.0, 503);
+    fleet.nodes[0].config.set_loaded();
     for path in ["/metrics", "/livez", "/readyz"] {
         assert_eq!(send("GET", format!("{url}{path}"), None, Value::Null).await.0, 200, "{path}");
     }
