Return late grants, report slots each second, offer requests elsewhere first

Cause: the lead takes back slots that are not reported within 2 s, but an instance used a grant however late its reply came. An online request also waited in a full failure domain although another one had a free target.

Change: a grant older than 1.5 s is reported as cancelled and asked for again; all slots are reported each second; the scheduler ticks every 15 ms. An online request first asks its own lead without a wait, then is offered to at most two other failure domains, least queued work first, with a header that it may not wait there, and then waits in its own queue. A refused offer spends no retry.

--- a/crates/sesamewall-server/src/answer.rs
+++ b/crates/sesamewall-server/src/answer.rs
@@ -10,7 +10,8 @@
 use sesamewall_protocol::RequestId;
 
 /// Returns the answer for `error` in the OpenAI error shape, with the identifier of the request,
-/// what is known about its execution and, where known, the seconds after which to try again.
+/// what is known about its execution and, where known, the queued work in tokens and the seconds
+/// after which to try again.
 pub fn error_response(error: &Error, request: &RequestId) -> Response {
     let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let body = json!({
@@ -30,6 +31,10 @@
     if let Ok(value) = HeaderValue::from_str(&error.outcome().to_string()) {
         headers.insert("x-sesamewall-outcome", value);
     }
+    let numbers = error.numbers();
+    if let Some((_, tokens)) = numbers.iter().find(|(name, _)| name == "queue_tokens") {
+        headers.insert("x-sesamewall-queued", HeaderValue::from(*tokens as u64));
+    }
     if let Some(wait_ms) = error.retry_after_ms() {
         headers.insert("retry-after", HeaderValue::from(wait_ms.div_ceil(1000)));
     }
--- /dev/null
+++ b/crates/sesamewall-server/src/backlog.rs
@@ -0,0 +1,56 @@
+//! What refused offers told about the queues of other failure domains.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use sesamewall_ports::ListedInstance;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::Time;
+
+/// A queue changes within seconds, so that an older number says little.
+const MEMORY: Duration = Duration::from_secs(1);
+/// Entries kept. At the bound all are forgotten, and the choice is random until new refusals come.
+const ENTRY_LIMIT: usize = 4096;
+
+/// Remembers for a second the queued work that refusals of other failure domains carried.
+#[derive(Debug, Default)]
+pub struct Backlogs {
+    seen: Mutex<HashMap<(ModelName, DomainName), (Time, f64)>>,
+}
+
+impl Backlogs {
+    /// Notes that `domain` had `tokens` of work queued for `model` at `now`.
+    pub fn note(&self, model: &ModelName, domain: &DomainName, tokens: f64, now: Time) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        if seen.len() >= ENTRY_LIMIT {
+            seen.clear();
+        }
+        seen.insert((model.clone(), domain.clone()), (now, tokens));
+    }
+
+    /// Returns an instance of the failure domain with the least queued work. A failure domain
+    /// without a recent refusal counts as empty.
+    pub fn least(
+        &self,
+        model: &ModelName,
+        instances: Vec<ListedInstance>,
+        now: Time,
+    ) -> Option<ListedInstance> {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let queued = |instance: &ListedInstance| {
+            let found = seen.get(&(model.clone(), instance.domain.clone()));
+            found.filter(|(at, _)| now.since(*at) < MEMORY).map_or(-1.0, |(_, tokens)| *tokens)
+        };
+        let least = instances.iter().map(queued).min_by(f64::total_cmp)?;
+        let best = instances.iter().filter(|instance| queued(instance) <= least);
+        pick(&best.cloned().collect::<Vec<_>>())
+    }
+}
+
+/// Returns a random one of `instances`.
+pub fn pick(instances: &[ListedInstance]) -> Option<ListedInstance> {
+    instances.get(rand::random_range(0..instances.len().max(1))).cloned()
+}
--- a/crates/sesamewall-server/src/caller/model_request.rs
+++ b/crates/sesamewall-server/src/caller/model_request.rs
@@ -116,6 +116,7 @@
             prefix: self.prefix(),
             idempotent: true,
             forwarded: false,
+            no_wait: false,
             cancel: CancellationToken::new(),
         })
     }
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -265,6 +265,7 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(&route, head.method.as_str(), path),
         forwarded: false,
+        no_wait: false,
         cancel: CancellationToken::new(),
     })
 }
@@ -282,6 +283,7 @@
         Some("batch") => Class::Batch,
         _ => Class::Online,
     };
+    let no_wait = head.headers.contains_key(forward::NO_WAIT);
     let body = match service.read_body(body).await {
         Ok(body) => body,
         Err(error) => return service.refuse(&id, account.as_ref(), &error),
@@ -300,7 +302,7 @@
     };
     match built {
         Ok((call, stream)) => {
-            let call = Call { class, forwarded: true, ..call };
+            let call = Call { class, forwarded: true, no_wait, ..call };
             match stream {
                 Some(stream) => service.run_model(call, stream, &path).await,
                 None => service.run_route(call).await,
@@ -339,6 +341,7 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(route, head.method.as_str(), path),
         forwarded: true,
+        no_wait: false,
         cancel: CancellationToken::new(),
     })
 }
--- a/crates/sesamewall-server/src/execute/attempt.rs
+++ b/crates/sesamewall-server/src/execute/attempt.rs
@@ -97,8 +97,15 @@
     };
     match refusal(&answer) {
         Some((reason, end)) => {
-            let error =
-                Error::TargetRefused { target: target.to_owned(), reason: reason.to_owned() };
+            let error = match queued(&answer).filter(|_| slot.epoch == 0) {
+                Some(tokens) => Error::QueueTimeout {
+                    model: call.model.to_string(),
+                    numbers: vec![("queue_tokens".to_owned(), tokens)],
+                },
+                None => {
+                    Error::TargetRefused { target: target.to_owned(), reason: reason.to_owned() }
+                }
+            };
             Err(Failure { error, end, not_run: true })
         }
         None => Ok(answer),
@@ -115,6 +122,9 @@
     headers.push((forward::REQUEST.to_owned(), call.request.to_string()));
     headers.push((forward::CLASS.to_owned(), call.class_label().to_owned()));
     headers.push((forward::GROUP.to_owned(), call.model.to_string()));
+    if slot.slot == forward::OFFER_SLOT {
+        headers.push((forward::NO_WAIT.to_owned(), "1".to_owned()));
+    }
     let account = call.account.as_ref();
     headers.extend(account.map(|account| (forward::ACCOUNT.to_owned(), account.to_string())));
     headers
@@ -132,6 +142,12 @@
     }
 }
 
+/// Reads the work that is queued in the failure domain that refused the request.
+fn queued(answer: &TargetAnswer) -> Option<f64> {
+    let (_, value) = answer.headers.iter().find(|(name, _)| name == forward::QUEUED)?;
+    value.parse().ok()
+}
+
 /// An instance of another failure domain refused the request before it reached a target.
 fn is_forwarded_refusal(answer: &TargetAnswer) -> bool {
     let outcome = answer.headers.iter().find(|(name, _)| name == forward::OUTCOME);
--- a/crates/sesamewall-server/src/execute/call.rs
+++ b/crates/sesamewall-server/src/execute/call.rs
@@ -38,6 +38,8 @@
     pub idempotent: bool,
     /// The request came from another failure domain and is not sent to a third one.
     pub forwarded: bool,
+    /// The request is refused unless a target is free.
+    pub no_wait: bool,
     /// Ends the request early.
     pub cancel: CancellationToken,
 }
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -72,7 +72,7 @@
         };
         let mut progress = Progress::default();
         let result = loop {
-            let lease = match self.place(call, &attempts, progress.made).await {
+            let lease = match self.place(call, &mut attempts, progress.made).await {
                 Ok(lease) => lease,
                 Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
                 Err(error) => break Err(after_delivery(error, progress.made)),
--- a/crates/sesamewall-server/src/execute/executor.rs
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -11,6 +11,7 @@
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Class;
 use sesamewall_protocol::Decision;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::TargetName;
@@ -28,6 +29,7 @@
 
 use super::Call;
 use super::attempt::Failure;
+use super::forward;
 use super::suspects::Suspects;
 use crate::Node;
 use crate::gate::Placement;
@@ -42,6 +44,8 @@
 const MARK_PERIOD: Duration = Duration::from_millis(500);
 /// A batch item waits this long for a slot before it asks again.
 const BATCH_WAIT_US: u64 = 10_000_000;
+/// Other failure domains to which a request is offered before it waits in its own.
+const OFFER_LIMIT: usize = 2;
 
 /// Runs calls.
 pub struct Executor {
@@ -61,6 +65,7 @@
     deadline: Time,
     isolated: bool,
     not_before: Time,
+    offered: Vec<DomainName>,
 }
 
 /// Does nothing at the end of a forwarded call, whose slot belongs to the other instance.
@@ -93,14 +98,23 @@
             deadline: now + Duration::from_millis(self.node.settings.queue_ms),
             isolated: clearance.isolated,
             not_before: clearance.from,
+            offered: Vec::new(),
         })
     }
 
     /// Waits for a slot for the next attempt.
-    pub async fn place(&self, call: &Call, attempts: &Attempts, made: u64) -> Result<SlotLease> {
+    pub async fn place(
+        &self,
+        call: &Call,
+        attempts: &mut Attempts,
+        made: u64,
+    ) -> Result<SlotLease> {
         // A suspect waits until the marks of other instances have arrived.
         tokio::time::sleep(attempts.not_before.since(self.node.clock.now())).await;
+        let first = attempts.exclude.is_empty();
         let wait_us = match call.class {
+            // A request that ran already would be refused as "not run" if it could not wait.
+            Class::Online if call.no_wait && first => 0,
             Class::Online => micros(attempts.deadline.since(self.node.clock.now())),
             Class::Batch => BATCH_WAIT_US,
         };
@@ -125,13 +139,9 @@
             exclude: attempts.exclude.clone(),
             isolated: attempts.isolated,
         };
-        let placement = tokio::select! {
-            () = call.cancel.cancelled() => return Err(Error::ShuttingDown),
-            placement = self.slots.acquire(ask, !call.forwarded) => placement?,
-        };
-        let lease = match placement {
-            Placement::Here(lease) => lease,
-            Placement::Forward(instance) => self.forward(call, &instance),
+        let lease = match self.place_at_once(call, attempts, &ask).await? {
+            Some(lease) => lease,
+            None => self.acquire(call, ask).await?,
         };
         let slot = &lease.slot;
         let decision = Decision::SlotGranted {
@@ -143,15 +153,82 @@
         Ok(lease)
     }
 
-    fn forward(&self, call: &Call, instance: &ListedInstance) -> SlotLease {
+    /// Tries the own failure domain and then others, without a wait in any of them. Returns `None`
+    /// if the request must wait in its own failure domain.
+    async fn place_at_once(
+        &self,
+        call: &Call,
+        attempts: &mut Attempts,
+        ask: &SlotAsk,
+    ) -> Result<Option<SlotLease>> {
+        let spills = call.class == Class::Online && !call.forwarded && !attempts.isolated;
+        if !spills || attempts.offered.len() >= OFFER_LIMIT {
+            return Ok(None);
+        }
+        let Some(instance) = self.slots.offer(&call.model, &attempts.offered) else {
+            return Ok(None);
+        };
+        if attempts.offered.is_empty() {
+            match self.acquire(call, SlotAsk { wait_us: 0, ..ask.clone() }).await {
+                Err(Error::QueueTimeout { .. }) => {}
+                Err(Error::ShuttingDown) => return Err(Error::ShuttingDown),
+                Err(_) => return Ok(None),
+                Ok(lease) => return Ok(Some(lease)),
+            }
+        }
+        attempts.offered.push(instance.domain.clone());
+        let reason = format!("no target free in the own failure domain; {}", instance.domain);
+        Ok(Some(self.forward(call, &instance, forward::OFFER_SLOT, reason)))
+    }
+
+    async fn acquire(&self, call: &Call, ask: SlotAsk) -> Result<SlotLease> {
+        let placement = tokio::select! {
+            () = call.cancel.cancelled() => return Err(Error::ShuttingDown),
+            placement = self.slots.acquire(ask, !call.forwarded) => placement?,
+        };
+        Ok(match placement {
+            Placement::Here(lease) => lease,
+            Placement::Forward(instance) => {
+                let domain = &instance.domain;
+                let reason = format!("own failure domain cannot serve; forwarded to {domain}");
+                self.forward(call, &instance, 0, reason)
+            }
+        })
+    }
+
+    /// Takes note of a refused offer. Returns false if the failed attempt was no offer.
+    fn refuse_offer(
+        &self,
+        call: &Call,
+        attempts: &Attempts,
+        slot: &Slot,
+        failure: &Failure,
+    ) -> bool {
+        let offer = slot.epoch == 0 && slot.slot == forward::OFFER_SLOT && failure.not_run;
+        let Some(domain) = attempts.offered.last().filter(|_| offer) else { return false };
+        let numbers = failure.error.numbers();
+        // Without a number the failure domain could not be reached, so that others go first.
+        let tokens = numbers.iter().find(|(name, _)| name == "queue_tokens");
+        let tokens = tokens.map_or(f64::MAX, |(_, tokens)| *tokens);
+        self.slots.note_denied(&call.model, domain, tokens);
+        true
+    }
+
+    fn forward(
+        &self,
+        call: &Call,
+        instance: &ListedInstance,
+        number: u64,
+        reason: String,
+    ) -> SlotLease {
         self.note(call, Decision::Forwarded { instance: instance.name.clone() });
         let slot = Slot {
-            slot: 0,
+            slot: number,
             epoch: 0,
             request: call.request.clone(),
             target: TargetName::from(format!("instance {}", instance.name)),
             address: format!("http://{}", instance.address.forward),
-            reason: format!("own failure domain cannot serve; forwarded to {}", instance.domain),
+            reason,
             wait_us: 0,
         };
         SlotLease::new(slot, CancellationToken::new(), Arc::new(ForwardSink))
@@ -171,6 +248,10 @@
         let target = slot.target.to_string();
         let reason = failure.error.to_string();
         self.note(call, Decision::AttemptFailed { target, reason });
+        // An offer that was not run is no retry: nothing reached a target.
+        if self.refuse_offer(call, attempts, slot, &failure) && !call.cancel.is_cancelled() {
+            return Ok(());
+        }
         if failure.end == SlotEnd::Crashed && slot.epoch > 0 {
             let instance = &self.node.own.name;
             self.suspects.crashed(&account(call), &call.digest, slot, instance, now);
--- a/crates/sesamewall-server/src/execute/plain_call.rs
+++ b/crates/sesamewall-server/src/execute/plain_call.rs
@@ -62,7 +62,7 @@
             }
         };
         let result = loop {
-            let lease = match self.place(call, &attempts, 0).await {
+            let lease = match self.place(call, &mut attempts, 0).await {
                 Ok(lease) => lease,
                 Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
                 Err(error) => break Err(error),
--- a/crates/sesamewall-server/src/gate.rs
+++ b/crates/sesamewall-server/src/gate.rs
@@ -6,6 +6,8 @@
 use sesamewall_ports::ListedInstance;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Class;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::ModelName;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::peer::Slot;
 use sesamewall_protocol::peer::SlotAsk;
@@ -40,6 +42,15 @@
     ///
     /// Returns the numbered refusal of the lead.
     async fn acquire(&self, ask: SlotAsk, may_forward: bool) -> Result<Placement>;
+
+    /// Returns an instance of a failure domain that is not in `tried`, to which a request is offered
+    /// when the own failure domain has no free target. `None` if no other one serves the model.
+    fn offer(&self, _model: &ModelName, _tried: &[DomainName]) -> Option<ListedInstance> {
+        None
+    }
+
+    /// Notes that a failure domain refused an offer while it had `tokens` of work queued.
+    fn note_denied(&self, _model: &ModelName, _domain: &DomainName, _tokens: f64) {}
 }
 
 /// How the request that held a slot ended.
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: caller API, operator API, and the wiring of decision modules to adapters.
 
 mod answer;
+mod backlog;
 mod batch;
 mod batch_jobs;
 mod caller;
@@ -35,6 +36,15 @@
 pub use daemon::Instance;
 pub use daemon::Platform;
 pub use directory::Directory;
+pub use execute::Call;
+pub use execute::Executor;
+pub use execute::PlainAnswer;
+pub use gate::Placement;
+pub use gate::RateGate;
+pub use gate::SlotGate;
+pub use gate::SlotLease;
+pub use gate::SlotReport;
+pub use gate::SlotSink;
 pub use item::Caller;
 pub use item::ItemOutcome;
 pub use item::ItemRequest;
@@ -58,3 +68,4 @@
 pub use settings::Settings;
 pub use settings_check::check;
 pub use settings_check::known_keys;
+pub use slot_service::SlotService;
--- a/crates/sesamewall-server/src/slot_service.rs
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -13,6 +13,7 @@
 use sesamewall_ports::ListedInstance;
 use sesamewall_protocol::Class;
 use sesamewall_protocol::DomainMode;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::ModelName;
@@ -34,6 +35,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Node;
+use crate::backlog::Backlogs;
+use crate::backlog::pick;
+use crate::execute::micros;
 use crate::gate::Placement;
 use crate::gate::SlotGate;
 use crate::gate::SlotLease;
@@ -41,15 +45,23 @@
 use crate::gate::SlotSink;
 use crate::lead_targets;
 
-const TICK: Duration = Duration::from_millis(25);
+const TICK: Duration = Duration::from_millis(15);
 /// Pause before a lead that did not answer is asked again.
 const LEAD_PAUSE: Duration = Duration::from_millis(100);
 /// Period in which an instance reports all its slots, which repairs lost reports.
-const SYNC_PERIOD: Duration = Duration::from_secs(2);
+const SYNC_PERIOD: Duration = Duration::from_secs(1);
+/// Age of a grant from which it is not used: the lead takes back slots that are not reported within
+/// 2 s, and the report after a later start could come too late.
+const GRANT_AGE_LIMIT: Duration = Duration::from_millis(1500);
 const REPORT_TRIES: u32 = 3;
 
 /// Result codes by which the own failure domain says that it cannot serve.
-const CANNOT_SERVE: [u16; 3] = [4001, 4003, 8003];
+const CANNOT_SERVE: [u16; 3] = [4001, 4003, NO_LEAD];
+const NO_LEAD: u16 = 8003;
+/// Result code of a wait that ends with a grant too old to be used.
+const STALE_GRANT: u16 = 4002;
+
+const CANCELLED: SlotReport = SlotReport { end: SlotEnd::Cancelled, first_token_us: None, work: 0 };
 
 type SlotKey = (u64, u64);
 
@@ -79,12 +91,18 @@
     node: Arc<Node>,
     held: Mutex<HashMap<SlotKey, Held>>,
     lead: Mutex<Option<LeadSide>>,
+    backlogs: Backlogs,
 }
 
 impl SlotService {
     /// Creates the service.
     pub fn new(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { node, held: Mutex::default(), lead: Mutex::default() })
+        Arc::new(Self {
+            node,
+            held: Mutex::default(),
+            lead: Mutex::default(),
+            backlogs: Backlogs::default(),
+        })
     }
 
     /// Starts the background tasks.
@@ -202,9 +220,7 @@
                 // The asking instance has withdrawn, so the slot is returned at once.
                 match unsent {
                     Some(ScheduleMessage::Slot(slot)) => {
-                        let report =
-                            SlotReport { end: SlotEnd::Cancelled, first_token_us: None, work: 0 };
-                        lead.scheduler.on_done(&done(&slot, report), now)
+                        lead.scheduler.on_done(&done(&slot, CANCELLED), now)
                     }
                     _ => Vec::new(),
                 }
@@ -354,12 +370,13 @@
         SlotLease::new(slot, yielded, Arc::new(self.clone()))
     }
 
-    /// Returns an instance of another failure domain that can serve the model.
-    fn elsewhere(&self, model: &ModelName) -> Option<ListedInstance> {
+    /// Returns the instances of other failure domains that have a lead and targets for the model.
+    fn elsewhere(&self, model: &ModelName) -> Vec<ListedInstance> {
         let configuration = self.node.config.current();
         let group = configuration
             .group_for_model(model.as_str())
-            .or_else(|| configuration.group(model.as_str()))?;
+            .or_else(|| configuration.group(model.as_str()));
+        let Some(group) = group else { return Vec::new() };
         let own = &self.node.own.domain;
         let serves = |instance: &ListedInstance| {
             instance.domain != *own
@@ -369,14 +386,15 @@
                     .iter()
                     .any(|target| target.domain == instance.domain && !target.leaving)
         };
-        let candidates: Vec<ListedInstance> =
-            self.node.directory.instances().into_iter().filter(serves).collect();
-        let with_lead: Vec<&ListedInstance> = candidates
-            .iter()
-            .filter(|instance| self.node.directory.lead(&instance.domain).is_some())
-            .collect();
-        let index = rand::random_range(0..with_lead.len().max(1));
-        with_lead.get(index).copied().cloned()
+        let instances = self.node.directory.instances().into_iter().filter(serves);
+        instances.filter(|found| self.node.directory.lead(&found.domain).is_some()).collect()
+    }
+
+    /// Tells whether a grant is young enough to be used. `asked` is the time of the first ask that
+    /// can have led to it.
+    fn is_fresh(&self, slot: &Slot, asked: Time) -> bool {
+        let age = self.node.clock.now().since(asked);
+        age.saturating_sub(Duration::from_micros(slot.wait_us)) <= GRANT_AGE_LIMIT
     }
 
     fn lock_held(&self) -> MutexGuard<'_, HashMap<SlotKey, Held>> {
@@ -424,32 +442,62 @@
     async fn acquire(&self, ask: SlotAsk, may_forward: bool) -> Result<Placement> {
         let start = self.node.clock.now();
         let limit = Duration::from_micros(ask.wait_us);
+        // After a lost reply the lead repeats a grant that can be as old as the first ask.
+        let mut unanswered: Option<Time> = None;
+        let mut returned: Option<SlotKey> = None;
         loop {
+            let asked = self.node.clock.now();
+            let left = limit.saturating_sub(asked.since(start));
+            let current = SlotAsk { wait_us: micros(left), ..ask.clone() };
             let configuration = self.node.config.current();
             let out = configuration.domain_mode(self.node.own.domain.as_str()) == DomainMode::Out;
-            let refusal = match self.ask_lead(&ask).await {
-                Ok(ScheduleMessage::Slot(slot)) => {
+            let since = unanswered.unwrap_or(asked);
+            let (code, numbers) = match self.ask_lead(&current).await {
+                Ok(ScheduleMessage::Slot(slot))
+                    if self.is_fresh(&slot, since) && returned != Some((slot.epoch, slot.slot)) =>
+                {
                     return Ok(Placement::Here(self.lease(slot, &ask)));
                 }
-                Ok(ScheduleMessage::Denied { code, numbers, .. }) => Some((code, numbers)),
-                Ok(_) | Err(_) => None,
+                Ok(ScheduleMessage::Slot(slot)) => {
+                    returned = Some((slot.epoch, slot.slot));
+                    unanswered = None;
+                    self.report(&slot, CANCELLED);
+                    (STALE_GRANT, None)
+                }
+                Ok(ScheduleMessage::Denied { code, numbers, .. }) => {
+                    unanswered = None;
+                    (code, Some(numbers))
+                }
+                Ok(_) | Err(_) => {
+                    unanswered.get_or_insert(asked);
+                    (NO_LEAD, None)
+                }
             };
-            let code = refusal.as_ref().map_or(8003, |(code, _)| *code);
-            let unable = CANNOT_SERVE.contains(&code);
-            if unable
-                && may_forward
-                && let Some(instance) = self.elsewhere(&ask.model)
+            if may_forward
+                && CANNOT_SERVE.contains(&code)
+                && let Some(instance) = pick(&self.elsewhere(&ask.model))
             {
                 return Ok(Placement::Forward(instance));
             }
             let waited = self.node.clock.now().since(start);
             // A missing lead is replaced within seconds; all else is the lead's decision.
-            if code != 8003 || out || waited >= limit {
-                return Err(refused(&ask, code, refusal.map(|(_, numbers)| numbers)));
+            let again = code == STALE_GRANT || (code == NO_LEAD && !out);
+            if !again || waited >= limit {
+                return Err(refused(&ask, code, numbers));
             }
             tokio::time::sleep(LEAD_PAUSE).await;
         }
     }
+
+    fn offer(&self, model: &ModelName, tried: &[DomainName]) -> Option<ListedInstance> {
+        let mut instances = self.elsewhere(model);
+        instances.retain(|instance| !tried.contains(&instance.domain));
+        self.backlogs.least(model, instances, self.node.clock.now())
+    }
+
+    fn note_denied(&self, model: &ModelName, domain: &DomainName, tokens: f64) {
+        self.backlogs.note(model, domain, tokens, self.node.clock.now());
+    }
 }
 
 fn refused(ask: &SlotAsk, code: u16, numbers: Option<Numbers>) -> Error {
--- /dev/null
+++ b/crates/sesamewall-server/tests/slots.rs
@@ -0,0 +1,310 @@
+//! Guards against grants used too late and against requests that wait although another failure
+//! domain has a free target.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use serde_json::json;
+use sesamewall_membership::Configuration;
+use sesamewall_ports::FakeClock;
+use sesamewall_ports::FakeStore;
+use sesamewall_ports::InstanceList;
+use sesamewall_ports::ListedInstance;
+use sesamewall_ports::ListedState;
+use sesamewall_ports::PeerAddress;
+use sesamewall_ports::PeerLink;
+use sesamewall_ports::Target;
+use sesamewall_ports::TargetAnswer;
+use sesamewall_ports::TargetError;
+use sesamewall_ports::TargetRequest;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Change;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_protocol::peer::ScheduleMessage;
+use sesamewall_protocol::peer::Slot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_protocol::peer::SlotEnd;
+use sesamewall_server::Call;
+use sesamewall_server::ConfigView;
+use sesamewall_server::Directory;
+use sesamewall_server::Executor;
+use sesamewall_server::LeadView;
+use sesamewall_server::Metrics;
+use sesamewall_server::Node;
+use sesamewall_server::RateGate;
+use sesamewall_server::Recorder;
+use sesamewall_server::Settings;
+use sesamewall_server::SlotService;
+use tokio_util::sync::CancellationToken;
+
+/// The lead of failure domain `a`, and all targets and forward listeners.
+struct Outside {
+    clock: Arc<FakeClock>,
+    /// Time that the reply to each ask takes.
+    delays: Mutex<Vec<Duration>>,
+    /// Denies asks that may not wait.
+    full: bool,
+    /// Queued tokens of the failure domains that refuse offers.
+    refusing: Vec<(&'static str, u64)>,
+    granted: Mutex<u64>,
+    seen: Mutex<Vec<String>>,
+}
+
+impl Outside {
+    fn note(&self, what: String) {
+        self.seen.lock().unwrap().push(what);
+    }
+
+    fn take_seen(&self) -> Vec<String> {
+        std::mem::take(&mut *self.seen.lock().unwrap())
+    }
+}
+
+#[async_trait]
+impl PeerLink for Outside {
+    async fn exchange(&self, _: &PeerAddress, message: PeerMessage) -> Result<PeerMessage> {
+        let reply = match message {
+            PeerMessage::Schedule(ScheduleMessage::Ask(SlotAsk { request, wait_us, .. })) => {
+                self.note(if wait_us == 0 { "ask without wait" } else { "ask" }.to_owned());
+                let delay = self.delays.lock().unwrap().pop().unwrap_or_default();
+                self.clock.advance(delay);
+                if self.full && wait_us == 0 {
+                    ScheduleMessage::Denied { request, code: 4002, numbers: Vec::new() }
+                } else {
+                    let mut granted = self.granted.lock().unwrap();
+                    *granted += 1;
+                    ScheduleMessage::Slot(Slot {
+                        slot: *granted,
+                        epoch: 1,
+                        request,
+                        target: "target-a".into(),
+                        address: "http://target-a".to_owned(),
+                        reason: String::new(),
+                        wait_us: 0,
+                    })
+                }
+            }
+            PeerMessage::Schedule(ScheduleMessage::Done(done)) => {
+                self.note(format!("done {} {:?}", done.slot, done.end));
+                ScheduleMessage::Ack
+            }
+            _ => ScheduleMessage::Ack,
+        };
+        Ok(PeerMessage::Schedule(reply))
+    }
+}
+
+#[async_trait]
+impl Target for Outside {
+    async fn send(&self, request: TargetRequest) -> std::result::Result<TargetAnswer, TargetError> {
+        let header = |name: &str| request.headers.iter().any(|(found, _)| found == name);
+        let mark = if header("x-sesamewall-no-wait") { " without wait" } else { "" };
+        self.note(format!("send {}{mark}", request.address));
+        let refusing = self.refusing.iter().find(|(name, _)| request.address.contains(name));
+        let (status, headers) = match refusing {
+            Some((_, tokens)) => {
+                let outcome = ("x-sesamewall-outcome".to_owned(), "not-run".to_owned());
+                (503, vec![outcome, ("x-sesamewall-queued".to_owned(), tokens.to_string())])
+            }
+            None => (200, Vec::new()),
+        };
+        let body = stream::iter([Ok(Bytes::from_static(b"{}"))]).boxed();
+        Ok(TargetAnswer { status, headers, body })
+    }
+}
+
+#[async_trait]
+impl InstanceList for Outside {
+    async fn announce(&self, _: &ListedInstance) -> Result<()> {
+        Ok(())
+    }
+
+    async fn list(&self) -> Result<Vec<ListedInstance>> {
+        Ok(Vec::new())
+    }
+}
+
+#[async_trait]
+impl RateGate for Outside {
+    async fn spend(&self, _: &AccountName, _: Class) -> Result<()> {
+        Ok(())
+    }
+}
+
+fn instance(name: &str, domain: &str) -> ListedInstance {
+    ListedInstance {
+        name: name.into(),
+        domain: domain.into(),
+        address: PeerAddress { peer: name.to_owned(), forward: format!("forward-{domain}") },
+        bulk: false,
+        state: ListedState::Live,
+    }
+}
+
+/// Starts an instance of failure domain `a`, whose lead is another instance.
+fn executor(outside: Outside) -> (Executor, Arc<Outside>) {
+    let outside = Arc::new(outside);
+    let domains = ["a", "b", "c", "d"];
+    let targets: Vec<_> = domains
+        .iter()
+        .map(|name| {
+            let address = format!("http://10.0.0.{}:80", name.as_bytes()[0]);
+            json!({"name": format!("target-{name}"), "address": address, "domain": name})
+        })
+        .collect();
+    let put = json!({"put": {"kind": "target-group", "name": "g", "type": "engine",
+                             "models": ["m"], "targets": targets}});
+    let change = Change {
+        revision: 1,
+        token: "t".to_owned(),
+        author: "test".to_owned(),
+        at_ms: 0,
+        operations: vec![serde_json::from_value(put).unwrap()],
+    };
+    let config = ConfigView::default();
+    config.set(Arc::new(Configuration::default().apply(&change).unwrap()));
+    let own = instance("own", "a");
+    let directory = Directory::default();
+    let mut instances = vec![own.clone()];
+    instances.extend(domains.iter().map(|name| instance(&format!("lead-{name}"), name)));
+    directory.set_instances(instances);
+    for name in domains {
+        directory.set_lead(&name.into(), Some(format!("lead-{name}").as_str().into()));
+    }
+    let node = Arc::new(Node {
+        recorder: Recorder::new(own.name.clone(), outside.clock.clone()),
+        own,
+        settings: Settings::default(),
+        clock: outside.clock.clone(),
+        store: Arc::new(FakeStore::default()),
+        instances: outside.clone(),
+        link: outside.clone(),
+        target: outside.clone(),
+        bulk: None,
+        config,
+        directory,
+        lead: LeadView::default(),
+        metrics: Metrics::default(),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+        draining: AtomicBool::new(false),
+    });
+    let slots = SlotService::new(node.clone());
+    (Executor::new(node, outside.clone(), Arc::new(slots)), outside)
+}
+
+fn outside() -> Outside {
+    Outside {
+        clock: Arc::default(),
+        delays: Mutex::default(),
+        full: false,
+        refusing: Vec::new(),
+        granted: Mutex::default(),
+        seen: Mutex::default(),
+    }
+}
+
+/// Returns a call that must not run twice.
+fn call(request: &str) -> Call {
+    Call {
+        request: request.into(),
+        account: None,
+        class: Class::Online,
+        model: "m".into(),
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        digest: String::new(),
+        prompt: 10,
+        work: 20,
+        prefix: Vec::new(),
+        idempotent: false,
+        forwarded: false,
+        no_wait: false,
+        cancel: CancellationToken::new(),
+    }
+}
+
+/// Lets reports that are sent in the background arrive.
+async fn settle() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Fails when a grant is used that the lead may have taken back before it hears of the start.
+#[tokio::test(start_paused = true)]
+async fn late_grants_are_returned() {
+    let delays = vec![Duration::ZERO, Duration::from_millis(1600)];
+    let (executor, outside) = executor(Outside { delays: Mutex::new(delays), ..outside() });
+    // A forwarded request is not offered to a third failure domain.
+    let late = Call { forwarded: true, ..call("late") };
+    let answer = executor.run_plain(&late).await.unwrap();
+    settle().await;
+    assert_eq!(answer.status, 200);
+    let seen = outside.take_seen();
+    assert!(seen.contains(&format!("done 1 {:?}", SlotEnd::Cancelled)), "{seen:?}");
+    assert!(seen.contains(&format!("done 2 {:?}", SlotEnd::Whole)), "{seen:?}");
+    assert_eq!(seen.iter().filter(|what| what.starts_with("send")).count(), 1, "{seen:?}");
+}
+
+/// Fails when a grant is returned that is young enough.
+#[tokio::test(start_paused = true)]
+async fn grants_within_the_limit_are_used() {
+    let delays = vec![Duration::from_millis(1400)];
+    let (executor, outside) = executor(Outside { delays: Mutex::new(delays), ..outside() });
+    executor.run_plain(&call("in-time")).await.unwrap();
+    settle().await;
+    assert_eq!(outside.take_seen(), ["ask without wait", "send http://target-a", "done 1 Whole"]);
+}
+
+/// Fails when a request waits in its own failure domain although another one has a free target, or
+/// when it may wait there.
+#[tokio::test(start_paused = true)]
+async fn full_domains_spill_over() {
+    let (executor, outside) = executor(Outside { full: true, ..outside() });
+    executor.run_plain(&call("spill")).await.unwrap();
+    let seen = outside.take_seen();
+    assert_eq!(seen.len(), 2, "{seen:?}");
+    assert_eq!(seen[0], "ask without wait");
+    assert!(seen[1].starts_with("send http://forward-") && seen[1].ends_with(" without wait"));
+}
+
+/// Fails when refused offers are not bounded, spend the retries of a request that may run only once,
+/// or when the failure domain with the least queued work is not asked first.
+#[tokio::test(start_paused = true)]
+async fn refused_offers_end_in_the_own_queue() {
+    let refusing = vec![("forward-b", 300), ("forward-c", 100), ("forward-d", 200)];
+    let (executor, outside) = executor(Outside { full: true, refusing, ..outside() });
+    let mut last = Vec::new();
+    for number in 0..4 {
+        executor.run_plain(&call(&format!("full-{number}"))).await.unwrap();
+        settle().await;
+        last = outside.take_seen();
+        let offers = last.iter().filter(|what| what.starts_with("send http://forward")).count();
+        assert_eq!(offers, 2, "{last:?}");
+        assert_eq!(last[3..5], ["ask", "send http://target-a"], "{last:?}");
+    }
+    let order = ["send http://forward-c without wait", "send http://forward-d without wait"];
+    assert_eq!(last[1..3], order, "{last:?}");
+}
+
+/// Fails when an instance lets an offered request wait, so that its sender cannot try elsewhere.
+#[tokio::test(start_paused = true)]
+async fn offered_requests_do_not_wait() {
+    let (executor, outside) = executor(Outside { full: true, ..outside() });
+    let offered = Call { forwarded: true, no_wait: true, ..call("offered") };
+    let error = executor.run_plain(&offered).await.err().unwrap();
+    assert!(matches!(error, Error::QueueTimeout { .. }), "{error}");
+    assert_eq!(outside.take_seen(), ["ask without wait"]);
+}
