Feed engines' cache events to the scheduler

Cause: nothing read the events of prefix caches, and stand-in engines hashed 64-byte blocks in another way than instances, so no hint could match.

The rule of the block hashes is stated at CacheEvent::block; engines and instances follow it.

--- a/crates/sesamewall-adapters/src/http_target.rs
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -1,5 +1,7 @@
 //! Targets over HTTP/1.1.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -7,7 +9,9 @@
 use http_body_util::BodyExt;
 use http_body_util::BodyStream;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Frame;
+use sesamewall_ports::CacheEvent;
 use sesamewall_ports::Target;
 use sesamewall_ports::TargetAnswer;
 use sesamewall_ports::TargetError;
@@ -22,6 +26,14 @@
 /// Header with the number of tokens after which an engine's stream starts.
 pub const RESUME_HEADER: &str = "x-resume-from";
 
+const EVENTS_TIMEOUT: Duration = Duration::from_secs(1);
+const EVENTS_LIMIT_BYTES: usize = 1 << 20;
+
+#[derive(serde::Deserialize)]
+struct CacheEvents {
+    events: Vec<CacheEvent>,
+}
+
 /// Targets over HTTP/1.1, with a connection pool for each class, so that a batch answer never
 /// occupies a connection that an online request could use.
 pub struct HttpTarget {
@@ -86,6 +98,29 @@
                 .boxed();
         Ok(TargetAnswer { status: head.status.as_u16(), headers, body })
     }
+
+    async fn cache_events(
+        &self,
+        address: &str,
+        after: u64,
+    ) -> Result<Vec<CacheEvent>, TargetError> {
+        let lost = |detail: String| TargetError::Lost { detail };
+        let base = address.trim_end_matches('/');
+        let request = Request::get(format!("{base}/cache-events?after={after}"))
+            .body(Full::default())
+            .map_err(|error| lost(error.to_string()))?;
+        let exchange = async {
+            let answer =
+                self.online.request(request).await.map_err(|error| lost(describe(&error)))?;
+            let body = Limited::new(answer.into_body(), EVENTS_LIMIT_BYTES);
+            let body = body.collect().await.map_err(|error| lost(error.to_string()))?.to_bytes();
+            let list: CacheEvents =
+                serde_json::from_slice(&body).map_err(|error| lost(error.to_string()))?;
+            Ok(list.events)
+        };
+        let late = |_| lost("no list of cache events in time".to_owned());
+        tokio::time::timeout(EVENTS_TIMEOUT, exchange).await.map_err(late)?
+    }
 }
 
 fn describe(error: &dyn std::error::Error) -> String {
--- a/crates/sesamewall-ports/src/lib.rs
+++ b/crates/sesamewall-ports/src/lib.rs
@@ -26,6 +26,8 @@
 pub use store::StoreError;
 pub use store::Versioned;
 pub use target::AnswerStream;
+pub use target::CacheEvent;
+pub use target::PREFIX_BLOCK_BYTES;
 pub use target::Target;
 pub use target::TargetAnswer;
 pub use target::TargetError;
--- a/crates/sesamewall-ports/src/target.rs
+++ b/crates/sesamewall-ports/src/target.rs
@@ -3,6 +3,8 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::stream::BoxStream;
+use serde::Deserialize;
+use serde::Serialize;
 use sesamewall_protocol::Class;
 
 /// A request to a target. It never carries a caller's credentials.
@@ -60,10 +62,41 @@
     pub body: AnswerStream,
 }
 
+/// Bytes in a block of a prompt prefix.
+pub const PREFIX_BLOCK_BYTES: usize = 256;
+
+/// A change of a target's prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Number of the event, rising by one at the target; a jump shows a gap.
+    pub number: u64,
+    /// Hash of the block: XXH3 with 64 bits and seed 0 over the prompt text from its start to the end
+    /// of the block. Blocks have [`PREFIX_BLOCK_BYTES`]; an incomplete last block is not cached. The
+    /// prompt text is the JSON text of the field `messages` or, without it, of `prompt`, without
+    /// white space between tokens.
+    pub block: u64,
+    /// The block is now cached; otherwise it no longer is.
+    pub stored: bool,
+}
+
 /// Sends requests to targets.
 #[async_trait]
 pub trait Target: Send + Sync {
     /// Sends `request` and returns the head of the answer. Dropping the answer's body before its
     /// end closes the connection, by which the target cancels the request.
     async fn send(&self, request: TargetRequest) -> Result<TargetAnswer, TargetError>;
+
+    /// Returns the published changes of the target's prefix cache with a number above `after`, oldest
+    /// first, late and with gaps. Targets without such a cache have none.
+    ///
+    /// # Errors
+    ///
+    /// Returns `TargetError` if the target gives no list.
+    async fn cache_events(
+        &self,
+        _address: &str,
+        _after: u64,
+    ) -> Result<Vec<CacheEvent>, TargetError> {
+        Ok(Vec::new())
+    }
 }
--- a/crates/sesamewall-server/src/caller/model_request.rs
+++ b/crates/sesamewall-server/src/caller/model_request.rs
@@ -4,6 +4,7 @@
 use serde_json::Map;
 use serde_json::Value;
 use sesamewall_membership::Configuration;
+use sesamewall_ports::PREFIX_BLOCK_BYTES;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Class;
 use sesamewall_protocol::Error;
@@ -20,8 +21,7 @@
 /// with the real number at the end.
 const EXPECTED_OUTPUT_TOKENS: u64 = 256;
 const OUTPUT_LIMIT_TOKENS: u64 = 1 << 20;
-/// Length of a prompt-prefix block, and the number of blocks that routing looks at.
-const BLOCK_BYTES: usize = 256;
+/// Number of prompt-prefix blocks that routing looks at.
 const BLOCK_LIMIT: usize = 32;
 const BYTES_PER_TOKEN: u64 = 4;
 
@@ -142,6 +142,8 @@
         Bytes::from(Value::Object(fields).to_string())
     }
 
+    /// Returns the hashes of the prompt's first blocks, as [`sesamewall_ports::CacheEvent`] defines
+    /// them.
     fn prefix(&self) -> Vec<u64> {
         let prompt = match (self.fields.get("messages"), self.fields.get("prompt")) {
             (Some(messages), _) => messages.to_string(),
@@ -149,8 +151,8 @@
             (None, None) => String::new(),
         };
         let bytes = prompt.as_bytes();
-        let blocks = (bytes.len() / BLOCK_BYTES).min(BLOCK_LIMIT);
-        (1..=blocks).map(|count| xxh3_64(&bytes[..count * BLOCK_BYTES])).collect()
+        let blocks = (bytes.len() / PREFIX_BLOCK_BYTES).min(BLOCK_LIMIT);
+        (1..=blocks).map(|count| xxh3_64(&bytes[..count * PREFIX_BLOCK_BYTES])).collect()
     }
 }
 
--- a/crates/sesamewall-server/src/slot_service.rs
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -20,6 +20,7 @@
 use sesamewall_protocol::Numbers;
 use sesamewall_protocol::RequestId;
 use sesamewall_protocol::Result;
+use sesamewall_protocol::TargetKind;
 use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::HeldSlot;
 use sesamewall_protocol::peer::PeerMessage;
@@ -37,6 +38,8 @@
 use crate::Node;
 use crate::backlog::Backlogs;
 use crate::backlog::pick;
+use crate::cache_poll;
+use crate::cache_poll::CachePoll;
 use crate::execute::micros;
 use crate::gate::Placement;
 use crate::gate::SlotGate;
@@ -92,6 +95,7 @@
     held: Mutex<HashMap<SlotKey, Held>>,
     lead: Mutex<Option<LeadSide>>,
     backlogs: Backlogs,
+    caches: CachePoll,
 }
 
 impl SlotService {
@@ -102,6 +106,7 @@
             held: Mutex::default(),
             lead: Mutex::default(),
             backlogs: Backlogs::default(),
+            caches: CachePoll::default(),
         })
     }
 
@@ -112,6 +117,7 @@
             let mut ticks = tokio::time::interval(TICK);
             ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
             let mut last_sync = service.node.clock.now();
+            let mut last_poll = last_sync;
             loop {
                 ticks.tick().await;
                 service.tick();
@@ -120,10 +126,41 @@
                     last_sync = now;
                     service.clone().sync();
                 }
+                if now.since(last_poll) >= cache_poll::POLL_PERIOD {
+                    last_poll = now;
+                    service.poll_caches();
+                }
             }
         });
     }
 
+    /// Starts one poll of the cache events of each engine of the failure domain, at its lead.
+    pub fn poll_caches(self: &Arc<Self>) {
+        if self.lock_lead().is_none() {
+            self.caches.retain(|_| false);
+            return;
+        }
+        let configuration = self.node.config.current();
+        let engines =
+            configuration.groups().filter(|group| group.target_kind == TargetKind::Engine);
+        let own = &self.node.own.domain;
+        let targets: HashMap<_, _> = engines
+            .flat_map(|group| group.targets.iter().filter(|target| target.domain == *own))
+            .map(|target| (target.name.clone(), target.address.clone()))
+            .collect();
+        self.caches.retain(|name| targets.contains_key(name));
+        for (name, address) in targets {
+            let service = self.clone();
+            tokio::spawn(async move {
+                let hints = service.caches.poll(&service.node.target, &name, &address).await;
+                service.at_lead(|lead, _| {
+                    hints.iter().for_each(|hint| lead.scheduler.on_hint(hint));
+                    Vec::new()
+                });
+            });
+        }
+    }
+
     /// Returns the state for a dump.
     pub fn dump(&self) -> serde_json::Value {
         let now = self.node.clock.now();
--- a/crates/sesamewall-server/tests/slots.rs
+++ b/crates/sesamewall-server/tests/slots.rs
@@ -1,5 +1,5 @@
-//! Guards against grants used too late and against requests that wait although another failure
-//! domain has a free target.
+//! Guards against grants used too late, against requests that wait although another failure domain
+//! has a free target, and against cache events that do not reach the scheduler.
 #![allow(clippy::unwrap_used)]
 
 use std::sync::Arc;
@@ -12,7 +12,9 @@
 use futures::StreamExt;
 use futures::stream;
 use serde_json::json;
+use sesamewall_adapters::HttpTarget;
 use sesamewall_membership::Configuration;
+use sesamewall_ports::CacheEvent;
 use sesamewall_ports::FakeClock;
 use sesamewall_ports::FakeStore;
 use sesamewall_ports::InstanceList;
@@ -29,6 +31,7 @@
 use sesamewall_protocol::Class;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::Result;
+use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::PeerMessage;
 use sesamewall_protocol::peer::ScheduleMessage;
 use sesamewall_protocol::peer::Slot;
@@ -38,15 +41,24 @@
 use sesamewall_server::ConfigView;
 use sesamewall_server::Directory;
 use sesamewall_server::Executor;
+use sesamewall_server::LeadTerm;
 use sesamewall_server::LeadView;
 use sesamewall_server::Metrics;
+use sesamewall_server::ModelRequest;
 use sesamewall_server::Node;
+use sesamewall_server::Placement;
 use sesamewall_server::RateGate;
 use sesamewall_server::Recorder;
 use sesamewall_server::Settings;
+use sesamewall_server::SlotGate;
 use sesamewall_server::SlotService;
+use sesamewall_standin::Engine;
+use sesamewall_standin::EngineSettings;
 use tokio_util::sync::CancellationToken;
 
+/// Address of the only target that has cache events.
+const WARM: &str = "http://10.0.0.101:80";
+
 /// The lead of failure domain `a`, and all targets and forward listeners.
 struct Outside {
     clock: Arc<FakeClock>,
@@ -121,6 +133,16 @@
         let body = stream::iter([Ok(Bytes::from_static(b"{}"))]).boxed();
         Ok(TargetAnswer { status, headers, body })
     }
+
+    async fn cache_events(
+        &self,
+        address: &str,
+        after: u64,
+    ) -> std::result::Result<Vec<CacheEvent>, TargetError> {
+        let event = |number| CacheEvent { number, block: number, stored: true };
+        let numbers = if address == WARM { after + 1..9 } else { 0..0 };
+        Ok(numbers.map(event).collect())
+    }
 }
 
 #[async_trait]
@@ -154,12 +176,18 @@
 /// Starts an instance of failure domain `a`, whose lead is another instance.
 fn executor(outside: Outside) -> (Executor, Arc<Outside>) {
     let outside = Arc::new(outside);
+    let node = node(&outside);
+    let slots = SlotService::new(node.clone());
+    (Executor::new(node, outside.clone(), Arc::new(slots)), outside)
+}
+
+fn node(outside: &Arc<Outside>) -> Arc<Node> {
     let domains = ["a", "b", "c", "d"];
-    let targets: Vec<_> = domains
+    let targets: Vec<_> = [("a", "a"), ("b", "b"), ("c", "c"), ("d", "d"), ("e", "a"), ("f", "a")]
         .iter()
-        .map(|name| {
+        .map(|(name, domain)| {
             let address = format!("http://10.0.0.{}:80", name.as_bytes()[0]);
-            json!({"name": format!("target-{name}"), "address": address, "domain": name})
+            json!({"name": format!("target-{name}"), "address": address, "domain": domain})
         })
         .collect();
     let put = json!({"put": {"kind": "target-group", "name": "g", "type": "engine",
@@ -181,7 +209,7 @@
     for name in domains {
         directory.set_lead(&name.into(), Some(format!("lead-{name}").as_str().into()));
     }
-    let node = Arc::new(Node {
+    Arc::new(Node {
         recorder: Recorder::new(own.name.clone(), outside.clock.clone()),
         own,
         settings: Settings::default(),
@@ -197,9 +225,7 @@
         metrics: Metrics::default(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
         draining: AtomicBool::new(false),
-    });
-    let slots = SlotService::new(node.clone());
-    (Executor::new(node, outside.clone(), Arc::new(slots)), outside)
+    })
 }
 
 fn outside() -> Outside {
@@ -308,3 +334,76 @@
     assert!(matches!(error, Error::QueueTimeout { .. }), "{error}");
     assert_eq!(outside.take_seen(), ["ask without wait"]);
 }
+
+/// Fails when cache events of a target do not reach the scheduler of the lead.
+#[tokio::test(start_paused = true)]
+async fn cache_events_reach_the_scheduler() {
+    let outside = Arc::new(outside());
+    let node = node(&outside);
+    let valid_until = Time::ZERO + Duration::from_secs(100);
+    node.directory.set_lead(&"a".into(), Some("own".into()));
+    node.lead.set(LeadTerm { epoch: 1, valid_until, full_until: valid_until });
+    let slots = SlotService::new(node);
+    slots.spawn();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    outside.clock.advance(Duration::from_secs(4));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let ask = SlotAsk {
+        request: "hinted".into(),
+        account: "x".into(),
+        weight: 1.0,
+        class: Class::Online,
+        model: "m".into(),
+        work: 2000,
+        prompt: 1000,
+        urgent: false,
+        prefix: (1..9).collect(),
+        wait_us: 0,
+        exclude: Vec::new(),
+        isolated: false,
+    };
+    let Ok(Placement::Here(lease)) = slots.acquire(ask, false).await else { panic!("no slot") };
+    assert_eq!(
+        (lease.slot.address.as_str(), lease.slot.reason.as_str()),
+        (WARM, "prefix cache hint")
+    );
+}
+
+/// Fails when engines and instances compute different hashes of the same prompt, so that no hint ever
+/// matches.
+#[tokio::test]
+async fn block_hashes_agree() {
+    let engine = Engine::start("127.0.0.1:0", EngineSettings::default()).await.unwrap();
+    let address = format!("http://{}", engine.address);
+    let words = "sesame ".repeat(150);
+    let message = json!({"role": "user", "content": words});
+    let body = json!({"model": "m", "max_tokens": 1, "messages": [message]}).to_string();
+    let body = Bytes::from(body);
+    let configuration = node(&Arc::new(outside())).config.current();
+    let request = ModelRequest::parse(&body).unwrap();
+    let prefix = request.call(&configuration, &"r".into(), None).unwrap().prefix;
+    let target = HttpTarget::default();
+    let request = TargetRequest {
+        address: address.clone(),
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+        body,
+        attempt: "1".to_owned(),
+        class: Class::Online,
+        resume_from: 0,
+    };
+    let answer = target.send(request).await.unwrap();
+    assert_eq!(answer.status, 200);
+    // The engine publishes its events late.
+    let mut events = Vec::new();
+    for _ in 0..200 {
+        events = target.cache_events(&address, 0).await.unwrap();
+        if events.len() == prefix.len() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let blocks: Vec<_> = events.iter().map(|event| event.block).collect();
+    assert_eq!((blocks, prefix.len()), (prefix, 4));
+}
--- a/crates/sesamewall-standin/src/engine/cache.rs
+++ b/crates/sesamewall-standin/src/engine/cache.rs
@@ -2,26 +2,16 @@
 
 use std::collections::HashSet;
 use std::collections::VecDeque;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::time::Duration;
 use std::time::Instant;
 
-use serde::Serialize;
+use sesamewall_ports::CacheEvent;
+use sesamewall_ports::PREFIX_BLOCK_BYTES;
+use xxhash_rust::xxh3::Xxh3;
 
-const BLOCK_BYTES: usize = 64;
 const EVENT_DELAY: Duration = Duration::from_millis(500);
 const EVENT_LIMIT: usize = 4096;
 
-/// An event of the prefix cache.
-#[derive(Clone, Debug, Serialize)]
-pub struct CacheEvent {
-    number: u64,
-    block: u64,
-    stored: bool,
-}
-
 /// A prefix cache with least-recently-stored eviction.
 #[derive(Debug)]
 pub struct PrefixCache {
@@ -50,14 +40,15 @@
         self.order.clear();
     }
 
-    /// Stores the blocks of `prompt` and returns the share of them that was present before.
+    /// Stores the blocks of `prompt`, hashed as [`CacheEvent::block`] says, and returns the share of
+    /// them that was present before.
     pub fn take(&mut self, prompt: &str, event_gap: u64) -> f64 {
-        let mut hasher = DefaultHasher::new();
+        let mut hasher = Xxh3::new();
         let mut blocks = 0_u32;
         let mut hits = 0_u32;
-        for block in prompt.as_bytes().chunks(BLOCK_BYTES) {
-            block.hash(&mut hasher);
-            let digest = hasher.finish();
+        for block in prompt.as_bytes().chunks_exact(PREFIX_BLOCK_BYTES) {
+            hasher.update(block);
+            let digest = hasher.digest();
             blocks += 1;
             match self.present.insert(digest) {
                 false if hits + 1 == blocks => hits += 1,
@@ -73,7 +64,7 @@
         self.events
             .iter()
             .filter(|(at, event)| at.elapsed() >= EVENT_DELAY && event.number > after)
-            .map(|(_, event)| event.clone())
+            .map(|(_, event)| *event)
             .collect()
     }
 
