--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -269,6 +269,7 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(&route, head.method.as_str(), path),
         forwarded: false,
+        no_wait: false,
         cancel: CancellationToken::new(),
     })
 }
@@ -286,6 +287,7 @@
         Some("batch") => Class::Batch,
         _ => Class::Online,
     };
+    let no_wait = head.headers.contains_key(forward::NO_WAIT);
     let body = match service.read_body(body).await {
         Ok(body) => body,
         Err(error) => return service.refuse(&id, account.as_ref(), &error),
@@ -304,7 +306,7 @@
     };
     match built {
         Ok((call, stream)) => {
-            let call = Call { class, forwarded: true, ..call };
+            let call = Call { class, forwarded: true, no_wait, ..call };
             match stream {
                 Some(stream) => service.run_model(call, stream, &path).await,
                 None => service.run_route(call).await,
@@ -343,6 +345,7 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(route, head.method.as_str(), path),
         forwarded: true,
+        no_wait: false,
         cancel: CancellationToken::new(),
     })
 }
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -76,7 +76,7 @@
         };
         let mut progress = Progress { started, ..Progress::default() };
         let result = loop {
-            let lease = match self.place(call, &attempts, progress.made).await {
+            let lease = match self.place(call, &mut attempts, progress.made).await {
                 Ok(lease) => lease,
                 Err(Error::QueueTimeout { .. }) if call.may_wait() => {
                     tokio::time::sleep(BATCH_PAUSE).await;
