--- a/crates/sesamewall-bench/src/domain_outage.rs
+++ b/crates/sesamewall-bench/src/domain_outage.rs
@@ -43,10 +43,15 @@
 
 /// Runs the experiment for both deployments.
 pub fn run(seed: u64) -> Vec<Row> {
+    run_in(&[DEPLOYMENT_A, DEPLOYMENT_B], seed)
+}
+
+/// Runs the experiment for the given deployments.
+pub fn run_in(deployments: &[Deployment], seed: u64) -> Vec<Row> {
     let policies = [("scheduler", false), ("round robin, no ramp", true)];
-    [DEPLOYMENT_A, DEPLOYMENT_B]
-        .into_iter()
-        .flat_map(|deployment| policies.map(|(name, turn)| row(deployment, name, turn, seed)))
+    deployments
+        .iter()
+        .flat_map(|deployment| policies.map(|(name, turn)| row(*deployment, name, turn, seed)))
         .collect()
 }
 
--- a/crates/sesamewall-bench/src/fairness.rs
+++ b/crates/sesamewall-bench/src/fairness.rs
@@ -37,10 +37,15 @@
 
 /// Runs the experiment for both deployments.
 pub fn run(seed: u64) -> Vec<Row> {
+    run_in(&[DEPLOYMENT_A, DEPLOYMENT_B], seed)
+}
+
+/// Runs the experiment for the given deployments.
+pub fn run_in(deployments: &[Deployment], seed: u64) -> Vec<Row> {
     let orders = [("fair", Order::Fair), ("first come, first served", Order::Arrival)];
-    [DEPLOYMENT_A, DEPLOYMENT_B]
-        .into_iter()
-        .flat_map(|deployment| orders.map(|(name, order)| row(deployment, name, order, seed)))
+    deployments
+        .iter()
+        .flat_map(|deployment| orders.map(|(name, order)| row(*deployment, name, order, seed)))
         .collect()
 }
 
--- a/crates/sesamewall-bench/src/lib.rs
+++ b/crates/sesamewall-bench/src/lib.rs
@@ -5,5 +5,10 @@
 pub mod fairness;
 pub mod fleet_model;
 pub mod online_tail;
+mod program;
 pub mod rate_simulation;
+pub mod table;
 pub mod wrongful_refusals;
+
+pub use program::answer;
+pub use program::main;
--- a/crates/sesamewall-bench/src/online_tail.rs
+++ b/crates/sesamewall-bench/src/online_tail.rs
@@ -50,7 +50,12 @@
 /// online requests and with all targets at their upper bound, less the share of engine time that the
 /// online requests need in full batches.
 pub fn run(seed: u64) -> Vec<Row> {
-    [DEPLOYMENT_A, DEPLOYMENT_B].into_iter().flat_map(|deployment| rows(deployment, seed)).collect()
+    run_in(&[DEPLOYMENT_A, DEPLOYMENT_B], seed)
+}
+
+/// Runs the experiment for the given deployments.
+pub fn run_in(deployments: &[Deployment], seed: u64) -> Vec<Row> {
+    deployments.iter().flat_map(|deployment| rows(*deployment, seed)).collect()
 }
 
 fn rows(deployment: Deployment, seed: u64) -> Vec<Row> {
--- a/crates/sesamewall-bench/src/wrongful_refusals.rs
+++ b/crates/sesamewall-bench/src/wrongful_refusals.rs
@@ -57,15 +57,6 @@
     pub mean_wait_ms: f64,
 }
 
-/// All measured cases of one seed.
-#[derive(Clone, Debug, Serialize)]
-pub struct Table {
-    /// Seed of the traffic.
-    pub seed: u64,
-    /// Cases.
-    pub rows: Vec<Row>,
-}
-
 /// Breaches found over random faults.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Invariants {
@@ -136,14 +127,23 @@
 
 /// Measures all cases with the traffic of `seed`: deployment A with 4 failure domains of 2
 /// instances, deployment B with 3 failure domains and 7 instances in all.
-pub fn run(seed: u64) -> Table {
+pub fn run(seed: u64) -> Vec<Row> {
+    run_cases(&Traffic::ALL, seed)
+}
+
+/// Measures the loss of a domain lead only.
+pub fn run_small(seed: u64) -> Vec<Row> {
+    run_cases(&[Traffic::LeadLost], seed)
+}
+
+fn run_cases(cases: &[Traffic], seed: u64) -> Vec<Row> {
     let deployments = [
         Deployment { name: "A", domains: 4, instances: 8 },
         Deployment { name: "B", domains: 3, instances: 7 },
     ];
     let mut rows = Vec::new();
     for deployment in deployments {
-        for traffic in Traffic::ALL {
+        for traffic in cases.iter().copied() {
             let steps = schedule(deployment, traffic, seed);
             let escrow = simulate(simulation(deployment, seed), steps.clone(), END);
             rows.push(row(deployment, traffic, "escrow", &escrow));
@@ -151,7 +151,7 @@
             rows.push(row(deployment, traffic, "fixed share", &fixed));
         }
     }
-    Table { seed, rows }
+    rows
 }
 
 fn limits() -> Vec<Limits> {
--- /dev/null
+++ b/crates/sesamewall-bench/tests/program.rs
@@ -0,0 +1,65 @@
+//! Guards the output of `sesamewall-bench`.
+#![allow(clippy::unwrap_used)]
+
+use serde_json::Value;
+use sesamewall_bench::answer;
+
+fn json(arguments: &[&str]) -> Value {
+    serde_json::from_str(&answer(&[arguments, &["--json"]].concat()).unwrap()).unwrap()
+}
+
+/// Guards against an experiment without figures, targets, baseline or count of breaches, and
+/// against a verdict that differs from the comparison of value and target.
+fn check(table: &Value, name: &str) {
+    assert_eq!(table["name"], name);
+    let rows = table["rows"].as_array().unwrap();
+    for row in rows {
+        let value = row["value"].as_f64().unwrap();
+        let target = &row["target"];
+        let met = match (target["at_most"].as_f64(), target["at_least"].as_f64()) {
+            (Some(bound), None) => Some(value <= bound),
+            (None, Some(bound)) => Some(value >= bound),
+            _ => None,
+        };
+        let verdict = met.map(|met| if met { "met" } else { "missed" });
+        assert_eq!(row["verdict"].as_str(), verdict, "{row}");
+        assert!(row["figure"].is_string() && row["policy"].is_string(), "{row}");
+    }
+    let breaches = |row: &&Value| row["figure"].as_str().unwrap().starts_with("breaches");
+    assert!(rows.iter().any(|row| breaches(&row) && !row["baseline"].as_bool().unwrap()));
+}
+
+fn check_deployments(table: &Value) {
+    let rows = table["rows"].as_array().unwrap();
+    for deployment in ["A", "B"] {
+        for baseline in [true, false] {
+            let fits =
+                |row: &&Value| row["deployment"] == deployment && row["baseline"] == baseline;
+            assert!(rows.iter().any(|row| fits(&row)), "{deployment} {baseline}");
+        }
+    }
+}
+
+#[test]
+fn experiments_print_tables() {
+    for name in ["online-tail", "fairness", "wrongful-refusals", "domain-outage"] {
+        let table = json(&[name, "--small", "--seed", "2"]);
+        assert_eq!(table["seed"], 2);
+        check(&table, name);
+        check_deployments(&table);
+    }
+}
+
+#[test]
+fn invariants_print_a_table() {
+    let table = json(&["invariants", "--seed", "3", "--seeds", "2"]);
+    check(&table, "invariants");
+    assert_eq!(table["rows"][0]["value"], 2.0);
+    assert_eq!(table["notes"][0], "seeds that breach: []");
+}
+
+/// Guards against an unknown name that passes silently.
+#[test]
+fn unknown_names_fail() {
+    assert!(answer(&["other"]).unwrap_err().contains("`other`"));
+}
--- a/src/bin/sesamewall-bench.rs
+++ b/src/bin/sesamewall-bench.rs
@@ -1,3 +1,7 @@
 //! Entry point of `sesamewall-bench`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sesamewall_bench::main()
+}
