Report true outcomes of retried and forwarded requests

Change: the outcome of an attempt is kept over later refusals, forwarded answers are read by their outcome, forwarded calls have no retries of their own and take the resume offset, failures are held until crash marks have spread, and a shutdown hands the lead over after the last request.

--- a/crates/sesamewall-protocol/src/peer/schedule.rs
+++ b/crates/sesamewall-protocol/src/peer/schedule.rs
@@ -102,6 +102,14 @@
     pub wait_us: u64,
 }
 
+impl Slot {
+    /// Tells whether the request goes to an instance of another failure domain, whose lead grants
+    /// the slot on a target. Epochs of leads start at 1.
+    pub fn is_forward(&self) -> bool {
+        self.epoch == 0
+    }
+}
+
 /// Reports how a request ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SlotDone {
--- a/crates/sesamewall-server/src/caller/completions.rs
+++ b/crates/sesamewall-server/src/caller/completions.rs
@@ -35,7 +35,9 @@
     tokio::spawn(async move { executor.run_stream(&call, sender).await });
     let first = match pieces.recv().await {
         Some(Piece::Event(event)) => event.bytes,
-        Some(Piece::Status { status, body }) => return target_status(status, body, &request),
+        Some(Piece::Status { status, body, outcome }) => {
+            return target_status(status, body, outcome, &request);
+        }
         Some(Piece::Failed(error)) => return error_response(&error, &request),
         None => {
             let detail = "the call ended without an answer".to_owned();
@@ -66,10 +68,10 @@
     Bytes::from(format!("data: {body}\n\n"))
 }
 
-fn target_status(status: u16, body: Bytes, request: &RequestId) -> Response {
+fn target_status(status: u16, body: Bytes, outcome: Outcome, request: &RequestId) -> Response {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut answer = (status, [("content-type", "application/json")], body).into_response();
-    mark(&mut answer, request, Outcome::Run);
+    mark(&mut answer, request, outcome);
     answer
 }
 
@@ -95,7 +97,7 @@
             response.headers_mut().append(field, value);
         }
     }
-    mark(&mut response, request, Outcome::Run);
+    mark(&mut response, request, answer.outcome);
     response
 }
 
--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -198,8 +198,9 @@
         self.node.draining.store(true, Ordering::Relaxed);
         info!(self.node.log, "instance drains");
         tokio::time::sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
-        self.parts.membership.shut_down().await;
+        // Waiting requests need the lead's slots, and there may be no successor.
         self.callers.end().await;
+        self.parts.membership.shut_down().await;
         self.parts.rates.shut_down();
         self.parts.stop.cancel();
         self.parts.records.flush().await;
--- a/crates/sesamewall-server/src/execute/attempt.rs
+++ b/crates/sesamewall-server/src/execute/attempt.rs
@@ -8,6 +8,7 @@
 use sesamewall_ports::TargetError;
 use sesamewall_ports::TargetRequest;
 use sesamewall_protocol::Error;
+use sesamewall_protocol::Outcome;
 use sesamewall_protocol::peer::Slot;
 use sesamewall_protocol::peer::SlotEnd;
 
@@ -54,9 +55,9 @@
         }
     }
 
-    /// Returns the failure for a stream that ended in order but without its end marker.
-    pub fn incomplete(target: &str) -> Self {
-        let detail = "the stream ended without its end marker".to_owned();
+    /// Returns the failure for an answer that ended in order but is not complete.
+    pub fn incomplete(target: &str, detail: &str) -> Self {
+        let detail = detail.to_owned();
         Self {
             error: Error::TargetLost { target: target.to_owned(), detail },
             end: SlotEnd::Failed,
@@ -95,6 +96,9 @@
             return Err(Failure { error: lost, end: SlotEnd::Failed, not_run: false });
         }
     };
+    if slot.is_forward() {
+        return read_forwarded(target, answer).await;
+    }
     match refusal(&answer) {
         Some((reason, end)) => {
             let error =
@@ -105,11 +109,47 @@
     }
 }
 
+/// Turns the failures that an instance of another failure domain reports into failures here. Its
+/// refusals that cannot succeed elsewhere are passed on as they are.
+async fn read_forwarded(target: &str, mut answer: TargetAnswer) -> Result<TargetAnswer, Failure> {
+    let target = target.to_owned();
+    let (busy, outcome) = (matches!(answer.status, 429 | 503), reported_outcome(&answer));
+    if outcome == Outcome::Run || (outcome == Outcome::NotRun && !busy) {
+        return Ok(answer);
+    }
+    let body = error_body(&mut answer).await;
+    let body: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let message = body["error"]["message"].as_str().unwrap_or("no reason given").to_owned();
+    let (error, not_run) = match outcome {
+        Outcome::NotRun => (Error::TargetRefused { target, reason: message }, true),
+        _ => (Error::TargetLost { target, detail: message }, false),
+    };
+    Err(Failure { error, end: SlotEnd::Failed, not_run })
+}
+
+/// Returns what an answer says about the execution. Only instances may say it; a target's own
+/// answer means that it ran the request.
+pub fn outcome(slot: &Slot, answer: &TargetAnswer) -> Outcome {
+    match slot.is_forward() {
+        true => reported_outcome(answer),
+        false => Outcome::Run,
+    }
+}
+
+fn reported_outcome(answer: &TargetAnswer) -> Outcome {
+    let header = answer.headers.iter().find(|(name, _)| name == forward::OUTCOME);
+    match header.map(|(_, outcome)| outcome.as_str()) {
+        Some("not-run") => Outcome::NotRun,
+        Some("run") => Outcome::Run,
+        _ => Outcome::Unknown,
+    }
+}
+
 /// Returns the headers for the target. A request that goes to an instance of another failure domain
 /// carries what was decided here.
 fn headers(call: &Call, slot: &Slot) -> Vec<(String, String)> {
     let mut headers = call.headers.clone();
-    if slot.epoch > 0 {
+    if !slot.is_forward() {
         return headers;
     }
     headers.push((forward::REQUEST.to_owned(), call.request.to_string()));
@@ -127,17 +167,10 @@
         (_, Some("leaving")) => Some(("leaving", SlotEnd::Leaving)),
         (_, Some("cold")) => Some(("cold", SlotEnd::Cold)),
         (_, Some("overloaded")) | (429, _) => Some(("overloaded", SlotEnd::Overloaded)),
-        _ if is_forwarded_refusal(answer) => Some(("not run", SlotEnd::Failed)),
         _ => None,
     }
 }
 
-/// An instance of another failure domain refused the request before it reached a target.
-fn is_forwarded_refusal(answer: &TargetAnswer) -> bool {
-    let outcome = answer.headers.iter().find(|(name, _)| name == forward::OUTCOME);
-    answer.status >= 429 && outcome.is_some_and(|(_, outcome)| outcome == "not-run")
-}
-
 /// Reads a whole body of at most `limit` bytes. The second part tells whether the body ended.
 pub async fn collect(
     answer: &mut TargetAnswer,
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use sesamewall_protocol::Error;
+use sesamewall_protocol::Outcome;
 use sesamewall_protocol::peer::SlotEnd;
 use tokio::sync::mpsc;
 
@@ -32,6 +33,8 @@
         status: u16,
         /// Body.
         body: Bytes,
+        /// What is known about the execution.
+        outcome: Outcome,
     },
     /// The call failed.
     Failed(Error),
@@ -70,30 +73,42 @@
                 return;
             }
         };
-        let mut progress = Progress::default();
+        let mut progress = Progress { made: call.resume_from, first_us: None };
         let result = loop {
-            let lease = match self.place(call, &attempts, progress.made).await {
+            let lease = match self.place(call, &mut attempts, progress.made).await {
                 Ok(lease) => lease,
                 Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
-                Err(error) => break Err(after_delivery(error, progress.made)),
+                Err(error) => {
+                    break Err(
+                        attempts.conclude(after_delivery(error, progress.made - call.resume_from))
+                    );
+                }
             };
             let slot = lease.slot.clone();
             match self.attempt_stream(call, lease, &mut progress, &pieces).await {
-                AttemptEnd::Whole => break Ok((200, progress.made)),
-                AttemptEnd::Status(status) => break Ok((status, 0)),
+                AttemptEnd::Whole => break Ok((200, progress.made - call.resume_from)),
+                AttemptEnd::Status(status) => {
+                    attempts.note_unsuccessful();
+                    break Ok((status, 0));
+                }
                 AttemptEnd::Gone => break Err(Error::ShuttingDown),
                 AttemptEnd::Yielded => {}
                 // A resumed stream repeats nothing that was delivered, so a part that reached the
                 // caller does not rule out another attempt.
                 AttemptEnd::Failed(failure) => {
                     if let Err(error) = self.retry(call, &mut attempts, &slot, failure, false) {
-                        break Err(after_delivery(error, progress.made));
+                        break Err(attempts
+                            .conclude(after_delivery(error, progress.made - call.resume_from)));
                     }
                 }
             }
         };
         self.finish(call, &attempts, &result);
         if let Err(error) = result {
+            tokio::select! {
+                () = pieces.closed() => return,
+                () = self.hold_failure(call, &attempts) => {}
+            }
             let _ = pieces.send(Piece::Failed(error)).await;
         }
     }
@@ -145,8 +160,9 @@
         };
         if answer.status != 200 {
             let status = answer.status;
+            let outcome = attempt::outcome(&lease.slot, &answer);
             let body = attempt::error_body(&mut answer).await;
-            let _ = pieces.send(Piece::Status { status, body }).await;
+            let _ = pieces.send(Piece::Status { status, body, outcome }).await;
             return AttemptEnd::Status(status);
         }
         let mut parser = EventParser::default();
@@ -156,12 +172,19 @@
                 Ok(Some(Err(error))) => {
                     return AttemptEnd::Failed(Failure::from_transport(target, &error));
                 }
-                Ok(None) | Err(_) => return AttemptEnd::Failed(Failure::incomplete(target)),
+                Ok(None) | Err(_) => {
+                    let detail = "the stream ended without its end marker";
+                    return AttemptEnd::Failed(Failure::incomplete(target, detail));
+                }
             };
             if parser.push(&piece).is_err() {
-                return AttemptEnd::Failed(Failure::incomplete(target));
+                let failure = Failure::incomplete(target, "an event is too large");
+                return AttemptEnd::Failed(failure);
             }
             while let Some(event) = parser.next_event() {
+                if let Some(detail) = error_of(&event) {
+                    return AttemptEnd::Failed(Failure::incomplete(target, &detail));
+                }
                 if progress.first_us.is_none() {
                     let since = self.node.clock.now().since(sent);
                     progress.first_us = Some(micros(since));
@@ -193,6 +216,18 @@
     !event.last && !contains(&event.bytes, b"\"finish_reason\":\"")
 }
 
+/// Returns the message of an error event, by which instances and engines end a stream that they
+/// cannot complete.
+fn error_of(event: &Event) -> Option<String> {
+    let data = event.bytes.trim_ascii().strip_prefix(b"data: ")?;
+    if !data.starts_with(b"{\"error\":") {
+        return None;
+    }
+    let value: serde_json::Value = serde_json::from_slice(data).ok()?;
+    let message = value["error"]["message"].as_str().unwrap_or("the stream ended with an error");
+    Some(message.to_owned())
+}
+
 fn contains(bytes: &[u8], part: &[u8]) -> bool {
     bytes.windows(part.len()).any(|window| window == part)
 }
--- a/crates/sesamewall-server/src/execute/executor.rs
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -12,6 +12,7 @@
 use sesamewall_protocol::Class;
 use sesamewall_protocol::Decision;
 use sesamewall_protocol::Error;
+use sesamewall_protocol::Outcome;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
@@ -61,6 +62,25 @@
     deadline: Time,
     isolated: bool,
     not_before: Time,
+    uncertain: Option<Error>,
+    crashed: bool,
+}
+
+impl Attempts {
+    /// Notes an answer that does not show that the request is harmless: a failure of the target, or
+    /// a refusal of another instance.
+    pub fn note_unsuccessful(&mut self) {
+        self.isolated = false;
+    }
+
+    /// Returns the error to report. After an attempt of unknown outcome, a later refusal does not
+    /// make the request "not run".
+    pub fn conclude(&mut self, error: Error) -> Error {
+        match self.uncertain.take() {
+            Some(earlier) if error.outcome() == Outcome::NotRun => earlier,
+            _ => error,
+        }
+    }
 }
 
 /// Does nothing at the end of a forwarded call, whose slot belongs to the other instance.
@@ -87,17 +107,40 @@
             self.note(call, Decision::RateSpent { wait_us });
         }
         self.with_retries(call, GroupRetries::on_request);
+        // The instance that accepted the request spends its retries.
+        let settings = match call.forwarded {
+            true => RetrySettings { per_request: 0, ..RetrySettings::default() },
+            false => RetrySettings::default(),
+        };
         Ok(Attempts {
-            budget: RequestBudget::new(&RetrySettings::default()),
+            budget: RequestBudget::new(&settings),
             exclude: Vec::new(),
             deadline: now + Duration::from_millis(self.node.settings.queue_ms),
             isolated: clearance.isolated,
             not_before: clearance.from,
+            uncertain: None,
+            crashed: false,
         })
     }
 
     /// Waits for a slot for the next attempt.
-    pub async fn place(&self, call: &Call, attempts: &Attempts, made: u64) -> Result<SlotLease> {
+    pub async fn place(
+        &self,
+        call: &Call,
+        attempts: &mut Attempts,
+        made: u64,
+    ) -> Result<SlotLease> {
+        match self.try_place(call, attempts, made).await {
+            // No target is left that has not failed, so that these are tried again.
+            Err(Error::NoTarget { .. }) if !attempts.exclude.is_empty() => {
+                attempts.exclude.clear();
+                self.try_place(call, attempts, made).await
+            }
+            placed => placed,
+        }
+    }
+
+    async fn try_place(&self, call: &Call, attempts: &Attempts, made: u64) -> Result<SlotLease> {
         // A suspect waits until the marks of other instances have arrived.
         tokio::time::sleep(attempts.not_before.since(self.node.clock.now())).await;
         let wait_us = match call.class {
@@ -171,7 +214,11 @@
         let target = slot.target.to_string();
         let reason = failure.error.to_string();
         self.note(call, Decision::AttemptFailed { target, reason });
-        if failure.end == SlotEnd::Crashed && slot.epoch > 0 {
+        if !failure.not_run {
+            attempts.uncertain = Some(failure.error.clone());
+        }
+        if failure.end == SlotEnd::Crashed && !slot.is_forward() {
+            attempts.crashed = true;
             let instance = &self.node.own.name;
             self.suspects.crashed(&account(call), &call.digest, slot, instance, now);
         }
@@ -192,6 +239,15 @@
         Ok(())
     }
 
+    /// Waits, after a target crashed, until the crash marks have spread. A caller who sends the
+    /// request again when it is answered meets instances that know the marks.
+    pub async fn hold_failure(&self, call: &Call, attempts: &Attempts) {
+        let settled = self.suspects.settled_at(&account(call), &call.digest);
+        if let (true, Some(settled)) = (attempts.crashed, settled) {
+            tokio::time::sleep(settled.since(self.node.clock.now())).await;
+        }
+    }
+
     /// Starts the task that sends crash marks to all instances. Marks are rare, so each goes to all
     /// instances directly; it is sent each second for a while, so that a lost message does no harm.
     pub fn spawn_mark_sender(self: &Arc<Self>) {
--- a/crates/sesamewall-server/src/execute/forward.rs
+++ b/crates/sesamewall-server/src/execute/forward.rs
@@ -9,5 +9,7 @@
 pub const CLASS: &str = "x-sesamewall-class";
 /// Model or target group.
 pub const GROUP: &str = "x-sesamewall-group";
+/// Tokens that the caller has from earlier attempts.
+pub const RESUME_FROM: &str = "x-resume-from";
 /// What is known about the execution, on every answer.
 pub const OUTCOME: &str = "x-sesamewall-outcome";
--- a/crates/sesamewall-server/src/execute/item_runner.rs
+++ b/crates/sesamewall-server/src/execute/item_runner.rs
@@ -55,7 +55,7 @@
         while let Some(piece) = pieces.recv().await {
             match piece {
                 Piece::Event(event) => assembly.add(&event.bytes),
-                Piece::Status { status, body } => return Ok((status, body)),
+                Piece::Status { status, body, .. } => return Ok((status, body)),
                 Piece::Failed(error) => result = Err(error),
             }
         }
--- a/crates/sesamewall-server/src/execute/plain_call.rs
+++ b/crates/sesamewall-server/src/execute/plain_call.rs
@@ -4,6 +4,7 @@
 use futures::StreamExt;
 use sesamewall_ports::AnswerStream;
 use sesamewall_protocol::Error;
+use sesamewall_protocol::Outcome;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::peer::Slot;
 use sesamewall_protocol::peer::SlotEnd;
@@ -26,6 +27,8 @@
     pub status: u16,
     /// Headers of the target.
     pub headers: Vec<(String, String)>,
+    /// What is known about the execution.
+    pub outcome: Outcome,
     /// First part of the body; the whole body if `rest` is `None`.
     pub body: Bytes,
     /// The part of a large body that is still to come.
@@ -62,10 +65,10 @@
             }
         };
         let result = loop {
-            let lease = match self.place(call, &attempts, 0).await {
+            let lease = match self.place(call, &mut attempts, 0).await {
                 Ok(lease) => lease,
                 Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
-                Err(error) => break Err(error),
+                Err(error) => break Err(attempts.conclude(error)),
             };
             match self.attempt_plain(call, lease).await {
                 AttemptEnd::Answered(answer) => break Ok(answer),
@@ -73,16 +76,24 @@
                 AttemptEnd::Yielded => {}
                 AttemptEnd::Failed(slot, failure) => {
                     if let Err(error) = self.retry(call, &mut attempts, &slot, failure, false) {
-                        break Err(error);
+                        break Err(attempts.conclude(error));
                     }
                 }
             }
         };
         let summary = match &result {
-            Ok(answer) => Ok((answer.status, 0)),
+            Ok(answer) => {
+                if answer.status >= 500 || answer.outcome != Outcome::Run {
+                    attempts.note_unsuccessful();
+                }
+                Ok((answer.status, 0))
+            }
             Err(error) => Err(error.clone()),
         };
         self.finish(call, &attempts, &summary);
+        if result.is_err() {
+            self.hold_failure(call, &attempts).await;
+        }
         result
     }
 
@@ -130,16 +141,30 @@
         let (pieces, ended) = attempt::collect(&mut answer, WHOLE_LIMIT_BYTES)
             .await
             .map_err(|error| Failure::from_transport(target, &error))?;
+        let body = Bytes::from(pieces.concat());
+        if ended && answer.status == 200 && is_model_call(call) && !is_json(&body) {
+            // Without a length, the end of the connection passes for the end of the body.
+            return Err(Failure::incomplete(target, "the answer is not complete JSON"));
+        }
         let head = PlainAnswer {
+            outcome: attempt::outcome(&lease.slot, &answer),
             status: answer.status,
             headers: answer.headers,
-            body: Bytes::from(pieces.concat()),
+            body,
             rest: None,
         };
         Ok((head, (!ended).then(|| answer.body.boxed())))
     }
 }
 
+fn is_model_call(call: &Call) -> bool {
+    matches!(call.path.as_str(), "/v1/chat/completions" | "/v1/completions")
+}
+
+fn is_json(body: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
+}
+
 impl Rest {
     /// Returns the rest of the body as a stream that reports the slot at its end. An error ends the
     /// caller's connection, so that the answer cannot be taken for a complete one.
--- a/crates/sesamewall-server/src/execute/suspects.rs
+++ b/crates/sesamewall-server/src/execute/suspects.rs
@@ -67,6 +67,11 @@
         self.lock().merge(&mark, now);
     }
 
+    /// Returns the time at which all instances know the marks of a request, if it has any.
+    pub fn settled_at(&self, account: &AccountName, digest: &str) -> Option<Time> {
+        self.lock().settled_at(account, digest)
+    }
+
     /// Clears the marks of a request that ended well alone.
     pub fn clear(&self, account: &AccountName, digest: &str, now: Time) {
         self.lock().clear(account, digest, now);
--- a/crates/sesamewall-server/tests/path.rs
+++ b/crates/sesamewall-server/tests/path.rs
@@ -2,11 +2,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "path/answers.rs"]
+mod answers;
 #[path = "path/fleet.rs"]
 mod fleet;
 #[path = "path/input.rs"]
 mod input;
 #[path = "path/keys.rs"]
 mod keys;
+#[path = "path/outcomes.rs"]
+mod outcomes;
+#[path = "path/poison.rs"]
+mod poison;
 #[path = "path/target.rs"]
 mod target;
+#[path = "path/turnover.rs"]
+mod turnover;
--- /dev/null
+++ b/crates/sesamewall-server/tests/path/answers.rs
@@ -0,0 +1,249 @@
+//! Tests of answers: whole, of the caller's own prompt, or an error that says so.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::fleet::*;
+use crate::target::Reply;
+use crate::target::ScriptedTarget;
+use crate::target::answer;
+use crate::target::header;
+use crate::target::json as reply;
+
+/// Returns the token texts of a whole stream, or the text at which it is not whole.
+fn tokens(text: &str) -> Result<Vec<String>, String> {
+    let mut tokens = Vec::new();
+    let mut ended = false;
+    for data in text.split("\n\n").filter_map(|event| event.strip_prefix("data: ")) {
+        if ended {
+            return Err(format!("data after the end marker: {data}"));
+        }
+        if data == "[DONE]" {
+            ended = true;
+            continue;
+        }
+        let chunk: Value = serde_json::from_str(data).map_err(|_| data.to_owned())?;
+        match chunk["choices"][0]["delta"]["content"].as_str() {
+            Some("") => {}
+            Some(token) => tokens.push(token.trim().to_owned()),
+            None => return Err(data.to_owned()),
+        }
+    }
+    if ended { Ok(tokens) } else { Err("no end marker".to_owned()) }
+}
+
+/// Returns the numbers of the tokens, which all must be of one prompt.
+fn numbers(text: &str) -> Vec<u64> {
+    let tokens = tokens(text).unwrap();
+    let parts = tokens.iter().map(|token| token.split_once('.').unwrap());
+    let (prompts, numbers): (Vec<_>, Vec<_>) = parts.unzip();
+    assert!(prompts.windows(2).all(|pair| pair[0] == pair[1]), "{text}");
+    numbers.iter().map(|number| number.parse().unwrap()).collect()
+}
+
+/// Guards against a resumed stream that repeats or misses a token.
+#[tokio::test]
+async fn cut_stream_is_resumed_without_gap() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let engines = [EngineHandle::warm().await, EngineHandle::warm().await];
+    let targets: Vec<_> = engines.iter().map(|e| ("d1", e.address.as_str())).collect();
+    fleet.put(vec![group("e", true, &targets)]).await;
+    for engine in &engines {
+        engine.faults(&fleet, json!({ "cut_after": 7 })).await;
+    }
+    // Each of three attempts makes 7 tokens; 20 need them all.
+    let answer = fleet.chat(0, "cut", 20, true).await;
+    assert_eq!(numbers(&answer.text), (0..20).collect::<Vec<u64>>());
+    // 30 tokens need more attempts than the budget has.
+    let answer = fleet.chat(0, "cut", 30, true).await;
+    assert!(tokens(&answer.text).is_err(), "{}", answer.text);
+    assert!(answer.text.contains("\"code\":5002"), "{}", answer.text);
+    assert!(!answer.text.contains("[DONE]"));
+}
+
+/// Guards against a resumed stream that starts anew at the instance that it was forwarded to, and
+/// against that instance's error event in the middle of an answer.
+#[tokio::test]
+async fn forwarded_stream_is_resumed_without_gap() {
+    let fleet = Fleet::start(&["d1", "d2"]).await;
+    let calls = Arc::new(AtomicUsize::new(0));
+    let seen = calls.clone();
+    // Each attempt makes three tokens and then ends in order without the end marker. The instance
+    // in d2 reports that, and the one in d1 sends the request again twice.
+    let target = ScriptedTarget::start(move |_, request| {
+        seen.fetch_add(1, Ordering::Relaxed);
+        let first = header(request, "x-resume-from").map_or(0, |from| from.parse().unwrap());
+        let last: u64 = (first + 3).min(9);
+        let mut body = String::new();
+        for index in first..last {
+            let chunk = json!({ "choices": [{ "index": 0, "finish_reason": null,
+                                              "delta": { "content": format!("p.{index} ") } }] });
+            body.push_str(&format!("data: {chunk}\n\n"));
+        }
+        if last == 9 {
+            body.push_str("data: [DONE]\n\n");
+        }
+        Reply { bytes: answer(request, "text/event-stream", &body), close: false }
+    })
+    .await;
+    let near = ScriptedTarget::start(|_, request| reply(request, "{}")).await;
+    let engines = group("e", true, &[("d2", &target.address), ("d2", &target.address)]);
+    fleet.put(vec![engines, group("s", false, &[("d1", &near.address)])]).await;
+    let answer = fleet.chat(0, "far", 9, true).await;
+    assert_eq!(numbers(&answer.text), (0..9).collect::<Vec<u64>>(), "{}", answer.text);
+    assert_eq!(calls.load(Ordering::Relaxed), 3);
+}
+
+/// Guards against an answer that belongs to another request.
+#[tokio::test]
+async fn crossed_answer_is_never_passed_on() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let (wrong, right) = (EngineHandle::warm().await, EngineHandle::warm().await);
+    let targets = [("d1", wrong.address.as_str()), ("d1", right.address.as_str())];
+    fleet.put(vec![group("e", true, &targets)]).await;
+    let own = fleet.chat(0, "own", 2, false).await.json()["choices"][0]["message"].clone();
+    wrong.faults(&fleet, json!({ "crossed": true })).await;
+    for stream in [false, true, false, true] {
+        let answer = fleet.chat(0, "own", 2, stream).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert!(!answer.text.contains("-other"), "{}", answer.text);
+        let found = match stream {
+            true => format!("{} ", tokens(&answer.text).unwrap().join(" ")),
+            false => answer.json()["choices"][0]["message"]["content"].as_str().unwrap().to_owned(),
+        };
+        assert_eq!(json!(found), own["content"]);
+    }
+    right.faults(&fleet, json!({ "crossed": true })).await;
+    let answer = fleet.chat(0, "own", 2, false).await;
+    assert_eq!((answer.status, answer.code(), answer.outcome()), (502, 5003, "unknown"));
+}
+
+/// Guards against late answers that reach another caller.
+#[tokio::test]
+async fn late_answers_reach_their_own_callers() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let engine = EngineHandle::warm().await;
+    fleet.put(vec![group("e", true, &[("d1", &engine.address)])]).await;
+    engine.faults(&fleet, json!({ "late_ms": 100 })).await;
+    let calls = (0..16).map(|index| {
+        let fleet = &fleet;
+        async move { fleet.chat(0, &format!("prompt {index}"), 2, index % 2 == 0).await.text }
+    });
+    let texts = futures::future::join_all(calls).await;
+    let mut prompts = Vec::new();
+    for text in &texts {
+        let at = text.find(".0 ").unwrap_or_else(|| panic!("{text}"));
+        prompts.push(text[at - 8..at].to_owned());
+    }
+    prompts.sort();
+    prompts.dedup();
+    assert_eq!(prompts.len(), 16, "{texts:?}");
+}
+
+/// Answers whole for a request number above `cut`, and as `broken` makes it below.
+async fn broken_target(
+    cut: usize,
+    broken: impl Fn(Vec<u8>) -> Reply + Send + Sync + 'static,
+) -> ScriptedTarget {
+    ScriptedTarget::start(move |number, request| {
+        let whole = answer(request, "application/json", "{\"choices\": [\"complete\"]}");
+        if number < cut { broken(whole) } else { Reply { bytes: whole, close: false } }
+    })
+    .await
+}
+
+/// Guards against a part of an answer that passes for a whole one, for all ways of cutting it.
+#[tokio::test]
+async fn truncated_answers_are_retried_or_reported() {
+    let without_length = |bytes: Vec<u8>| {
+        let text = String::from_utf8(bytes).unwrap();
+        text.replace("content-length", "x-length").into_bytes()
+    };
+    for kind in 0..3 {
+        for cut in [1, 100] {
+            let fleet = Fleet::start(&["d1"]).await;
+            let target = broken_target(cut, move |mut bytes| {
+                match kind {
+                    0 => bytes.truncate(bytes.len() - 5),
+                    1 => bytes.truncate(20),
+                    // Without a length the end of the connection is the end of the body.
+                    _ => {
+                        bytes = without_length(bytes);
+                        bytes.truncate(bytes.len() - 5);
+                    }
+                }
+                Reply { bytes, close: true }
+            })
+            .await;
+            let other = broken_target(0, |_| unreachable!()).await;
+            let names = match cut {
+                1 => vec![("d1", target.address.as_str()), ("d1", other.address.as_str())],
+                _ => vec![("d1", target.address.as_str())],
+            };
+            fleet.put(vec![group("e", true, &names)]).await;
+            let answer = fleet.chat(0, "x", 2, false).await;
+            match cut {
+                1 => assert_eq!(answer.json()["choices"], json!(["complete"]), "{kind}"),
+                _ => assert_eq!(answer.outcome(), "unknown", "{kind}: {}", answer.text),
+            }
+            assert!(cut == 1 || answer.code() == 5002, "{kind}: {}", answer.text);
+        }
+    }
+}
+
+/// Guards against the second copy of a doubled answer as the answer to the next request.
+#[tokio::test]
+async fn doubled_answer_does_not_shift_later_ones() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let target = ScriptedTarget::start(|_, request| {
+        let mut bytes = answer(request, "application/json", &json!({ "got": request }).to_string());
+        bytes.extend(bytes.clone());
+        Reply { bytes, close: false }
+    })
+    .await;
+    fleet
+        .put(vec![group("s", false, &[("d1", &target.address)]), route("/service", "s", false)])
+        .await;
+    let a = bearer(KEY_A);
+    for number in 0..20 {
+        let path = format!("/service/{number}-");
+        let answer = fleet.send(0, Method::GET, &path, &[("authorization", &a)], "").await;
+        if answer.status == 200 {
+            let got = answer.json()["got"].as_str().unwrap().to_owned();
+            assert!(got.contains(&path), "{path} got the answer to {got}");
+        } else {
+            assert_eq!(answer.outcome(), "unknown", "{}", answer.text);
+        }
+    }
+}
+
+/// Guards against a slot that stays taken, and an engine that works on, after the caller has gone.
+#[tokio::test]
+async fn caller_who_leaves_frees_slot_and_engine() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let engine = EngineHandle::warm().await;
+    fleet.put(vec![group("e", true, &[("d1", &engine.address)])]).await;
+    for stream in [true, false] {
+        let before = engine.counts(&fleet).await["cancelled"].as_u64().unwrap();
+        let call = fleet.chat(0, "long", 100_000, stream);
+        let cut = tokio::time::timeout(std::time::Duration::from_millis(500), call).await;
+        assert!(cut.is_err(), "the call ended by itself");
+        let mut freed = false;
+        for _ in 0..500 {
+            let state = fleet.operate(0, "/api/state").await.json();
+            let held = state["slots"]["held"].as_u64().unwrap();
+            let cancelled = engine.counts(&fleet).await["cancelled"].as_u64().unwrap();
+            freed = held == 0 && cancelled == before + 1;
+            if freed {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        assert!(freed, "stream: {stream}");
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/tests/path/outcomes.rs
@@ -0,0 +1,145 @@
+//! Tests of "not run" and "outcome unknown" against what targets saw.
+
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+use sesamewall_server::Settings;
+
+use crate::fleet::*;
+use crate::target::Reply;
+use crate::target::ScriptedTarget;
+use crate::target::answer;
+use crate::target::json as reply;
+
+async fn post(fleet: &Fleet, instance: usize, path: &str) -> Answer {
+    fleet.send(instance, Method::POST, path, &[("authorization", &bearer(KEY_A))], "x").await
+}
+
+/// Takes the request and closes the connection without an answer.
+async fn losing() -> ScriptedTarget {
+    ScriptedTarget::start(|_, _| Reply { bytes: Vec::new(), close: true }).await
+}
+
+/// Guards against a call that runs twice, or is called "not run", when its answer is lost.
+#[tokio::test]
+async fn lost_answer_of_a_post_is_unknown_and_not_repeated() {
+    let fleet = Fleet::start(&["d1", "d2"]).await;
+    let (near, far) = (losing().await, losing().await);
+    fleet
+        .put(vec![
+            group("near", false, &[("d1", &near.address), ("d1", &near.address)]),
+            group("far", false, &[("d2", &far.address), ("d2", &far.address)]),
+            route("/near", "near", false),
+            route("/far", "far", false),
+        ])
+        .await;
+    for (path, target) in [("/near/x", &near), ("/far/x", &far)] {
+        let answer = post(&fleet, 0, path).await;
+        assert_eq!(target.received().len(), 1, "{path}");
+        assert_eq!((answer.status, answer.code()), (502, 5002), "{path} {}", answer.text);
+        assert_eq!(answer.outcome(), "unknown", "{path} {:?}", answer.headers);
+    }
+}
+
+/// Guards against "not run" for a request that a target saw, and "unknown" for one that none saw.
+#[tokio::test]
+async fn not_run_means_that_no_target_saw_it() {
+    let settings = Settings { queue_ms: 300, ..Settings::default() };
+    let fleet = Fleet::with(&["d1", "d2"], settings).await;
+    let refusing = ScriptedTarget::start(|_, request| {
+        let text = String::from_utf8(answer(request, "application/json", "{}")).unwrap();
+        let text = text.replace("200 OK", "503 Busy\r\nx-refused: overloaded");
+        Reply { bytes: text.into_bytes(), close: false }
+    })
+    .await;
+    let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nobody = closed.local_addr().unwrap().to_string();
+    drop(closed);
+    fleet
+        .put(vec![
+            group("refusing", false, &[("d1", &refusing.address)]),
+            group("closed", false, &[("d1", &nobody)]),
+            group("far", false, &[("d2", &nobody)]),
+            route("/refusing", "refusing", false),
+            route("/closed", "closed", false),
+            route("/far", "far", false),
+        ])
+        .await;
+    for path in ["/closed/x", "/refusing/x", "/far/x"] {
+        let answer = post(&fleet, 0, path).await;
+        assert_eq!(answer.outcome(), "not-run", "{path} {} {}", answer.status, answer.text);
+        assert!(answer.code() >= 4000 && answer.status == 503, "{path} {}", answer.text);
+    }
+}
+
+/// Guards against a target that passes for an instance and has a call that ran repeated.
+#[tokio::test]
+async fn target_cannot_speak_for_an_instance() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let target = ScriptedTarget::start(|_, request| {
+        let text = String::from_utf8(answer(request, "application/json", "{}")).unwrap();
+        let text = text.replace("200 OK", "500 Error\r\nx-sesamewall-outcome: not-run");
+        Reply { bytes: text.into_bytes(), close: false }
+    })
+    .await;
+    let targets = [("d1", target.address.as_str()), ("d1", target.address.as_str())];
+    fleet.put(vec![group("s", false, &targets), route("/s", "s", false)]).await;
+    let answer = post(&fleet, 0, "/s/x").await;
+    assert_eq!(target.received().len(), 1, "{}", answer.text);
+    assert_eq!((answer.status, answer.outcome()), (500, "run"), "{}", answer.text);
+}
+
+/// Guards against a request that is sent although its wait has ended or its rate is used up.
+#[tokio::test]
+async fn queue_and_rate_refusals_reach_no_target() {
+    let settings = Settings { queue_ms: 300, ..Settings::default() };
+    let fleet = Fleet::with(&["d1"], settings).await;
+    let engine = EngineHandle::warm().await;
+    let mut engines = group("e", true, &[("d1", &engine.address)]);
+    engines["limit"] = json!(1);
+    let target = ScriptedTarget::start(|_, request| reply(request, "{}")).await;
+    let services = group("s", false, &[("d1", &target.address)]);
+    fleet.put(vec![engines, services, route("/s", "s", false)]).await;
+    engine.faults(&fleet, json!({ "late_ms": 1500 })).await;
+    let (first, second) = tokio::join!(fleet.chat(0, "x", 1, false), fleet.chat(0, "y", 1, false));
+    let mut codes = [first.code(), second.code()];
+    codes.sort_unstable();
+    assert_eq!(codes, [0, 4002], "{} {}", first.text, second.text);
+    let refused = if first.code() == 4002 { first } else { second };
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"));
+    assert_eq!(engine.counts(&fleet).await["taken"], json!(1));
+
+    let online = json!({ "rate": 0.1, "burst": 3.0 });
+    fleet.put(vec![json!({ "kind": "account", "name": "a", "online": online })]).await;
+    let mut refused = 0;
+    for _ in 0..20 {
+        let answer = post(&fleet, 0, "/s/x").await;
+        if answer.status != 200 {
+            assert_eq!((answer.status, answer.code()), (429, 3001), "{}", answer.text);
+            assert_eq!(answer.outcome(), "not-run");
+            refused += 1;
+        }
+    }
+    assert!(refused > 0 && target.received().len() == 20 - refused, "{refused}");
+}
+
+/// Guards against a refusal by another failure domain that is reported as run.
+#[tokio::test]
+async fn refusal_by_another_failure_domain_keeps_its_outcome() {
+    let fleet = Fleet::start(&["d1", "d2"]).await;
+    let engine = EngineHandle::warm().await;
+    engine.faults(&fleet, json!({ "crash_marker": "CRASH" })).await;
+    fleet.put(vec![group("e", true, &[("d2", &engine.address)])]).await;
+    let mut answers = Vec::new();
+    for _ in 0..4 {
+        answers.push(fleet.chat(0, "CRASH", 1, false).await);
+    }
+    let crashes = engine.counts(&fleet).await["crashes"].as_u64().unwrap();
+    assert!(crashes <= 3, "{crashes} crashes");
+    for answer in &answers {
+        assert_ne!(answer.outcome(), "run", "{} {}", answer.status, answer.text);
+    }
+    let last = answers.last().unwrap();
+    assert_eq!((last.code(), last.outcome()), (4005, "not-run"), "{}", last.text);
+    assert_eq!(last.json()["error"]["param"], Value::Null);
+}
--- /dev/null
+++ b/crates/sesamewall-server/tests/path/turnover.rs
@@ -0,0 +1,193 @@
+//! Tests of engines that start, leave and turn cold, and of instances that shut down.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde_json::json;
+use sesamewall_server::Settings;
+use sesamewall_standin::EngineSettings;
+use tokio::net::TcpStream;
+
+use crate::fleet::*;
+use crate::target::Reply;
+use crate::target::ScriptedTarget;
+use crate::target::answer;
+use crate::target::json as reply;
+
+/// Sends a burst of chat calls and returns the answers.
+async fn burst(fleet: &Fleet, name: &str, count: usize, tokens: u64) -> Vec<Answer> {
+    let calls = (0..count).map(|index| {
+        let prompt = format!("{name} {index}");
+        async move { fleet.chat(0, &prompt, tokens, index % 2 == 0).await }
+    });
+    futures::future::join_all(calls).await
+}
+
+async fn total(fleet: &Fleet, engines: &[EngineHandle], count: &str) -> u64 {
+    let mut total = 0;
+    for engine in engines {
+        total += engine.counts(fleet).await[count].as_u64().unwrap();
+    }
+    total
+}
+
+/// Guards against a burst that overloads engines that have just started.
+#[tokio::test]
+async fn cold_engines_get_what_they_bear() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let settings = EngineSettings {
+        cold: Duration::from_secs(3600),
+        cold_limit: 1,
+        ..EngineSettings::default()
+    };
+    let mut engines = Vec::new();
+    for _ in 0..3 {
+        engines.push(EngineHandle::start(settings.clone()).await);
+    }
+    let targets: Vec<_> = engines.iter().map(|engine| ("d1", &*engine.address)).collect();
+    let mut group = group("e", true, &targets);
+    // An engine that stays cold bears one request; the first ones are all in flight at once.
+    group["limit"] = json!(1);
+    fleet.put(vec![group]).await;
+    let answers = burst(&fleet, "cold", 30, 5).await;
+    assert_eq!(total(&fleet, &engines, "cold_overloads").await, 0);
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+}
+
+/// Guards against a ramp that starts above the limit of a cold engine: the engines warm up while a
+/// burst waits.
+#[tokio::test]
+async fn ramp_starts_at_the_cold_limit() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let settings = EngineSettings {
+        cold: Duration::from_millis(1500),
+        cold_limit: 2,
+        step: Duration::from_millis(100),
+        ..EngineSettings::default()
+    };
+    let mut engines = Vec::new();
+    for _ in 0..3 {
+        engines.push(EngineHandle::start(settings.clone()).await);
+    }
+    let targets: Vec<_> = engines.iter().map(|engine| ("d1", &*engine.address)).collect();
+    fleet.put(vec![group("e", true, &targets)]).await;
+    // Each request takes longer than half of the cold time, so the limit is at most doubled in it.
+    let answers = burst(&fleet, "ramp", 24, 10).await;
+    assert_eq!(total(&fleet, &engines, "cold_overloads").await, 0);
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+}
+
+/// Guards against an engine that turns cold without warning and is overloaded again and again: its
+/// first crash makes it cold for the lead, which then sends one request at a time.
+#[tokio::test]
+async fn engine_that_turns_cold_is_overloaded_once() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let settings = EngineSettings {
+        cold: Duration::from_millis(1000),
+        cold_limit: 2,
+        step: Duration::from_millis(20),
+        ..EngineSettings::default()
+    };
+    let engines =
+        [EngineHandle::start(settings.clone()).await, EngineHandle::start(settings).await];
+    let targets: Vec<_> = engines.iter().map(|engine| ("d1", &*engine.address)).collect();
+    fleet.put(vec![group("e", true, &targets)]).await;
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    for round in 0..6 {
+        burst(&fleet, &format!("warm {round}"), 16, 5).await;
+    }
+    assert_eq!(total(&fleet, &engines, "cold_overloads").await, 0);
+    engines[0].faults(&fleet, json!({ "cold_now": true })).await;
+    let answers = burst(&fleet, "turned", 16, 30).await;
+    // The requests that were sent before the crash count once each; none is sent into the cold
+    // engine afterwards above what it bears.
+    assert!(total(&fleet, &engines, "crashes").await <= 16);
+    let overloads = total(&fleet, &engines, "cold_overloads").await;
+    let crashed: Vec<_> = answers.iter().filter(|answer| answer.status != 200).collect();
+    assert!(crashed.is_empty(), "{overloads} overloads: {crashed:?}");
+    let after = burst(&fleet, "after", 16, 5).await;
+    assert!(after.iter().all(|answer| answer.status == 200), "{after:?}");
+    assert_eq!(total(&fleet, &engines, "cold_overloads").await, overloads);
+}
+
+/// Guards against a shutdown that cuts running requests, takes new connections, or is not announced
+/// to the load balancer before.
+#[tokio::test]
+async fn shutdown_interrupts_nothing() {
+    let settings = Settings { drain_ms: 1000, ..Settings::default() };
+    let mut fleet = Fleet::with(&["d1"], settings).await;
+    let engine = EngineHandle::warm().await;
+    fleet.put(vec![group("e", true, &[("d1", &engine.address)])]).await;
+    engine.faults(&fleet, json!({ "late_ms": 1500 })).await;
+    let instance = fleet.running.remove(0);
+    let (callers, operators) = (instance.caller_addr.clone(), instance.operator_addr.clone());
+    let client = fleet.client.clone();
+    let chat = |prompt: String, stream| {
+        let (client, url) = (client.clone(), format!("http://{callers}{CHAT}"));
+        let body = chat_body(&prompt, 100, stream);
+        tokio::spawn(async move {
+            let headers = [("authorization", &*bearer(KEY_A))];
+            fetch(&client, http::Method::POST, &url, &headers, &body).await
+        })
+    };
+    let running: Vec<_> = (0..6).map(|index| chat(format!("x {index}"), index % 2 == 0)).collect();
+    while engine.counts(&fleet).await["taken"] == json!(0) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let ready = |url: String| {
+        let client = client.clone();
+        async move { fetch(&client, http::Method::GET, &url, &[], "").await.status }
+    };
+    let readyz = format!("http://{operators}/readyz");
+    assert_eq!(ready(readyz.clone()).await, 200);
+    let ending = tokio::spawn(instance.shut_down());
+    while ready(readyz.clone()).await == 200 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // Readiness is false while the load balancer still sends requests here.
+    let late = chat("late".to_owned(), true);
+    for call in running.into_iter().chain([late]) {
+        let answer = call.await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert!(answer.text.contains(".99 "), "{}", answer.text);
+    }
+    ending.await.unwrap();
+    assert!(TcpStream::connect(&callers).await.is_err(), "a new connection was accepted");
+}
+
+/// Guards against new requests to a target that is leaving, by configuration or by its own answer.
+#[tokio::test]
+async fn leaving_target_gets_nothing_new() {
+    let fleet = Fleet::start(&["d1"]).await;
+    let leaving = ScriptedTarget::start(|_, request| {
+        let text = String::from_utf8(answer(request, "application/json", "{}")).unwrap();
+        let text = text.replace("200 OK", "503 Leaving\r\nx-refused: leaving");
+        Reply { bytes: text.into_bytes(), close: false }
+    })
+    .await;
+    let counts = Arc::new(AtomicUsize::new(0));
+    let seen = counts.clone();
+    let configured = ScriptedTarget::start(move |_, request| {
+        seen.fetch_add(1, Ordering::Relaxed);
+        reply(request, "{}")
+    })
+    .await;
+    let staying = ScriptedTarget::start(|_, request| reply(request, "{}")).await;
+    let addresses = [&leaving, &configured, &staying].map(|target| ("d1", &*target.address));
+    let mut group = group("e", true, &addresses);
+    fleet.put(vec![group.clone()]).await;
+    let answers = burst(&fleet, "before", 12, 1).await;
+    assert!(answers.iter().all(|a| a.status == 200 || a.text.contains("end marker")));
+    assert!(!leaving.received().is_empty() && counts.load(Ordering::Relaxed) > 0);
+    group["targets"][1]["leaving"] = json!(true);
+    fleet.put(vec![group]).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = (leaving.received().len(), counts.load(Ordering::Relaxed));
+    for _ in 0..20 {
+        let answer = fleet.chat(0, "after", 1, false).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+    assert_eq!((leaving.received().len(), counts.load(Ordering::Relaxed)), before);
+}
