--- a/crates/sesamewall-server/src/caller/plain_route.rs
+++ b/crates/sesamewall-server/src/caller/plain_route.rs
@@ -47,6 +47,7 @@
         idempotent: is_idempotent(route, &item.method, &item.path),
         forwarded: false,
         no_wait: false,
+        resume_from: 0,
         cancel: item.cancel.clone(),
     })
 }
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -17,7 +17,6 @@
 use axum::routing::get;
 use axum::routing::post;
 use bytes::Bytes;
-use http::HeaderMap;
 use http::Uri;
 use http::header;
 use sesamewall_protocol::AccountName;
@@ -130,16 +129,13 @@
     !dropped.contains(&name)
 }
 
-/// Gives each request its identifier, refuses ambiguous headers and work during a shutdown.
+/// Gives each request its identifier, and ends connections during a shutdown.
 async fn prepare(
     State(service): State<Arc<CallerService>>,
     mut request: Request,
     next: Next,
 ) -> Response {
     let id = RequestId::random(&mut rand::rng());
-    if let Err(error) = check_headers(request.headers()) {
-        return service.refuse(&id, None, &error);
-    }
     // Without the configuration every key would look wrong.
     if !service.node.config.is_loaded() {
         return service.refuse(&id, None, &Error::Starting);
@@ -155,18 +151,6 @@
     answer
 }
 
-fn check_headers(headers: &HeaderMap) -> Result<()> {
-    let count = |name| headers.get_all(name).iter().count();
-    let lengths = count(header::CONTENT_LENGTH);
-    let detail = match (lengths, count(header::TRANSFER_ENCODING), count(header::HOST)) {
-        (0..=1, 0, 0..=1) | (0, 1, 0..=1) => return Ok(()),
-        (_, _, 2..) => "more than one `host`",
-        (_, 1.., _) => "`transfer-encoding` together with `content-length`, or twice",
-        _ => "more than one `content-length`",
-    };
-    Err(Error::HeadersInvalid { detail: detail.to_owned() })
-}
-
 async fn authenticate(
     State(service): State<Arc<CallerService>>,
     mut request: Request,
@@ -270,6 +254,7 @@
         idempotent: plain_route::is_idempotent(&route, head.method.as_str(), path),
         forwarded: false,
         no_wait: false,
+        resume_from: 0,
         cancel: CancellationToken::new(),
     })
 }
@@ -288,6 +273,7 @@
         _ => Class::Online,
     };
     let no_wait = head.headers.contains_key(forward::NO_WAIT);
+    let resume_from = field(forward::RESUME_FROM).and_then(|from| from.parse().ok()).unwrap_or(0);
     let body = match service.read_body(body).await {
         Ok(body) => body,
         Err(error) => return service.refuse(&id, account.as_ref(), &error),
@@ -306,7 +292,7 @@
     };
     match built {
         Ok((call, stream)) => {
-            let call = Call { class, forwarded: true, no_wait, ..call };
+            let call = Call { class, forwarded: true, no_wait, resume_from, ..call };
             match stream {
                 Some(stream) => service.run_model(call, stream, &path).await,
                 None => service.run_route(call).await,
@@ -346,6 +332,7 @@
         idempotent: plain_route::is_idempotent(route, head.method.as_str(), path),
         forwarded: true,
         no_wait: false,
+        resume_from: 0,
         cancel: CancellationToken::new(),
     })
 }
--- a/crates/sesamewall-server/src/execute/call.rs
+++ b/crates/sesamewall-server/src/execute/call.rs
@@ -40,6 +40,8 @@
     pub forwarded: bool,
     /// The request is refused unless a target is free.
     pub no_wait: bool,
+    /// Tokens that the caller has from attempts of another instance.
+    pub resume_from: u64,
     /// Ends the request early.
     pub cancel: CancellationToken,
 }
--- a/crates/sesamewall-server/src/execute/forward.rs
+++ b/crates/sesamewall-server/src/execute/forward.rs
@@ -13,6 +13,8 @@
 pub const NO_WAIT: &str = "x-sesamewall-no-wait";
 /// Work in tokens that waits in the queue of a refused request.
 pub const QUEUED: &str = "x-sesamewall-queued";
+/// Tokens that the caller has from earlier attempts.
+pub const RESUME_FROM: &str = "x-resume-from";
 /// What is known about the execution, on every answer.
 pub const OUTCOME: &str = "x-sesamewall-outcome";
 
--- a/crates/sesamewall-server/src/rate_service.rs
+++ b/crates/sesamewall-server/src/rate_service.rs
@@ -41,6 +41,13 @@
 /// Ending of the key under which an account's batch items are counted.
 const BATCH_SUFFIX: &str = "#batch";
 
+/// Leads of another region answer in some 100 ms; a shorter time takes a busy one for a lost one.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// An online request waits this long for a lead that can be reached: a successor takes over within
+/// 3.5 s.
+const UNREACHABLE_WAIT: Duration = Duration::from_secs(4);
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(100);
+
 type Verdict = std::result::Result<Duration, Refusal>;
 
 struct HolderSide {
@@ -69,7 +76,7 @@
     pub fn new(node: Arc<Node>) -> Arc<Self> {
         let domains = node.settings.domains.iter().map(|name| DomainName::from(name.as_str()));
         let holder = Holder::new(
-            HolderSettings::default(),
+            HolderSettings { ask_timeout: ASK_TIMEOUT, ..HolderSettings::default() },
             rand::random(),
             node.own.domain.clone(),
             domains.collect(),
@@ -329,6 +336,7 @@
             Class::Online => account.clone(),
             Class::Batch => batch_key(account),
         };
+        let started = self.node.clock.now();
         loop {
             let (sender, receiver) = oneshot::channel();
             let asks = {
@@ -361,7 +369,15 @@
                     let pause = refusal.retry_ms.clamp(10, 1000);
                     tokio::time::sleep(Duration::from_millis(pause)).await;
                 }
-                (Ok(Err(refusal)), Class::Online) => return Err(refused(account, &refusal)),
+                (Ok(Err(refusal)), Class::Online) => {
+                    let error = refused(account, &refusal);
+                    let waited = self.node.clock.now().since(started);
+                    if !matches!(error, Error::RateUnavailable { .. }) || waited >= UNREACHABLE_WAIT
+                    {
+                        return Err(error);
+                    }
+                    tokio::time::sleep(UNREACHABLE_PAUSE).await;
+                }
                 (Err(_), _) => {
                     let detail = "rate decision was dropped".to_owned();
                     return Err(Error::Internal { detail });
--- a/crates/sesamewall-server/tests/slots.rs
+++ b/crates/sesamewall-server/tests/slots.rs
@@ -257,6 +257,7 @@
         idempotent: false,
         forwarded: false,
         no_wait: false,
+        resume_from: 0,
         cancel: CancellationToken::new(),
     }
 }
