Honour Idempotency-Key for online requests

Cause: the header was dropped; a resent POST ran again. A batch item's URL was passed to the target with its credentials. Change: the key of an account is owned by the lead of one failure domain, chosen by rendezvous hash, and claimed over the peer link before the request runs (IdempotencyKeys in sesamewall-schedule, IdempotencyService in the server, PeerMessage::Idempotency). Query credentials of batch items are removed.

--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -66,6 +66,9 @@
     /// A request with the same idempotency key is still running.
     #[display("a request with the same idempotency key is still running")]
     IdempotencyRunning,
+    /// The request with the same idempotency key has ended and its answer is not kept.
+    #[display("a request with the same idempotency key has ended; its answer is not kept")]
+    IdempotencyEnded,
     /// An object was not found.
     #[display("{kind} `{id}` does not exist")]
     NotFound {
@@ -299,6 +302,7 @@
             Self::IdempotencyMismatch => 1008,
             Self::IdempotencyRunning => 1009,
             Self::NotFound { .. } => 1010,
+            Self::IdempotencyEnded => 1011,
             Self::KeyMissing => 2001,
             Self::KeyInvalid => 2002,
             Self::OperatorDenied => 2003,
@@ -336,7 +340,7 @@
             1002 => 413,
             1004 | 1005 | 1010 => 404,
             1007 => 408,
-            1008 | 1009 | 6003 | 7002 => 409,
+            1008 | 1009 | 1011 | 6003 | 7002 => 409,
             1000..=1999 | 6001 | 6002 | 7001 | 7003 => 400,
             2000..=2999 => 401,
             3001 | 4001 => 429,
@@ -360,6 +364,7 @@
             1008 => "use a new Idempotency-Key for a different request",
             1009 => "wait for the first request, or send it again later with the same key",
             1010 => "check the identifier; files and results are removed after their retention",
+            1011 => "check whether the first request took effect; use a new key to run it again",
             2001 => "send the header `authorization: Bearer KEY`",
             2002 => "ask the operators for a new key",
             2003 => "send the operators' credential in the header `authorization: Bearer TOKEN`",
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -23,6 +23,7 @@
             Self::IdempotencyMismatch,
             Self::IdempotencyRunning,
             Self::NotFound { kind: text("kind"), id: text("id") },
+            Self::IdempotencyEnded,
             Self::KeyMissing,
             Self::KeyInvalid,
             Self::OperatorDenied,
--- a/crates/sesamewall-protocol/src/peer/mod.rs
+++ b/crates/sesamewall-protocol/src/peer/mod.rs
@@ -1,12 +1,14 @@
 //! Messages between instances. Each area defines its own message type.
 
 mod batch;
+mod idempotency;
 mod membership;
 mod rate;
 mod record;
 mod schedule;
 
 pub use batch::*;
+pub use idempotency::*;
 pub use membership::*;
 pub use rate::*;
 pub use record::*;
@@ -24,6 +26,8 @@
     Schedule(ScheduleMessage),
     /// Heartbeats, promises and configuration differences.
     Membership(MembershipMessage),
+    /// Idempotency keys of online requests.
+    Idempotency(IdempotencyMessage),
     /// Bulk data copies.
     Batch(BatchMessage),
     /// Decision records.
--- a/crates/sesamewall-server/src/caller/completions.rs
+++ b/crates/sesamewall-server/src/caller/completions.rs
@@ -22,6 +22,7 @@
 use crate::execute::Executor;
 use crate::execute::Piece;
 use crate::execute::PlainAnswer;
+use crate::idempotency_service::KeyHold;
 
 /// Events that wait for a slow caller; the engine's stream pauses beyond that.
 const PIECES: usize = 64;
@@ -29,10 +30,13 @@
 const PASSED: [&str; 1] = ["content-type"];
 
 /// Runs a streamed call and returns its answer.
-pub async fn streamed(executor: Arc<Executor>, call: Call) -> Response {
+pub async fn streamed(executor: Arc<Executor>, call: Call, hold: Option<KeyHold>) -> Response {
     let request = call.request.clone();
     let (sender, mut pieces) = mpsc::channel(PIECES);
-    tokio::spawn(async move { executor.run_stream(&call, sender).await });
+    tokio::spawn(async move {
+        executor.run_stream(&call, sender).await;
+        drop(hold);
+    });
     let first = match pieces.recv().await {
         Some(Piece::Event(event)) => event.bytes,
         Some(Piece::Status { status, body, outcome }) => {
@@ -75,9 +79,14 @@
     answer
 }
 
+/// Tells whether a header of an engine's answer is passed on.
+pub fn passes_for_model(name: &str) -> bool {
+    PASSED.contains(&name)
+}
+
 /// Returns the answer to a call without a stream.
 pub fn whole(answer: PlainAnswer, request: &RequestId) -> Response {
-    plain(answer, request, |name| PASSED.contains(&name))
+    plain(answer, request, passes_for_model)
 }
 
 /// Returns the answer of a plain service with the headers for which `passes` is true.
--- a/crates/sesamewall-server/src/caller/plain_route.rs
+++ b/crates/sesamewall-server/src/caller/plain_route.rs
@@ -8,6 +8,7 @@
 use sesamewall_protocol::Route;
 use sesamewall_schedule::body_hash;
 
+use super::headers;
 use crate::ItemRequest;
 use crate::execute::Call;
 
@@ -21,6 +22,12 @@
     !once && IDEMPOTENT_METHODS.iter().any(|known| known.eq_ignore_ascii_case(method))
 }
 
+/// Returns path and query of an item without credentials.
+fn clean_path(configuration: &Configuration, path: &str) -> Result<String> {
+    let uri = path.parse().map_err(|_| Error::RouteUnknown { path: path.to_owned() })?;
+    Ok(headers::clean_query(configuration, &uri))
+}
+
 /// Returns the call of a batch item on a plain route.
 ///
 /// # Errors
@@ -37,7 +44,7 @@
         class: Class::Batch,
         model: ModelName::from(route.group.as_str()),
         method: item.method.clone(),
-        path: item.path.clone(),
+        path: clean_path(configuration, &item.path)?,
         headers: vec![("content-type".to_owned(), "application/json".to_owned())],
         body: item.body.clone(),
         digest: body_hash(&item.body),
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -17,6 +17,7 @@
 use axum::routing::get;
 use axum::routing::post;
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Uri;
 use http::header;
 use sesamewall_protocol::AccountName;
@@ -26,6 +27,8 @@
 use sesamewall_protocol::Outcome;
 use sesamewall_protocol::RequestId;
 use sesamewall_protocol::Result;
+use sesamewall_protocol::peer::KeyClaim;
+use sesamewall_protocol::peer::StoredAnswer;
 use sesamewall_schedule::body_hash;
 use tokio_util::sync::CancellationToken;
 
@@ -40,18 +43,30 @@
 use crate::answer::error_response;
 use crate::execute::Call;
 use crate::execute::Executor;
+use crate::execute::PlainAnswer;
 use crate::execute::forward;
+use crate::idempotency_service::Claimed;
+use crate::idempotency_service::IdempotencyService;
+use crate::idempotency_service::KeyHold;
+
+/// Longest idempotency key.
+const KEY_LIMIT_BYTES: usize = 255;
 
 /// The callers' API of one instance.
 pub struct CallerService {
     node: Arc<Node>,
     executor: Arc<Executor>,
+    idempotency: Arc<IdempotencyService>,
 }
 
 impl CallerService {
     /// Creates the service.
-    pub fn new(node: Arc<Node>, executor: Arc<Executor>) -> Self {
-        Self { node, executor }
+    pub fn new(
+        node: Arc<Node>,
+        executor: Arc<Executor>,
+        idempotency: Arc<IdempotencyService>,
+    ) -> Self {
+        Self { node, executor, idempotency }
     }
 
     /// Returns the routes for callers; `keyed` are routes of other services that need a key.
@@ -103,23 +118,101 @@
         error_response(error, request)
     }
 
-    async fn run_model(&self, mut call: Call, stream: bool, path: &str) -> Response {
+    async fn run_model(
+        &self,
+        mut call: Call,
+        stream: bool,
+        path: &str,
+        hold: Option<KeyHold>,
+    ) -> Response {
         call.path = path.to_owned();
         if stream {
-            return completions::streamed(self.executor.clone(), call).await;
+            return completions::streamed(self.executor.clone(), call, hold).await;
         }
-        match self.executor.run_plain(&call).await {
+        let result = self.executor.run_plain(&call).await;
+        if let Some((hold, answer)) = kept_answer(hold, &result, completions::passes_for_model) {
+            hold.answered(answer).await;
+        }
+        match result {
             Ok(answer) => completions::whole(answer, &call.request),
             Err(error) => error_response(&error, &call.request),
         }
     }
 
-    async fn run_route(&self, call: Call) -> Response {
-        match self.executor.run_plain(&call).await {
+    async fn run_route(&self, call: Call, hold: Option<KeyHold>) -> Response {
+        let result = self.executor.run_plain(&call).await;
+        if let Some((hold, answer)) = kept_answer(hold, &result, passes_back) {
+            hold.answered(answer).await;
+        }
+        match result {
             Ok(answer) => completions::plain(answer, &call.request, passes_back),
             Err(error) => error_response(&error, &call.request),
         }
     }
+
+    /// Claims the idempotency key of a call, if it has one and an account.
+    async fn claim(&self, call: &Call, path: &str, key: Option<String>) -> Result<Option<Claimed>> {
+        let (Some(key), Some(account)) = (key, &call.account) else { return Ok(None) };
+        let mut digested = format!("{} {path}\n", call.method).into_bytes();
+        digested.extend_from_slice(&call.body);
+        let claim = KeyClaim {
+            account: account.clone(),
+            key,
+            digest: body_hash(&digested),
+            request: call.request.clone(),
+            instance: self.node.own.name.clone(),
+            idempotent: call.idempotent,
+        };
+        self.idempotency.claim(claim).await.map(Some)
+    }
+}
+
+/// Returns what is to be kept under an idempotency key, and frees the key of a request that was not
+/// run. The end of a request of unknown outcome is reported when the hold is dropped.
+fn kept_answer(
+    hold: Option<KeyHold>,
+    result: &Result<PlainAnswer>,
+    passes: impl Fn(&str) -> bool,
+) -> Option<(KeyHold, StoredAnswer)> {
+    let hold = hold?;
+    let outcome = result.as_ref().map_or_else(Error::outcome, |answer| answer.outcome);
+    match result {
+        _ if outcome == Outcome::NotRun => hold.release(),
+        Ok(answer) if answer.rest.is_none() && outcome == Outcome::Run => {
+            let headers = answer.headers.iter().filter(|(name, _)| passes(name)).cloned().collect();
+            let body = answer.body.clone();
+            return Some((hold, StoredAnswer { status: answer.status, headers, body }));
+        }
+        _ => {}
+    }
+    None
+}
+
+/// Returns the answer that was kept under an idempotency key.
+fn replay(answer: StoredAnswer, request: &RequestId) -> Response {
+    let StoredAnswer { status, headers, body } = answer;
+    let kept = PlainAnswer { status, headers, body, outcome: Outcome::Run, rest: None };
+    let mut response = completions::plain(kept, request, |_| true);
+    let mark = http::HeaderValue::from_static("true");
+    response.headers_mut().insert("idempotent-replayed", mark);
+    response
+}
+
+/// Reads the header `idempotency-key`.
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>> {
+    let mut values = headers.get_all("idempotency-key").iter();
+    let key = match (values.next(), values.next()) {
+        (None, _) => return Ok(None),
+        (Some(value), None) => value.to_str().ok(),
+        _ => None,
+    };
+    match key {
+        Some(key) if !key.is_empty() && key.len() <= KEY_LIMIT_BYTES => Ok(Some(key.to_owned())),
+        _ => Err(Error::FieldInvalid {
+            field: "Idempotency-Key".to_owned(),
+            detail: format!("one value of 1 to {KEY_LIMIT_BYTES} ASCII characters is allowed"),
+        }),
+    }
 }
 
 /// Headers of a service's answer that belong to its connection are not passed on.
@@ -189,26 +282,44 @@
     State(service): State<Arc<CallerService>>,
     axum::Extension(caller): axum::Extension<Caller>,
     uri: Uri,
+    headers: HeaderMap,
     body: Body,
 ) -> Response {
     let parsed = async {
+        let key = idempotency_key(&headers)?;
         let body = service.read_body(body).await?;
         let request = ModelRequest::parse(&body)?;
         request.check_endpoint(uri.path().contains("chat"))?;
         let configuration = service.node.config.current();
         let call = request.call(&configuration, &caller.request, Some(&caller.account))?;
-        Ok((call, request.stream))
+        let claimed = service.claim(&call, uri.path(), key).await?;
+        Ok((call, request.stream, claimed))
     };
     match parsed.await {
-        Ok((call, stream)) => service.run_model(call, stream, uri.path()).await,
+        Ok((call, _, Some(Claimed::Answer(answer)))) => replay(answer, &call.request),
+        Ok((call, stream, Some(Claimed::Run(hold)))) => {
+            service.run_model(call, stream, uri.path(), Some(hold)).await
+        }
+        Ok((call, stream, None)) => service.run_model(call, stream, uri.path(), None).await,
         Err(error) => service.refuse(&caller.request, Some(&caller.account), &error),
     }
 }
 
 async fn plain(State(service): State<Arc<CallerService>>, request: Request) -> Response {
     let id = request_id(&request);
-    match plain_call(&service, &id, request).await {
-        Ok(call) => service.run_route(call).await,
+    let key = idempotency_key(request.headers());
+    let built = match (plain_call(&service, &id, request).await, key) {
+        (Ok(call), Ok(key)) => match service.claim(&call, &call.path, key).await {
+            Ok(claimed) => Ok((call, claimed)),
+            Err(error) => Err((call.account, error)),
+        },
+        (Ok(call), Err(error)) => Err((call.account, error)),
+        (Err(refused), _) => Err(refused),
+    };
+    match built {
+        Ok((call, None)) => service.run_route(call, None).await,
+        Ok((call, Some(Claimed::Run(hold)))) => service.run_route(call, Some(hold)).await,
+        Ok((call, Some(Claimed::Answer(answer)))) => replay(answer, &call.request),
         Err((account, error)) => service.refuse(&id, account.as_ref(), &error),
     }
 }
@@ -288,8 +399,8 @@
         Ok((call, stream)) => {
             let call = Call { class, forwarded: true, resume_from, ..call };
             match stream {
-                Some(stream) => service.run_model(call, stream, &path).await,
-                None => service.run_route(call).await,
+                Some(stream) => service.run_model(call, stream, &path, None).await,
+                None => service.run_route(call, None).await,
             }
         }
         Err(error) => service.refuse(&id, account.as_ref(), &error),
--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -51,6 +51,7 @@
 use crate::dump_part::DumpPart;
 use crate::execute::BatchItemRunner;
 use crate::execute::Executor;
+use crate::idempotency_service::IdempotencyService;
 use crate::membership::BudgetedStore;
 use crate::membership::ConfigService;
 use crate::membership::FloorService;
@@ -175,7 +176,8 @@
         let parts = Parts::new(&node, budgeted)?;
         let peers = serve_peer_messages(peer_listener, &node, &parts);
         parts.spawn(&node);
-        let caller = Arc::new(CallerService::new(node.clone(), parts.executor.clone()));
+        let (executor, keys) = (parts.executor.clone(), parts.idempotency.clone());
+        let caller = Arc::new(CallerService::new(node.clone(), executor, keys));
         let callers = serve(caller_listener, caller.clone().router(parts.batch.router()));
         let forwards = serve(forward_listener, caller.forward_router());
         let operators = serve(operator_listener, operator_router(parts.operators.clone()));
@@ -220,6 +222,7 @@
     rates: Arc<RateService>,
     slots: Arc<SlotService>,
     executor: Arc<Executor>,
+    idempotency: Arc<IdempotencyService>,
     batch: Arc<BatchService>,
     records: Arc<RecordService>,
     operators: Arc<OperatorService>,
@@ -237,6 +240,7 @@
         let slots = SlotService::new(node.clone());
         let executor =
             Arc::new(Executor::new(node.clone(), Arc::new(rates.clone()), Arc::new(slots.clone())));
+        let idempotency = IdempotencyService::new(node.clone());
         let runner = Arc::new(BatchItemRunner::new(executor.clone()));
         let batch = BatchService::new(node.clone(), runner);
         let records = Arc::new(RecordService::new(node.clone(), RecordLimits::default())?);
@@ -244,6 +248,7 @@
             Arc::new(DumpPart::new("membership", membership.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("rates", rates.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("slots", slots.clone(), |part| part.dump())),
+            Arc::new(DumpPart::new("idempotency", idempotency.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("batch", batch.clone(), |part| part.dump())),
         ];
         let operators = Arc::new(OperatorService {
@@ -263,6 +268,7 @@
             rates,
             slots,
             executor,
+            idempotency,
             batch,
             records,
             operators,
@@ -292,6 +298,7 @@
         rates: parts.rates.clone(),
         slots: parts.slots.clone(),
         executor: parts.executor.clone(),
+        idempotency: parts.idempotency.clone(),
         membership: parts.membership.clone(),
         floor: parts.floor.clone(),
         batch: parts.batch.clone(),
--- /dev/null
+++ b/crates/sesamewall-server/src/idempotency_service.rs
@@ -0,0 +1,215 @@
+//! Idempotency keys of online requests: the instance's side, which claims them, and the lead's side,
+//! which owns them.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use sesamewall_ports::ListedInstance;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::peer::IdempotencyMessage;
+use sesamewall_protocol::peer::KeyClaim;
+use sesamewall_protocol::peer::KeyEnd;
+use sesamewall_protocol::peer::KeyVerdict;
+use sesamewall_protocol::peer::PeerMessage;
+use sesamewall_protocol::peer::StoredAnswer;
+use sesamewall_schedule::IdempotencyKeys;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Node;
+
+/// An answer above this size is not kept.
+const ANSWER_LIMIT_BYTES: usize = 64 << 10;
+const FINISH_TRIES: u32 = 5;
+/// An answer waits this long at most until it is kept.
+const REPORT_WAIT: Duration = Duration::from_secs(1);
+const FINISH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Claims idempotency keys and, at a lead, owns a part of them.
+pub struct IdempotencyService {
+    node: Arc<Node>,
+    owned: Mutex<Owned>,
+}
+
+#[derive(Default)]
+struct Owned {
+    epoch: u64,
+    keys: IdempotencyKeys,
+}
+
+/// What a claim led to.
+pub enum Claimed {
+    /// The request may run.
+    Run(KeyHold),
+    /// The request ran before; this is its answer.
+    Answer(StoredAnswer),
+}
+
+/// A claimed key. Dropping it reports the end of its request.
+pub struct KeyHold {
+    held: Option<HeldKey>,
+}
+
+struct HeldKey {
+    service: Arc<IdempotencyService>,
+    owner: ListedInstance,
+    account: AccountName,
+    key: String,
+    request: RequestId,
+    end: KeyEnd,
+}
+
+impl IdempotencyService {
+    /// Creates the service.
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        Arc::new(Self { node, owned: Mutex::default() })
+    }
+
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let owned = self.owned.lock().unwrap_or_else(PoisonError::into_inner);
+        let (keys, bytes) = owned.keys.size();
+        serde_json::json!({ "epoch": owned.epoch, "keys": keys, "bytes": bytes })
+    }
+
+    /// Claims a key for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Error::IdempotencyRunning`, `Error::IdempotencyMismatch` or
+    /// `Error::IdempotencyEnded` if the key was used before, `Error::QueueFull` if the owner has no
+    /// room, and `Error::NotLead` or `Error::PeerUnavailable` if the owner cannot be asked.
+    pub async fn claim(self: &Arc<Self>, claim: KeyClaim) -> Result<Claimed> {
+        let owner = self.owner(&claim.account, &claim.key)?;
+        // A claim whose reply is lost must not keep the key: its request does not run.
+        let held = HeldKey {
+            service: self.clone(),
+            owner: owner.clone(),
+            account: claim.account.clone(),
+            key: claim.key.clone(),
+            request: claim.request.clone(),
+            end: KeyEnd::Released,
+        };
+        let mut hold = KeyHold { held: Some(held) };
+        let after_drop = if claim.idempotent { KeyEnd::Released } else { KeyEnd::Ended };
+        let reply = self.exchange(&owner, IdempotencyMessage::Claim(claim)).await?;
+        let domain = owner.domain.to_string();
+        let IdempotencyMessage::Claimed(verdict) = reply else {
+            return Err(Error::NotLead { domain });
+        };
+        match verdict {
+            KeyVerdict::Run => {
+                if let Some(held) = &mut hold.held {
+                    held.end = after_drop;
+                }
+                Ok(Claimed::Run(hold))
+            }
+            KeyVerdict::Answer(answer) => Ok(Claimed::Answer(answer)),
+            KeyVerdict::Running => Err(Error::IdempotencyRunning),
+            KeyVerdict::Mismatch => Err(Error::IdempotencyMismatch),
+            KeyVerdict::Ended => Err(Error::IdempotencyEnded),
+            KeyVerdict::Full => {
+                let numbers = Vec::new();
+                Err(Error::QueueFull { model: "idempotency keys".to_owned(), numbers })
+            }
+            KeyVerdict::NotOwner => Err(Error::NotLead { domain }),
+        }
+    }
+
+    /// Handles a message of another instance.
+    pub fn handle(&self, message: IdempotencyMessage) -> IdempotencyMessage {
+        let now = self.node.clock.now();
+        let term = self.node.lead.valid(now);
+        let mut owned = self.owned.lock().unwrap_or_else(PoisonError::into_inner);
+        match (term, message) {
+            (Some(term), IdempotencyMessage::Claim(claim)) => {
+                if owned.epoch != term.epoch {
+                    // Another lead may have owned these keys in between.
+                    *owned = Owned { epoch: term.epoch, keys: IdempotencyKeys::default() };
+                }
+                let is_live = |name: &_| self.node.directory.find(name).is_some();
+                IdempotencyMessage::Claimed(owned.keys.claim(&claim, is_live, now))
+            }
+            (None, IdempotencyMessage::Claim(_)) => {
+                IdempotencyMessage::Claimed(KeyVerdict::NotOwner)
+            }
+            (_, IdempotencyMessage::Finish { account, key, request, end }) => {
+                owned.keys.finish(&account, &key, &request, end, now);
+                IdempotencyMessage::Ack
+            }
+            _ => IdempotencyMessage::Ack,
+        }
+    }
+
+    /// Returns the owner of a key: the lead of the failure domain that has the highest hash with it
+    /// (rendezvous hashing, Thaler and Ravishankar, 1998).
+    fn owner(&self, account: &AccountName, key: &str) -> Result<ListedInstance> {
+        let directory = &self.node.directory;
+        let leads = directory.leads();
+        let rank = |domain: &str| xxh3_64(format!("{domain}\n{account}\n{key}").as_bytes());
+        let best = leads.iter().max_by_key(|(domain, _)| rank(domain.as_str()));
+        best.and_then(|(domain, _)| directory.lead(domain)).ok_or_else(|| Error::NotLead {
+            domain: best.map_or_else(String::new, |(domain, _)| domain.to_string()),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        owner: &ListedInstance,
+        message: IdempotencyMessage,
+    ) -> Result<IdempotencyMessage> {
+        if owner.name == self.node.own.name {
+            return Ok(self.handle(message));
+        }
+        let message = PeerMessage::Idempotency(message);
+        match self.node.link.exchange(&owner.address, message).await? {
+            PeerMessage::Idempotency(reply) => Ok(reply),
+            _ => Err(Error::NotLead { domain: owner.domain.to_string() }),
+        }
+    }
+}
+
+impl KeyHold {
+    /// Keeps the answer for requests that are sent again, if it is small enough. The caller gets it
+    /// afterwards, so that it is there when the caller asks again.
+    pub async fn answered(mut self, answer: StoredAnswer) {
+        let Some(mut held) = self.held.take() else { return };
+        if answer.body.len() <= ANSWER_LIMIT_BYTES {
+            held.end = KeyEnd::Answer(answer);
+        }
+        let report = tokio::spawn(held.report());
+        let _ = tokio::time::timeout(REPORT_WAIT, report).await;
+    }
+
+    /// Frees the key, since the request was not run.
+    pub fn release(mut self) {
+        if let Some(held) = &mut self.held {
+            held.end = KeyEnd::Released;
+        }
+    }
+}
+
+impl Drop for KeyHold {
+    fn drop(&mut self) {
+        if let Some(held) = self.held.take() {
+            tokio::spawn(held.report());
+        }
+    }
+}
+
+impl HeldKey {
+    async fn report(self) {
+        let Self { service, owner, account, key, request, end } = self;
+        let message = IdempotencyMessage::Finish { account, key, request, end };
+        for _ in 0..FINISH_TRIES {
+            if service.exchange(&owner, message.clone()).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(FINISH_PAUSE).await;
+        }
+    }
+}
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -11,6 +11,7 @@
 mod dump_part;
 mod execute;
 mod gate;
+mod idempotency_service;
 mod item;
 mod lead_targets;
 mod lead_view;
--- a/crates/sesamewall-server/src/peer_service.rs
+++ b/crates/sesamewall-server/src/peer_service.rs
@@ -13,6 +13,7 @@
 use crate::BatchService;
 use crate::OperatorService;
 use crate::execute::Executor;
+use crate::idempotency_service::IdempotencyService;
 use crate::membership::FloorService;
 use crate::membership::MembershipService;
 use crate::rate_service::RateService;
@@ -27,6 +28,8 @@
     pub slots: Arc<SlotService>,
     /// Running calls.
     pub executor: Arc<Executor>,
+    /// Idempotency keys.
+    pub idempotency: Arc<IdempotencyService>,
     /// Membership.
     pub membership: Arc<MembershipService>,
     /// Floor lease.
@@ -64,6 +67,9 @@
             PeerMessage::Membership(message) => {
                 PeerMessage::Membership(self.membership.handle(&from, &domain, &message))
             }
+            PeerMessage::Idempotency(message) => {
+                PeerMessage::Idempotency(self.idempotency.handle(message))
+            }
             PeerMessage::Batch(message) => PeerMessage::Batch(self.batch.handle(message).await),
             PeerMessage::Record(message) => self.records.handle(message).await,
             PeerMessage::Operator(message) => self.operators.handle(message).await,
--- a/crates/sesamewall-server/tests/path.rs
+++ b/crates/sesamewall-server/tests/path.rs
@@ -14,6 +14,8 @@
 mod outcomes;
 #[path = "path/poison.rs"]
 mod poison;
+#[path = "path/resent.rs"]
+mod resent;
 #[path = "path/target.rs"]
 mod target;
 #[path = "path/turnover.rs"]
--- a/crates/sesamewall-server/tests/path/keys.rs
+++ b/crates/sesamewall-server/tests/path/keys.rs
@@ -1,8 +1,11 @@
 //! Tests of keys: who may run a request, and who sees the key.
 
+use std::time::Duration;
+
 use http::Method;
 use serde_json::json;
 use sesamewall_protocol::hash_key;
+use sesamewall_server::Settings;
 
 use crate::fleet::*;
 use crate::target::ScriptedTarget;
@@ -10,6 +13,8 @@
 
 const KEY_C: &str = "sk-cccccccccccccccccccccccccccccccc";
 
+type Headers<'a> = Vec<(&'a str, &'a str)>;
+
 async fn service() -> ScriptedTarget {
     ScriptedTarget::start(|_, request| reply(request, "{}")).await
 }
@@ -30,7 +35,7 @@
     fleet.submit(vec![serde_json::from_value(delete).unwrap()]).await;
     let before = target.received().len();
     let query = format!("?api_key={KEY_A}");
-    let cases: [(&str, Vec<(&str, &str)>, u64); 6] = [
+    let cases: [(&str, Headers, u64); 6] = [
         ("", vec![], 2001),
         ("", vec![("authorization", "Bearer sk-wrong")], 2002),
         ("", vec![("authorization", &c)], 2002),
@@ -69,7 +74,7 @@
     let a = bearer(KEY_A);
     let encoded: String = KEY_A.bytes().map(|byte| format!("%{byte:02x}")).collect();
     let cookie = format!("theme=dark; api_key={KEY_A}; other=\"{KEY_A}\"");
-    let places: Vec<(String, Vec<(&str, &str)>)> = vec![
+    let places: Vec<(String, Headers)> = vec![
         (String::new(), vec![("authorization", &a)]),
         (String::new(), vec![("x-api-key", KEY_A)]),
         (String::new(), vec![("authorization", KEY_A), ("x-custom", &a)]),
@@ -109,3 +114,41 @@
         }
     }
 }
+
+/// Guards against a key in the URL of a batch item that reaches the target.
+#[tokio::test]
+async fn key_of_a_batch_item_is_not_passed_on() {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = Settings { data_dir: Some(folder.path().to_owned()), ..Settings::default() };
+    let fleet = Fleet::with(&["d1"], settings).await;
+    let target = service().await;
+    fleet
+        .put(vec![group("s", false, &[("d1", &target.address)]), route("/service", "s", false)])
+        .await;
+    let url = format!("/service/x?kept=1&api_key={KEY_A}");
+    let item = json!({ "custom_id": "1", "method": "POST", "url": url, "body": {} });
+    let form = format!(
+        "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+         --XX\r\ncontent-disposition: form-data; name=\"file\"; filename=\"in.jsonl\"\r\n\r\n\
+         {item}\r\n--XX--\r\n"
+    );
+    let a = bearer(KEY_A);
+    let kind = "multipart/form-data; boundary=XX";
+    let headers = [("authorization", &*a), ("content-type", kind)];
+    let file = fleet.send(0, Method::POST, "/v1/files", &headers, &form).await;
+    let job = json!({ "input_file_id": file.json()["id"], "endpoint": url,
+                      "completion_window": "24h" });
+    let headers = [("authorization", &*a)];
+    let job = fleet.send(0, Method::POST, "/v1/batches", &headers, &job.to_string()).await;
+    assert_eq!(job.status, 200, "{} {}", file.text, job.text);
+    for _ in 0..1000 {
+        if !target.received().is_empty() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let seen = target.received().join("\n");
+    assert!(seen.contains("/service/x?kept=1 "), "{seen}");
+    assert!(!seen.contains(KEY_A), "{seen}");
+    assert!(!fleet.log.text().contains(KEY_A));
+}
