--- a/crates/sesamewall-batch/src/claim.rs
+++ b/crates/sesamewall-batch/src/claim.rs
@@ -64,9 +64,9 @@
             .map(|job| job.id.clone())
     }
 
-    /// Adds `items` of work given to an account with `weight`.
-    pub fn charge(&mut self, account: &AccountName, items: u32, weight: f64) {
-        *self.work.entry(account.clone()).or_default() += f64::from(items) / weight.max(1e-6);
+    /// Adds `tokens` of expected work given to an account with `weight`.
+    pub fn charge(&mut self, account: &AccountName, tokens: f64, weight: f64) {
+        *self.work.entry(account.clone()).or_default() += tokens / weight.max(1e-6);
     }
 
     /// Tells whether the claim of `record` has lapsed, given the holder's worker record as just
--- a/crates/sesamewall-batch/src/frame.rs
+++ b/crates/sesamewall-batch/src/frame.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use sesamewall_protocol::Outcome;
 
 const HEAD_BYTES: usize = 8;
 
@@ -19,6 +20,8 @@
     Attempt {
         /// Why the attempt failed.
         reason: String,
+        /// What is known about the execution of the attempt.
+        outcome: Outcome,
     },
     /// The item's outcome.
     Outcome {
--- a/crates/sesamewall-batch/src/input.rs
+++ b/crates/sesamewall-batch/src/input.rs
@@ -38,6 +38,30 @@
     pub length: u64,
     /// Number of items.
     pub items: u32,
+    /// Tokens that the items are expected to take, prompts and answers together.
+    #[serde(default)]
+    pub work: u64,
+}
+
+/// Output tokens expected of an item that names no bound.
+const EXPECTED_OUTPUT_TOKENS: u64 = 256;
+const OUTPUT_LIMIT_TOKENS: u64 = 1 << 20;
+const BYTES_PER_TOKEN: u64 = 4;
+/// Work of a call of a plain service: one for each started KiB.
+const PLAIN_UNIT_BYTES: u64 = 1024;
+
+/// Returns the work expected of an item whose line has `length` bytes: prompt tokens by its length
+/// and output tokens by its bound. It is the same estimate as in admission, except that the length
+/// is that of the line and not of the body.
+pub fn expected_work(line: &InputLine, length: u64) -> u64 {
+    if !is_model_endpoint(&line.url) {
+        return 1 + length / PLAIN_UNIT_BYTES;
+    }
+    let bound = ["max_completion_tokens", "max_tokens"]
+        .iter()
+        .find_map(|name| line.body.get(name).and_then(serde_json::Value::as_u64));
+    let output = bound.unwrap_or(EXPECTED_OUTPUT_TOKENS).min(OUTPUT_LIMIT_TOKENS);
+    (length / BYTES_PER_TOKEN).max(1) + output
 }
 
 /// Parses line number `line`, from 1. Returns [`Error::BatchLineInvalid`].
@@ -129,7 +153,7 @@
         let text = std::mem::take(&mut self.pending);
         let length = text.len() as u64 + line_end;
         if text.iter().all(u8::is_ascii_whitespace) {
-            self.extend(length, 0);
+            self.extend(length, 0, 0);
             return Ok(());
         }
         let parsed = parse_line(self.line, &text)?;
@@ -140,6 +164,7 @@
         if !self.seen.insert(id) {
             return wrong(self.line, format!("custom_id `{}` is used twice", parsed.custom_id));
         }
+        let work = expected_work(&parsed, length);
         if self.endpoint.is_empty() {
             self.endpoint = parsed.url;
         } else if self.endpoint != parsed.url {
@@ -149,21 +174,22 @@
         if self.seen.len() as u64 > ITEM_LIMIT {
             return Err(Error::BatchTooLarge { limit: ITEM_LIMIT });
         }
-        self.extend(length, 1);
+        self.extend(length, 1, work);
         Ok(())
     }
 
-    fn extend(&mut self, length: u64, items: u32) {
+    fn extend(&mut self, length: u64, items: u32, work: u64) {
         let full = |range: &SegmentRange| {
             range.items + items > SEGMENT_ITEMS
                 || (range.items > 0 && range.length + length > SEGMENT_BYTES)
         };
         if self.segments.last().is_none_or(full) {
-            self.segments.push(SegmentRange { offset: self.offset, length: 0, items: 0 });
+            self.segments.push(SegmentRange { offset: self.offset, ..SegmentRange::default() });
         }
         let last = self.segments.last_mut().expect("a segment was pushed");
         last.length += length;
         last.items += items;
+        last.work += work;
         self.offset += length;
     }
 }
--- a/crates/sesamewall-batch/src/lib.rs
+++ b/crates/sesamewall-batch/src/lib.rs
@@ -28,6 +28,7 @@
 pub use input::SEGMENT_BYTES;
 pub use input::SEGMENT_ITEMS;
 pub use input::SegmentRange;
+pub use input::expected_work;
 pub use input::parse_line;
 pub use job::JobEvent;
 pub use job::JobState;
--- a/crates/sesamewall-batch/src/record.rs
+++ b/crates/sesamewall-batch/src/record.rs
@@ -105,6 +105,9 @@
     pub segments: u32,
     /// Counts; those of ended items are set when the job ends.
     pub counts: Counts,
+    /// Tokens that the items are expected to take, prompts and answers together.
+    #[serde(default)]
+    pub work: u64,
     /// Wall time of creation in milliseconds.
     pub created_ms: u64,
     /// Wall time by which the job is due, in milliseconds.
@@ -151,6 +154,9 @@
     /// Number of claims before this one; a segment that is given back waits longer each time.
     #[serde(default)]
     pub attempt: u32,
+    /// Wall time in milliseconds since which the input or earlier results cannot be read.
+    #[serde(default)]
+    pub unread_ms: Option<u64>,
     /// Result blobs with outcomes, oldest first; one once committed.
     pub blobs: Vec<BlobRef>,
     /// Counts, set by the commit.
@@ -179,4 +185,7 @@
     pub incarnation: String,
     /// Rises with each renewal.
     pub beat: u64,
+    /// Wall time of the renewal in milliseconds. It serves only to remove old records.
+    #[serde(default)]
+    pub renewed_ms: u64,
 }
--- a/crates/sesamewall-batch/src/recovery.rs
+++ b/crates/sesamewall-batch/src/recovery.rs
@@ -1,5 +1,7 @@
 //! Recovers the state of a segment's items from the frames of earlier claims.
 
+use sesamewall_protocol::Outcome;
+
 use crate::BlobRef;
 use crate::Frame;
 use crate::FrameBody;
@@ -16,6 +18,8 @@
         attempts: u32,
         /// Reason of the last failed attempt.
         reason: String,
+        /// What is known about the attempts together.
+        outcome: Outcome,
     },
     /// The item has an outcome.
     Done {
@@ -28,6 +32,8 @@
     Unknown {
         /// Attempts that ended before.
         attempts: u32,
+        /// What is known about these attempts together.
+        outcome: Outcome,
     },
 }
 
@@ -35,7 +41,8 @@
 /// another fencing token than their blob's and frames after a seal are not trusted. The first
 /// outcome of an item counts.
 pub fn recover(count: usize, chain: &[(BlobRef, Vec<Vec<Frame>>)]) -> Vec<ItemState> {
-    let mut items = vec![ItemState::Run { attempts: 0, reason: String::new() }; count];
+    let first = ItemState::Run { attempts: 0, reason: String::new(), outcome: Outcome::NotRun };
+    let mut items = vec![first; count];
     for (blob, copies) in chain {
         // Copies of one blob are prefixes of the same frames, so the longest says everything.
         let trusted = |copy: &Vec<Frame>| {
@@ -55,17 +62,24 @@
 }
 
 fn apply(item: &mut ItemState, body: &FrameBody) {
-    let (attempts, last) = match item {
-        ItemState::Run { attempts, reason } => (*attempts, std::mem::take(reason)),
-        ItemState::Unknown { attempts } => (*attempts, String::new()),
+    let (attempts, last, known) = match item {
+        ItemState::Run { attempts, reason, outcome } => {
+            (*attempts, std::mem::take(reason), *outcome)
+        }
+        // The frame that follows an intent says how the intended attempt ended.
+        ItemState::Unknown { attempts, outcome } => (*attempts, String::new(), *outcome),
         ItemState::Done { .. } => return,
     };
     *item = match body {
         FrameBody::Outcome { ok, line } => ItemState::Done { ok: *ok, line: line.clone() },
-        FrameBody::Intent => ItemState::Unknown { attempts },
-        FrameBody::Attempt { reason } => {
-            ItemState::Run { attempts: attempts + 1, reason: reason.clone() }
+        FrameBody::Intent => ItemState::Unknown { attempts, outcome: known },
+        FrameBody::Attempt { reason, outcome } => ItemState::Run {
+            attempts: attempts + 1,
+            reason: reason.clone(),
+            outcome: known.combine(*outcome),
+        },
+        FrameBody::Header | FrameBody::Seal => {
+            ItemState::Run { attempts, reason: last, outcome: known }
         }
-        FrameBody::Header | FrameBody::Seal => ItemState::Run { attempts, reason: last },
     };
 }
--- a/crates/sesamewall-batch/tests/claim.rs
+++ b/crates/sesamewall-batch/tests/claim.rs
@@ -27,6 +27,7 @@
         expired: false,
         segments: 1,
         counts: Counts::default(),
+        work: 0,
         created_ms: 0,
         due_ms,
         cancelling_ms: None,
@@ -44,6 +45,7 @@
         incarnation: "a".to_owned(),
         fence: 1,
         attempt: 0,
+        unread_ms: None,
         blobs: Vec::new(),
         counts: Counts::default(),
         output_bytes: 0,
@@ -53,7 +55,7 @@
 }
 
 fn worker(beat: u64) -> WorkerRecord {
-    WorkerRecord { incarnation: "a".to_owned(), beat }
+    WorkerRecord { incarnation: "a".to_owned(), beat, renewed_ms: 0 }
 }
 
 /// Guards against an account that starves others with many jobs, and against late jobs that wait.
@@ -68,7 +70,7 @@
         let id = book.choose_job(jobs.iter().map(|job| (job, true))).unwrap();
         let chosen = jobs.iter().find(|job| job.id == id).unwrap();
         assert!(chosen.account.as_str() == "b" || id.as_str() == "many49", "{id}");
-        book.charge(&chosen.account, 500, 1.0);
+        book.charge(&chosen.account, 500.0, 1.0);
         *turns.entry(chosen.account.clone()).or_insert(0) += 1;
     }
     assert_eq!(turns.into_values().collect::<Vec<_>>(), vec![50, 50]);
@@ -81,13 +83,13 @@
     let mut book = ClaimBook::default();
     for _ in 0..10 {
         assert_eq!(book.choose_job([(&a, true)].into_iter()), Some("a".into()));
-        book.charge(&a.account, 500, 1.0);
+        book.charge(&a.account, 500.0, 1.0);
     }
     let mut turns = 0;
     for _ in 0..10 {
         let id = book.choose_job([(&a, true), (&b, true)].into_iter()).unwrap();
         turns += i32::from(id.as_str() == "b");
-        book.charge(if id.as_str() == "b" { &b.account } else { &a.account }, 500, 1.0);
+        book.charge(if id.as_str() == "b" { &b.account } else { &a.account }, 500.0, 1.0);
     }
     assert!((5..=6).contains(&turns), "{turns}");
 }
@@ -97,8 +99,8 @@
 fn waiting_account_keeps_its_work() {
     let (a, b) = (job("a", "a", 1), job("b", "b", 2));
     let mut book = ClaimBook::default();
-    book.charge(&a.account, 5_000, 1.0);
-    book.charge(&b.account, 500, 1.0);
+    book.charge(&a.account, 5_000.0, 1.0);
+    book.charge(&b.account, 500.0, 1.0);
     assert_eq!(book.choose_job([(&a, false), (&b, true)].into_iter()), Some("b".into()));
     assert_eq!(book.choose_job([(&a, true), (&b, true)].into_iter()), Some("b".into()));
 }
@@ -118,7 +120,7 @@
     let lapse = now - step + CLAIM_LAPSE;
     assert!(book.is_lapsed(&record, Some(&worker(4)), lapse));
     // A worker that was replaced, or whose record is gone, lapses as well.
-    let other = WorkerRecord { incarnation: "b".to_owned(), beat: 99 };
+    let other = WorkerRecord { incarnation: "b".to_owned(), beat: 99, renewed_ms: 0 };
     assert!(book.is_lapsed(&record, Some(&other), lapse));
     assert!(book.is_lapsed(&record, None, lapse));
 }
--- a/crates/sesamewall-batch/tests/input.rs
+++ b/crates/sesamewall-batch/tests/input.rs
@@ -89,3 +89,16 @@
         prop_assert_eq!(offset, text.len() as u64);
     }
 }
+
+/// Guards against work counted by items: an item weighs by its prompt and its output bound.
+#[test]
+fn work_is_counted_in_tokens() {
+    let plain = line(1, "/v1/completions");
+    let long = plain.replace("i1", "i2").replace("{}", r#"{"max_tokens":4000}"#);
+    let text = format!("{plain}\n{long}\n");
+    let mut scan = InputScan::new(1_000);
+    scan.push(text.as_bytes()).unwrap();
+    let (_, segments) = scan.finish().unwrap();
+    let bytes = |line: &str| (line.len() as u64 + 1) / 4;
+    assert_eq!(segments[0].work, bytes(&plain) + 256 + bytes(&long) + 4_000);
+}
--- a/crates/sesamewall-batch/tests/recovery.rs
+++ b/crates/sesamewall-batch/tests/recovery.rs
@@ -10,6 +10,7 @@
 use sesamewall_batch::decode_frames;
 use sesamewall_batch::encode_frame;
 use sesamewall_batch::recover;
+use sesamewall_protocol::Outcome;
 
 fn blob(fence: u64) -> BlobRef {
     BlobRef { fence, ..BlobRef::default() }
@@ -39,14 +40,17 @@
         frame(1, 2, outcome("late")),
     ];
     let items = recover(3, &[(blob(1), vec![frames])]);
-    let run = ItemState::Run { attempts: 0, reason: String::new() };
+    let run = ItemState::Run { attempts: 0, reason: String::new(), outcome: Outcome::NotRun };
     assert_eq!(items, vec![done("first"), run.clone(), run]);
 }
 
 /// Guards against a second send after an intent, and against attempts that are forgotten.
 #[test]
 fn intents_and_attempts_survive() {
-    let attempt = |reason: &str| FrameBody::Attempt { reason: reason.to_owned() };
+    let attempt = |reason: &str| FrameBody::Attempt {
+        reason: reason.to_owned(),
+        outcome: if reason == "busy" { Outcome::NotRun } else { Outcome::Unknown },
+    };
     let first = vec![
         frame(1, 0, FrameBody::Header),
         frame(1, 0, FrameBody::Intent),
@@ -54,11 +58,16 @@
         frame(1, 1, attempt("busy")),
         frame(1, 2, attempt("busy")),
     ];
-    let second = vec![frame(2, 0, FrameBody::Header), frame(2, 2, attempt("reset"))];
+    let second = vec![
+        frame(2, 0, FrameBody::Header),
+        frame(2, 2, attempt("reset")),
+        frame(2, 2, attempt("busy")),
+    ];
     // One copy lacks the tail; the longer one counts.
     let chain = [(blob(1), vec![first[..1].to_vec(), first]), (blob(2), vec![second])];
-    let run = |attempts, reason: &str| ItemState::Run { attempts, reason: reason.to_owned() };
-    let wanted = vec![ItemState::Unknown { attempts: 0 }, run(1, "busy"), run(2, "reset")];
+    let run = |attempts, outcome| ItemState::Run { attempts, reason: "busy".to_owned(), outcome };
+    let unknown = ItemState::Unknown { attempts: 0, outcome: Outcome::NotRun };
+    let wanted = vec![unknown, run(1, Outcome::NotRun), run(3, Outcome::Unknown)];
     assert_eq!(recover(3, &chain), wanted);
 }
 
--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -220,6 +220,20 @@
         attempts: u32,
         /// Last reason.
         reason: String,
+        /// What is known about the attempts together.
+        outcome: Outcome,
+    },
+    /// An item may have been run and is not run again.
+    #[display("the item may have been run and is not run again: {detail}")]
+    ItemUnclear {
+        /// Why its outcome is not known.
+        detail: String,
+    },
+    /// The input of an item cannot be read.
+    #[display("the input of the item cannot be read: {detail}")]
+    ItemLost {
+        /// What went wrong.
+        detail: String,
     },
 
     /// A resource does not validate.
@@ -320,6 +334,8 @@
             Self::BulkUnavailable { .. } => 6004,
             Self::BulkDamaged { .. } => 6005,
             Self::ItemFailed { .. } => 6006,
+            Self::ItemUnclear { .. } => 6007,
+            Self::ItemLost { .. } => 6008,
             Self::ResourceInvalid { .. } => 7001,
             Self::RevisionConflict { .. } => 7002,
             Self::SettingsInvalid { .. } => 7003,
@@ -374,6 +390,8 @@
             6004 => "upload again later; nothing was accepted",
             6005 => "report the blob to the operators; every copy is damaged",
             6006 => "see the last reason and correct the item",
+            6007 => "check whether the item took effect before running it again",
+            6008 => "upload the input file again and submit a new job with these items",
             7001 => "correct the field; nothing of the change was applied",
             7002 => "read the resources again and repeat the change against the new revision",
             7003 => "correct the settings file; see deploy/ for commented examples",
@@ -387,6 +405,8 @@
             Self::TargetLost { .. } | Self::AnswerMismatch { .. } | Self::Internal { .. } => {
                 Outcome::Unknown
             }
+            Self::ItemUnclear { .. } => Outcome::Unknown,
+            Self::ItemFailed { outcome, .. } => *outcome,
             Self::TargetFailed { .. } => Outcome::Run,
             _ => Outcome::NotRun,
         }
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -43,7 +43,13 @@
             Self::JobState { job: text("job"), state: text("state") },
             Self::BulkUnavailable { copies: 0, wanted: 0 },
             Self::BulkDamaged { blob: text("blob"), offset: 0 },
-            Self::ItemFailed { attempts: 0, reason: text("reason") },
+            Self::ItemFailed {
+                attempts: 0,
+                reason: text("reason"),
+                outcome: crate::Outcome::Unknown,
+            },
+            Self::ItemUnclear { detail: text("detail") },
+            Self::ItemLost { detail: text("detail") },
             Self::ResourceInvalid {
                 kind: text("kind"),
                 name: text("name"),
--- a/crates/sesamewall-protocol/src/outcome.rs
+++ b/crates/sesamewall-protocol/src/outcome.rs
@@ -17,3 +17,14 @@
     #[display("unknown")]
     Unknown,
 }
+
+impl Outcome {
+    /// Returns what is known about two attempts together: a doubt about either of them stays.
+    pub fn combine(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Unknown, _) | (_, Self::Unknown) => Self::Unknown,
+            (Self::Run, _) | (_, Self::Run) => Self::Run,
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+        }
+    }
+}
--- a/crates/sesamewall-protocol/src/record.rs
+++ b/crates/sesamewall-protocol/src/record.rs
@@ -5,6 +5,7 @@
 
 use crate::AccountName;
 use crate::InstanceName;
+use crate::JobId;
 use crate::RequestId;
 
 /// One step on the path of a request.
@@ -60,6 +61,37 @@
         /// Tokens in the answer, if the target reported them.
         tokens: u64,
     },
+    /// A batch item ended. It is noted for each item that failed or was retried, and for the first
+    /// item of each segment.
+    ItemEnded {
+        /// The job.
+        job: JobId,
+        /// The caller's identifier of the item; absent if the input was lost.
+        custom_id: Option<String>,
+        /// Index of the segment.
+        segment: u32,
+        /// Attempts that the claim saw, with those of earlier claims.
+        attempts: u32,
+        /// Numbered result code; 0 for a complete answer.
+        code: u16,
+        /// `not-run`, `run` or `unknown`, over all attempts.
+        outcome: crate::Outcome,
+        /// Last reason of a failure.
+        reason: String,
+    },
+    /// A segment of a batch job was committed.
+    SegmentEnded {
+        /// The job.
+        job: JobId,
+        /// Index of the segment.
+        segment: u32,
+        /// Items with a complete answer.
+        completed: u64,
+        /// Items that ended with an error.
+        failed: u64,
+        /// Items whose path was noted in full.
+        noted: u32,
+    },
 }
 
 /// A decision with its place and time.
--- a/crates/sesamewall-server/src/batch/claims.rs
+++ b/crates/sesamewall-server/src/batch/claims.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -35,8 +36,6 @@
 const IDLE_POLL: Duration = Duration::from_secs(1);
 const LOOK_AGAIN: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// Accounts share batch claims equally; their weights apply at admission.
-const EQUAL_WEIGHT: f64 = 1.0;
 /// Store reads a second that all instances together spend on looking for lapsed claims.
 const LOOK_READS_PER_SECOND: f64 = 600.0;
 const READS_PER_LOOK: f64 = 2.0;
@@ -65,6 +64,8 @@
     pub(super) length: u64,
     /// Frames behind the header may have been appended to the own blob.
     pub(super) started: bool,
+    /// Items whose path was noted in full.
+    pub(super) noted: AtomicU32,
     pub(super) stop: CancellationToken,
 }
 
@@ -103,7 +104,8 @@
         let start = self.node.clock.now();
         let key = worker_key(self.node.own.name.as_str());
         let beat = self.beat.fetch_add(1, Ordering::Relaxed);
-        let record = WorkerRecord { incarnation: self.incarnation.clone(), beat };
+        let renewed_ms = self.node.clock.wall_ms();
+        let record = WorkerRecord { incarnation: self.incarnation.clone(), beat, renewed_ms };
         let known = self.state().worker_version;
         let expect = match known {
             Some(version) => Expect::Version(version),
@@ -132,7 +134,8 @@
         loop {
             let busy = {
                 let state = self.state();
-                !state.jobs.is_empty() || !state.active.is_empty()
+                let jobs = !state.jobs.is_empty() && !self.is_draining();
+                jobs || !state.active.is_empty()
             };
             let renewed = if busy { self.renew().await.is_ok() } else { true };
             self.stop_due_jobs().await;
@@ -233,8 +236,7 @@
             let work = state.jobs.values().any(|job| job.look_at <= now);
             (room && work, state.lease.is_valid(now))
         };
-        let draining = self.node.draining.load(Ordering::Relaxed);
-        room && !draining && (valid || self.renew().await.is_ok())
+        room && !self.is_draining() && (valid || self.renew().await.is_ok())
     }
 
     /// Looks at the job whose turn it is.
@@ -324,6 +326,11 @@
     ) -> Result<()> {
         let place = (job.id.clone(), index);
         self.state().active.insert(place.clone());
+        // The drain waits until nothing is active, so either it sees the entry or it is seen here.
+        if self.is_draining() {
+            self.state().active.remove(&place);
+            return Ok(());
+        }
         let claimed = self.claim(job, index, prior, stop).await;
         let Ok(Some(claim)) = claimed else {
             self.state().active.remove(&place);
@@ -357,6 +364,7 @@
         // lost its disk.
         self.storage.append_all(&blob, 0, &header).await?;
         let attempt = prior.as_ref().map_or(0, |(record, _)| record.attempt + 1);
+        let unread_ms = prior.as_ref().and_then(|(record, _)| record.unread_ms);
         let (mut blobs, expect) = match prior {
             Some((record, version)) => (record.blobs, Expect::Version(version)),
             None => (Vec::new(), Expect::Absent),
@@ -368,6 +376,7 @@
             incarnation: self.incarnation.clone(),
             fence,
             attempt,
+            unread_ms,
             blobs,
             counts: Default::default(),
             output_bytes: 0,
@@ -383,12 +392,31 @@
         let (now, seen) = self.job(job.id.as_str()).await?;
         self.note_job(&now, seen);
         let length = header.len() as u64;
-        let claim = Claim { job: now, index, record, version, length, started: false, stop };
+        let claim = Claim {
+            job: now,
+            index,
+            record,
+            version,
+            length,
+            started: false,
+            noted: AtomicU32::new(0),
+            stop,
+        };
         if claim.job.state.is_ended() {
             return Ok(None);
         }
-        let items = (claim.job.counts.total / u64::from(claim.job.segments.max(1))).max(1);
-        self.state().claims.charge(&claim.job.account, items as u32, EQUAL_WEIGHT);
+        self.charge(&claim.job);
         Ok(Some(claim))
     }
+
+    /// Charges the job's account with the mean work of the job's segments, in tokens.
+    fn charge(&self, job: &JobRecord) {
+        // Jobs written before work was estimated count by items.
+        let work = job.work.max(job.counts.total).max(1) as f64 / f64::from(job.segments.max(1));
+        let weight = match self.options.weights {
+            true => self.node.config.current().account(job.account.as_str()).map(|a| a.weight),
+            false => None,
+        };
+        self.state().claims.charge(&job.account, work, weight.unwrap_or(1.0));
+    }
 }
--- a/crates/sesamewall-server/src/batch/files.rs
+++ b/crates/sesamewall-server/src/batch/files.rs
@@ -262,9 +262,12 @@
         let mut purpose = None;
         let mut uploaded = None;
         let read = async {
-            while let Some(part) = parts.next_field().await.map_err(malformed)? {
+            while let Some(part) = self.in_time(parts.next_field()).await?.map_err(malformed)? {
                 match part.name() {
-                    Some("purpose") => purpose = Some(part.text().await.map_err(malformed)?),
+                    Some("purpose") => {
+                        let text = self.in_time(part.text()).await?;
+                        purpose = Some(text.map_err(malformed)?);
+                    }
                     Some("file") if uploaded.is_none() => {
                         uploaded = Some(self.store_upload(part).await?);
                     }
@@ -273,7 +276,12 @@
             }
             Ok(())
         };
-        read.await?;
+        if let Err(error) = read.await {
+            if let Some(upload) = &uploaded {
+                self.discard(&upload.blob).await;
+            }
+            return Err(error);
+        }
         let upload = uploaded.ok_or_else(|| malformed("the part `file` is missing"))?;
         if purpose.as_deref() != Some("batch") {
             self.discard(&upload.blob).await;
@@ -330,14 +338,7 @@
         let mut scan = InputScan::new(self.node.settings.body_limit);
         let mut pending = Vec::new();
         let mut bytes = 0;
-        let seconds = self.node.settings.body_seconds;
-        let pause = Duration::from_secs(seconds);
-        // A large file takes long, so the time limit is for each piece.
-        while let Some(piece) = tokio::time::timeout(pause, part.chunk())
-            .await
-            .map_err(|_| Error::BodyTimeout { seconds })?
-            .map_err(malformed)?
-        {
+        while let Some(piece) = self.in_time(part.chunk()).await?.map_err(malformed)? {
             scan.push(&piece)?;
             pending.extend_from_slice(&piece);
             if bytes + pending.len() as u64 > self.options.file_limit as u64 {
@@ -354,6 +355,15 @@
         Ok((bytes + pending.len() as u64, endpoint, segments))
     }
 
+    /// Waits for the next piece of an upload. A large file takes long, so the time limit is for
+    /// each piece.
+    async fn in_time<T>(&self, piece: impl Future<Output = T>) -> Result<T> {
+        let seconds = self.node.settings.body_seconds;
+        let limit = Duration::from_secs(seconds);
+        let read = tokio::time::timeout(limit, piece).await;
+        read.map_err(|_| Error::BodyTimeout { seconds })
+    }
+
     /// Deletes the copies of a blob that no record names. What cannot be reached is removed later
     /// as an orphan.
     async fn discard(&self, blob: &BlobRef) {
--- a/crates/sesamewall-server/src/batch/jobs.rs
+++ b/crates/sesamewall-server/src/batch/jobs.rs
@@ -1,19 +1,19 @@
 //! Handlers for jobs, and the same for operators.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::Extension;
 use axum::Json;
+use axum::body::Body;
 use axum::extract::Path;
 use axum::extract::Query;
 use axum::extract::State;
-use axum::extract::rejection::BytesRejection;
 use axum::extract::rejection::QueryRejection;
 use axum::http::HeaderMap;
 use axum::http::HeaderValue;
 use axum::response::IntoResponse;
 use axum::response::Response;
-use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::Value;
 use sesamewall_batch::FileRecord;
@@ -94,13 +94,16 @@
     State(service): State<Arc<BatchService>>,
     Extension(caller): Extension<Caller>,
     headers: HeaderMap,
-    body: std::result::Result<Bytes, BytesRejection>,
+    body: Body,
 ) -> Response {
     let key = headers.get("idempotency-key").map(|value| value.as_bytes().to_vec());
     let limit = service.node.settings.body_limit;
-    let result = match body {
-        Ok(body) => service.create_job(&caller.account, key.as_deref(), &body).await,
-        Err(_) => Err(Error::BodyTooLarge { limit }),
+    let seconds = service.node.settings.body_seconds;
+    let read = axum::body::to_bytes(body, limit);
+    let result = match tokio::time::timeout(Duration::from_secs(seconds), read).await {
+        Err(_) => Err(Error::BodyTimeout { seconds }),
+        Ok(Ok(body)) => service.create_job(&caller.account, key.as_deref(), &body).await,
+        Ok(Err(_)) => Err(Error::BodyTooLarge { limit }),
     };
     reply(result, &caller)
 }
@@ -268,6 +271,7 @@
     fn new_job(&self, id: JobId, file: &FileRecord, metadata: Value, keyed: bool) -> JobRecord {
         let created_ms = self.node.clock.wall_ms();
         let total = file.segments.iter().map(|range| u64::from(range.items)).sum();
+        let work = file.segments.iter().map(|range| range.work).sum();
         JobRecord {
             id,
             account: file.account.clone(),
@@ -277,6 +281,7 @@
             expired: false,
             segments: file.segments.len() as u32,
             counts: sesamewall_batch::Counts { total, completed: 0, failed: 0 },
+            work,
             created_ms,
             due_ms: created_ms + WINDOW_MS,
             cancelling_ms: None,
--- a/crates/sesamewall-server/src/batch/mod.rs
+++ b/crates/sesamewall-server/src/batch/mod.rs
@@ -1,16 +1,20 @@
 //! Batch jobs: files, jobs, workers and copies of bulk data.
 
 mod claims;
+mod drain;
 mod files;
+mod items;
 mod jobs;
 mod journal;
 mod lifecycle;
 mod options;
 mod records;
+mod recover;
 mod repair;
 mod service;
 mod shape;
 mod storage;
+mod sweep;
 mod worker;
 
 pub use options::BatchOptions;
--- a/crates/sesamewall-server/src/batch/options.rs
+++ b/crates/sesamewall-server/src/batch/options.rs
@@ -28,6 +28,20 @@
     pub repair_blobs: usize,
     /// Time for which a blob without record is kept.
     pub orphan_after: Duration,
+    /// Old records that no blob leads to are removed.
+    pub sweep: bool,
+    /// Account weights count in the choice of segments.
+    pub weights: bool,
+    /// Time for which the input or earlier results of a segment are waited for while no copy can
+    /// be read. Then its items end with a numbered outcome.
+    pub unread_limit: Duration,
+    /// The same for a job that is being cancelled.
+    pub unread_limit_stopping: Duration,
+    /// Time for which running items go on when the instance shuts down, before those that may be
+    /// repeated are cancelled.
+    pub drain_finish: Duration,
+    /// Time before an item's due time from which it counts as past its latest start.
+    pub urgent_before_due: Duration,
     /// Seed for tokens and spreading; a random one without it.
     pub seed: Option<u64>,
 }
@@ -45,6 +59,12 @@
             repair_every: Duration::from_secs(60),
             repair_blobs: 256,
             orphan_after: Duration::from_secs(3600),
+            sweep: true,
+            weights: true,
+            unread_limit: Duration::from_secs(3600),
+            unread_limit_stopping: Duration::from_secs(300),
+            drain_finish: Duration::from_secs(3),
+            urgent_before_due: Duration::from_secs(4 * 3600),
             seed: None,
         }
     }
--- a/crates/sesamewall-server/src/batch/records.rs
+++ b/crates/sesamewall-server/src/batch/records.rs
@@ -80,14 +80,19 @@
     pub(super) async fn delete(&self, key: &str) -> Result<()> {
         let found = self.store.get(key).await.map_err(|error| unavailable(&error))?;
         match found {
-            Some(entry) => match self.store.delete(key, entry.version).await {
-                Ok(()) | Err(StoreError::Conflict | StoreError::Unclear) => Ok(()),
-                Err(error) => Err(unavailable(&error)),
-            },
+            Some(entry) => self.delete_version(key, entry.version).await,
             None => Ok(()),
         }
     }
 
+    /// Deletes a record unless it has changed since `version`.
+    pub(super) async fn delete_version(&self, key: &str, version: u64) -> Result<()> {
+        match self.store.delete(key, version).await {
+            Ok(()) | Err(StoreError::Conflict | StoreError::Unclear) => Ok(()),
+            Err(error) => Err(unavailable(&error)),
+        }
+    }
+
     /// Returns up to `limit` entries below `prefix` after the key `after`.
     pub(super) async fn list(
         &self,
--- a/crates/sesamewall-server/src/batch/repair.rs
+++ b/crates/sesamewall-server/src/batch/repair.rs
@@ -51,6 +51,7 @@
         loop {
             tokio::time::sleep(self.options.repair_every).await;
             let _ = self.repair_pass().await;
+            let _ = self.sweep_pass().await;
         }
     }
 
@@ -94,9 +95,7 @@
         let Some((owner, _)) = self.records.get::<JobRecord>(&job_key(job)).await? else {
             return Ok(None);
         };
-        let retention = self.node.settings.retention_seconds;
-        let now = self.node.clock.wall_ms();
-        if owner.ended_ms.is_some_and(|ended| !is_retained(ended, retention, now)) {
+        if self.is_over(&owner) {
             self.forget_job(&owner).await?;
             return Ok(None);
         }
@@ -112,26 +111,38 @@
         let Some((file, version)) = self.records.get::<FileRecord>(&file_key(id)).await? else {
             return Ok(None);
         };
+        if self.is_unused(&file) {
+            self.forget_file(&file).await?;
+            return Ok(None);
+        }
+        Ok(Some(Owner::File(file, version)))
+    }
+
+    /// Tells whether the job ended longer ago than the retention.
+    pub(super) fn is_over(&self, job: &JobRecord) -> bool {
         let retention = self.node.settings.retention_seconds;
+        let now = self.node.clock.wall_ms();
+        job.ended_ms.is_some_and(|ended| !is_retained(ended, retention, now))
+    }
+
+    /// Tells whether no job can need an input file any more.
+    pub(super) fn is_unused(&self, file: &FileRecord) -> bool {
         let now = self.node.clock.wall_ms();
         let deleted = file
             .deleted_ms
             .is_some_and(|deleted| !is_retained(deleted, DELETED_KEEP.as_secs(), now));
+        let retention = self.node.settings.retention_seconds;
         let longest = retention.saturating_add(DELETED_KEEP.as_secs());
-        if deleted || !is_retained(file.created_ms, longest, now) {
-            self.forget_file(&file).await?;
-            return Ok(None);
-        }
-        Ok(Some(Owner::File(file, version)))
+        deleted || !is_retained(file.created_ms, longest, now)
     }
 
-    async fn forget_file(&self, file: &FileRecord) -> Result<()> {
+    pub(super) async fn forget_file(&self, file: &FileRecord) -> Result<()> {
         let entry = list_key(&file.account, "files", file.created_ms, &file.id);
         self.records.delete(&entry).await?;
         self.records.delete(&file_key(&file.id)).await
     }
 
-    async fn forget_job(&self, job: &JobRecord) -> Result<()> {
+    pub(super) async fn forget_job(&self, job: &JobRecord) -> Result<()> {
         for errors in [false, true] {
             let id = output_id(&job.id, errors);
             let entry = list_key(&job.account, "files", job.created_ms, &id);
--- a/crates/sesamewall-server/src/batch/service.rs
+++ b/crates/sesamewall-server/src/batch/service.rs
@@ -28,6 +28,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::BatchOptions;
+use super::drain::Drain;
 use super::files;
 use super::jobs;
 use super::records::Records;
@@ -57,6 +58,8 @@
     pub(super) active: BTreeSet<(JobId, u32)>,
     pub(super) orphans: BTreeMap<String, Time>,
     pub(super) repair_after: String,
+    /// Keys after which the removal of old jobs, files and workers goes on.
+    pub(super) sweep_after: [String; 3],
 }
 
 /// Accepts files and jobs, runs segments, and keeps copies.
@@ -72,6 +75,7 @@
     pub(super) wake: Notify,
     pub(super) items: Arc<Semaphore>,
     pub(super) beat: AtomicU64,
+    pub(super) drain: Drain,
 }
 
 impl BatchService {
@@ -104,6 +108,7 @@
             rng: Mutex::new(rng),
             wake: Notify::new(),
             beat: AtomicU64::new(0),
+            drain: Drain::default(),
         })
     }
 
--- a/crates/sesamewall-server/src/batch/shape.rs
+++ b/crates/sesamewall-server/src/batch/shape.rs
@@ -6,12 +6,14 @@
 use sesamewall_batch::Counts;
 use sesamewall_batch::FileRecord;
 use sesamewall_batch::FileSource;
-use sesamewall_batch::InputLine;
 use sesamewall_batch::JobRecord;
 use sesamewall_batch::JobState;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::JobId;
+use sesamewall_protocol::Outcome;
 use sesamewall_protocol::RequestId;
+use sha2::Digest;
+use sha2::Sha256;
 
 use super::lifecycle::output_id;
 
@@ -73,15 +75,32 @@
     })
 }
 
-fn line_id(job: &JobId, item: u32) -> String {
-    format!("batch_req_{job}_{item}")
+/// Identifies an item in result lines and decision records.
+#[derive(Clone, Debug)]
+pub(super) struct ItemName {
+    /// Identifier of the item, and of its decision records.
+    pub(super) id: String,
+    /// The caller's identifier; absent if the input was lost.
+    pub(super) custom_id: Option<String>,
+}
+
+impl ItemName {
+    /// Returns the name of an item. The identifier follows from the job and the caller's
+    /// identifier alone, so that operators can find the item's records with these two.
+    pub(super) fn new(job: &JobId, custom_id: &str) -> Self {
+        let digest = hex::encode(&Sha256::digest(custom_id.as_bytes())[..8]);
+        Self { id: format!("batch_req_{job}_{digest}"), custom_id: Some(custom_id.to_owned()) }
+    }
+
+    /// Returns the name of an item whose line was lost: by its segment and place.
+    pub(super) fn lost(job: &JobId, segment: u32, item: u32) -> Self {
+        Self { id: format!("batch_req_{job}_{segment:05}.{item:03}"), custom_id: None }
+    }
 }
 
 /// Returns the line for a complete response.
 pub(super) fn answer_line(
-    job: &JobId,
-    item: u32,
-    line: &InputLine,
+    name: &ItemName,
     request: &RequestId,
     status: u16,
     body: &Bytes,
@@ -89,39 +108,25 @@
     let body: Value = serde_json::from_slice(body)
         .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(body).into_owned()));
     json!({
-        "id": line_id(job, item),
-        "custom_id": line.custom_id,
+        "id": name.id,
+        "custom_id": name.custom_id,
         "response": {"status_code": status, "request_id": request, "body": body},
         "error": null,
     })
     .to_string()
 }
 
-/// Returns the line for an item that ended with an error.
-pub(super) fn error_line(job: &JobId, item: u32, line: &InputLine, error: &Error) -> String {
+/// Returns the line for an item that ended with an error; `outcome` is what is known about all its
+/// attempts together.
+pub(super) fn error_line(name: &ItemName, error: &Error, outcome: Outcome) -> String {
     json!({
-        "id": line_id(job, item),
-        "custom_id": line.custom_id,
+        "id": name.id,
+        "custom_id": name.custom_id,
         "response": null,
         "error": {
             "code": error.code().to_string(),
             "message": error.to_string(),
-            "outcome": error.outcome(),
-        },
-    })
-    .to_string()
-}
-
-/// Returns the line for a non-idempotent item of which it is not known whether it ran.
-pub(super) fn unknown_line(job: &JobId, item: u32, line: &InputLine) -> String {
-    json!({
-        "id": line_id(job, item),
-        "custom_id": line.custom_id,
-        "response": null,
-        "error": {
-            "code": "outcome_unknown",
-            "message": "the item may have been run and is not run again",
-            "outcome": "unknown",
+            "outcome": outcome,
         },
     })
     .to_string()
--- a/crates/sesamewall-server/src/caller/model_request.rs
+++ b/crates/sesamewall-server/src/caller/model_request.rs
@@ -116,6 +116,8 @@
             prefix: self.prefix(),
             idempotent: true,
             forwarded: false,
+            urgent: false,
+            trace: None,
             cancel: CancellationToken::new(),
         })
     }
--- a/crates/sesamewall-server/src/caller/plain_route.rs
+++ b/crates/sesamewall-server/src/caller/plain_route.rs
@@ -46,6 +46,8 @@
         prefix: Vec::new(),
         idempotent: is_idempotent(route, &item.method, &item.path),
         forwarded: false,
+        urgent: item.urgent,
+        trace: Some(item.trace.clone()),
         cancel: item.cancel.clone(),
     })
 }
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -265,6 +265,8 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(&route, head.method.as_str(), path),
         forwarded: false,
+        urgent: false,
+        trace: None,
         cancel: CancellationToken::new(),
     })
 }
@@ -339,6 +341,8 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(route, head.method.as_str(), path),
         forwarded: true,
+        urgent: false,
+        trace: None,
         cancel: CancellationToken::new(),
     })
 }
--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -197,7 +197,10 @@
     pub async fn shut_down(self) {
         self.node.draining.store(true, Ordering::Relaxed);
         info!(self.node.log, "instance drains");
-        tokio::time::sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
+        // Batch work ends while the load balancer still lags, and before the peers' listener: the
+        // outcomes go to other instances.
+        let lag = tokio::time::sleep(Duration::from_millis(self.node.settings.drain_ms));
+        tokio::join!(lag, self.parts.batch.drain());
         self.parts.membership.shut_down().await;
         self.callers.end().await;
         self.parts.rates.shut_down();
--- a/crates/sesamewall-server/src/execute/call.rs
+++ b/crates/sesamewall-server/src/execute/call.rs
@@ -1,5 +1,7 @@
 //! One accepted request on its way to targets.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Class;
@@ -7,6 +9,8 @@
 use sesamewall_protocol::RequestId;
 use tokio_util::sync::CancellationToken;
 
+use crate::ItemTrace;
+
 /// One accepted request.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -38,6 +42,10 @@
     pub idempotent: bool,
     /// The request came from another failure domain and is not sent to a third one.
     pub forwarded: bool,
+    /// The batch item is past its latest start time.
+    pub urgent: bool,
+    /// Takes the decisions about a batch item in place of the recorder.
+    pub trace: Option<Arc<ItemTrace>>,
     /// Ends the request early.
     pub cancel: CancellationToken,
 }
--- a/crates/sesamewall-server/src/execute/executor.rs
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -119,7 +119,7 @@
             model: call.model.clone(),
             work: call.work,
             prompt: call.prompt + made,
-            urgent: false,
+            urgent: call.urgent,
             prefix: call.prefix.clone(),
             wait_us,
             exclude: attempts.exclude.clone(),
@@ -250,8 +250,16 @@
         self.note(call, decision);
     }
 
-    /// Notes a decision about the call.
+    /// Notes a decision about the call. Of a batch item, the batch service decides what is recorded;
+    /// an instance to which it was forwarded records only failures.
     pub fn note(&self, call: &Call, decision: Decision) {
+        let failed = matches!(decision, Decision::Refused { .. } | Decision::AttemptFailed { .. });
+        if let Some(trace) = &call.trace {
+            return trace.note(self.node.clock.wall_ms(), decision);
+        }
+        if call.class == Class::Batch && call.forwarded && !failed {
+            return;
+        }
         self.node.recorder.note(&call.request, call.account.as_ref(), decision);
     }
 
--- a/crates/sesamewall-server/src/execute/item_runner.rs
+++ b/crates/sesamewall-server/src/execute/item_runner.rs
@@ -42,6 +42,8 @@
         call.class = Class::Batch;
         call.path.clone_from(&item.path);
         call.cancel = item.cancel.clone();
+        call.urgent = item.urgent;
+        call.trace = Some(item.trace.clone());
         if !request.resumable() {
             let answer = self.executor.run_plain(&call).await?;
             return Ok((answer.status, answer.body));
--- a/crates/sesamewall-server/src/item.rs
+++ b/crates/sesamewall-server/src/item.rs
@@ -1,8 +1,14 @@
 //! The port through which batch work runs requests.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Decision;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::RequestId;
 use tokio_util::sync::CancellationToken;
@@ -29,10 +35,53 @@
     pub path: String,
     /// JSON body.
     pub body: Bytes,
+    /// The item is past its latest start time and goes before other batch items of its account.
+    pub urgent: bool,
+    /// Takes the decisions about the run; they are recorded only for some items.
+    pub trace: Arc<ItemTrace>,
     /// Cancels the run.
     pub cancel: CancellationToken,
 }
 
+const TRACE_LIMIT: usize = 32;
+
+/// Holds the decisions about one run of an item, each with its wall time in milliseconds, up to a
+/// bound. A record for each step of each item would be several records for each of the 1.6 billion
+/// items a day.
+#[derive(Debug, Default)]
+pub struct ItemTrace {
+    steps: Mutex<Vec<(u64, Decision)>>,
+}
+
+impl ItemTrace {
+    /// Adds a decision. Beyond the bound, only the last one is kept up to date.
+    pub fn note(&self, at_ms: u64, decision: Decision) {
+        let mut steps = self.lock();
+        steps.truncate(TRACE_LIMIT - 1);
+        steps.push((at_ms, decision));
+    }
+
+    /// Tells whether the run was given a slot, so that a target may have seen it.
+    pub fn had_slot(&self) -> bool {
+        self.lock().iter().any(|(_, decision)| matches!(decision, Decision::SlotGranted { .. }))
+    }
+
+    /// Returns the number of attempts on targets that failed.
+    pub fn failures(&self) -> usize {
+        let failed = |step: &&(u64, Decision)| matches!(step.1, Decision::AttemptFailed { .. });
+        self.lock().iter().filter(failed).count()
+    }
+
+    /// Returns the decisions in order.
+    pub fn steps(&self) -> Vec<(u64, Decision)> {
+        self.lock().clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(u64, Decision)>> {
+        self.steps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// How an item's run ended.
 #[derive(Clone, Debug)]
 pub enum ItemOutcome {
@@ -48,7 +97,7 @@
         /// What went wrong.
         error: Error,
     },
-    /// The run was cancelled before it ended.
+    /// The run was cancelled before it ended. A target saw it only if the trace has a slot.
     Cancelled,
 }
 
--- a/crates/sesamewall-server/src/lib.rs
+++ b/crates/sesamewall-server/src/lib.rs
@@ -39,6 +39,7 @@
 pub use item::ItemOutcome;
 pub use item::ItemRequest;
 pub use item::ItemRunner;
+pub use item::ItemTrace;
 pub use lead_view::LeadTerm;
 pub use lead_view::LeadView;
 pub use main_entry::main;
--- a/crates/sesamewall-server/src/operator/records.rs
+++ b/crates/sesamewall-server/src/operator/records.rs
@@ -76,6 +76,15 @@
         Decision::Completed { status, tokens } => {
             Some(format!("completed with status {status} and {tokens} tokens"))
         }
+        Decision::ItemEnded { code: 0, attempts, .. } => {
+            Some(format!("completed after {attempts} failed attempts"))
+        }
+        Decision::ItemEnded { code, outcome, reason, .. } => {
+            Some(format!("ended with code {code}, outcome {outcome}: {reason}"))
+        }
+        Decision::SegmentEnded { completed, failed, .. } => {
+            Some(format!("{completed} items completed, {failed} failed"))
+        }
         _ => None,
     });
     end.unwrap_or_else(|| "no end is recorded: still running, or lost with its instance".to_owned())
--- a/crates/sesamewall-server/src/recorder.rs
+++ b/crates/sesamewall-server/src/recorder.rs
@@ -37,7 +37,17 @@
 
     /// Notes a decision about a request.
     pub fn note(&self, request: &RequestId, account: Option<&AccountName>, decision: Decision) {
-        let at_ms = self.clock.wall_ms();
+        self.note_at(self.clock.wall_ms(), request, account, decision);
+    }
+
+    /// Notes a decision that was taken at the wall time `at_ms`.
+    pub fn note_at(
+        &self,
+        at_ms: u64,
+        request: &RequestId,
+        account: Option<&AccountName>,
+        decision: Decision,
+    ) {
         let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
         pending.sequence += 1;
         let record = DecisionRecord {
--- a/crates/sesamewall-server/tests/batch/copies.rs
+++ b/crates/sesamewall-server/tests/batch/copies.rs
@@ -5,8 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde_json::Value;
 use sesamewall_adapters::DataFolder;
 use sesamewall_ports::BulkStorage;
+use sesamewall_ports::Store;
 use sesamewall_server::BatchOptions;
 
 use crate::fleet::Fleet;
@@ -131,3 +133,85 @@
         assert_eq!(fleet.bulks[name].list().await.unwrap(), Vec::<String>::new(), "{name}");
     }
 }
+
+/// Loses all disks after a job and one instance, and returns the records left after the retention.
+async fn left_records(options: BatchOptions) -> Vec<String> {
+    let mut fleet = Fleet::new(27, options);
+    let job = fleet.job("a", MODEL, 5).await;
+    assert_eq!(fleet.wait("a", &job, 60).await["status"], "completed");
+    for name in NAMES {
+        fleet.fakes[name].lose();
+    }
+    fleet.kill("i3");
+    tokio::time::sleep(Duration::from_secs(RETENTION_SECONDS + 26 * 3600)).await;
+    let entries = fleet.store.list("batch/", "", 100).await.unwrap();
+    let live = ["batch/worker/i1", "batch/worker/i2"];
+    let left = entries.into_iter().map(|entry| entry.key);
+    left.filter(|key| !live.contains(&key.as_str())).collect()
+}
+
+/// Guards against records that no blob leads to and that stay forever.
+#[tokio::test(start_paused = true)]
+async fn records_without_blobs_are_removed() {
+    assert_eq!(left_records(BatchOptions::default()).await, Vec::<String>::new());
+    let without = BatchOptions { sweep: false, ..BatchOptions::default() };
+    assert!(!left_records(without).await.is_empty(), "the check does not notice what is left");
+}
+
+/// Loses the input on all disks and returns the job 20 minutes later with its lines.
+async fn unread_input(options: BatchOptions) -> (Value, Vec<Value>) {
+    let fleet = Fleet::new(28, options);
+    let job = fleet.job("a", MODEL, 40).await;
+    for name in NAMES {
+        fleet.fakes[name].lose();
+    }
+    let ended = fleet.wait("a", &job, 1_200).await;
+    let lines = fleet.lines("a", &ended).await.unwrap();
+    (ended, lines)
+}
+
+/// Guards against a job that never ends since its input is lost on all copies.
+#[tokio::test(start_paused = true)]
+async fn job_with_lost_input_ends() {
+    let unread_limit = Duration::from_secs(600);
+    let options = BatchOptions { unread_limit, ..BatchOptions::default() };
+    let (ended, lines) = unread_input(options).await;
+    assert_eq!((&ended["status"], lines.len()), (&"completed".into(), 40), "{ended}");
+    for line in lines {
+        let error = &line["error"];
+        assert_eq!((&error["code"], &error["outcome"]), (&"6008".into(), &"not-run".into()));
+    }
+    let without = BatchOptions { unread_limit: Duration::MAX, ..BatchOptions::default() };
+    let (ended, _) = unread_input(without).await;
+    assert_eq!(ended["status"], "in_progress", "the check does not notice a missing limit");
+}
+
+/// Loses both holders of a running segment's results, cancels the job and returns it ten minutes
+/// later with its lines.
+async fn unread_results(options: BatchOptions) -> (Value, Vec<Value>) {
+    let mut fleet = Fleet::new(29, options);
+    let job = fleet.job("a", "/plain/charge", 100).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for holder in &fleet.written()[0].1.blobs[0].holders {
+        fleet.kill(holder.as_str());
+    }
+    assert_eq!(fleet.post("a", &format!("/v1/batches/{job}/cancel")).await, 200);
+    let ended = fleet.wait("a", &job, 600).await;
+    let lines = fleet.lines("a", &ended).await.unwrap();
+    (ended, lines)
+}
+
+/// Guards against a cancelled job that never ends since its results cannot be reached, and against
+/// "not run" for items that may have run.
+#[tokio::test(start_paused = true)]
+async fn cancelled_job_with_lost_results_ends() {
+    let (ended, lines) = unread_results(BatchOptions::default()).await;
+    assert_eq!((&ended["status"], lines.len()), (&"cancelled".into(), 100), "{ended}");
+    for line in lines {
+        let error = &line["error"];
+        assert_eq!((&error["code"], &error["outcome"]), (&"6007".into(), &"unknown".into()));
+    }
+    let without = BatchOptions { unread_limit_stopping: Duration::MAX, ..BatchOptions::default() };
+    let (ended, _) = unread_results(without).await;
+    assert_eq!(ended["status"], "cancelling", "the check does not notice a missing limit");
+}
--- a/crates/sesamewall-server/tests/batch/faults.rs
+++ b/crates/sesamewall-server/tests/batch/faults.rs
@@ -254,3 +254,44 @@
     assert_eq!(ended["request_counts"]["completed"], 24);
     assert_eq!(fleet.lines("a", &ended).await.unwrap().len(), 24);
 }
+
+/// Ends the worker while items of 10 s run, and returns the breaches: a successor that waits for
+/// the claim to lapse, or items whose outcome is not known.
+async fn ended_worker(url: &str, in_order: bool) -> Vec<String> {
+    let mut fleet = Fleet::new(30, BatchOptions::default());
+    fleet.targets.run_ms.store(10_000, Ordering::Relaxed);
+    let job = fleet.job("a", url, 40).await;
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    let busy = fleet.busy();
+    assert_eq!(busy.len(), 1);
+    if in_order {
+        fleet.shut_down(&busy[0]).await;
+    }
+    fleet.kill(&busy[0]);
+    let start = tokio::time::Instant::now();
+    while fleet.busy().is_empty() {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let mut breaches = Vec::new();
+    // Workers look again every 2 s.
+    if start.elapsed() > Duration::from_secs(4) {
+        breaches.push(format!("the successor waited {:?}", start.elapsed()));
+    }
+    let ended = fleet.wait("a", &job, 600).await;
+    breaches.extend(fleet.breaches(&ended, 40, url == PLAIN).await);
+    if ended["request_counts"]["failed"] != 0 {
+        breaches.push(format!("items failed: {ended}"));
+    }
+    breaches
+}
+
+/// Guards against a shutdown after which segments wait for their claim to lapse, and which leaves
+/// items with unknown outcome.
+#[tokio::test(start_paused = true)]
+async fn shutdown_hands_segments_back() {
+    for url in [MODEL, PLAIN] {
+        assert_eq!(ended_worker(url, true).await, Vec::<String>::new(), "{url}");
+        let without = ended_worker(url, false).await;
+        assert!(!without.is_empty(), "the check does not notice a missing drain: {url}");
+    }
+}
--- a/crates/sesamewall-server/tests/batch/fleet.rs
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -19,15 +19,49 @@
 use serde_json::json;
 use sesamewall_batch::SegmentRecord;
 use sesamewall_batch::SegmentState;
-use sesamewall_ports::*;
+use sesamewall_membership::Configuration;
+use sesamewall_ports::BulkStorage;
+use sesamewall_ports::Clock;
+use sesamewall_ports::Expect;
+use sesamewall_ports::FakeBulk;
+use sesamewall_ports::FakeStore;
+use sesamewall_ports::InstanceList;
+use sesamewall_ports::ListedInstance;
+use sesamewall_ports::ListedState;
+use sesamewall_ports::PeerAddress;
+use sesamewall_ports::PeerLink;
+use sesamewall_ports::Store;
+use sesamewall_ports::StoreError;
+use sesamewall_ports::Target;
+use sesamewall_ports::TargetAnswer;
+use sesamewall_ports::TargetError;
+use sesamewall_ports::TargetRequest;
+use sesamewall_ports::Versioned;
+use sesamewall_protocol::Account;
 use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Decision;
+use sesamewall_protocol::DecisionRecord;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::RateLimit;
 use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Resource;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::PeerMessage;
-use sesamewall_server::*;
+use sesamewall_server::BatchOptions;
+use sesamewall_server::BatchService;
+use sesamewall_server::Caller;
+use sesamewall_server::ConfigView;
+use sesamewall_server::Directory;
+use sesamewall_server::ItemOutcome;
+use sesamewall_server::ItemRequest;
+use sesamewall_server::ItemRunner;
+use sesamewall_server::LeadView;
+use sesamewall_server::Metrics;
+use sesamewall_server::Node;
+use sesamewall_server::Recorder;
+use sesamewall_server::Settings;
 use tokio::sync::watch;
 
 pub const RETENTION_SECONDS: u64 = 2 * 3600;
@@ -217,6 +251,8 @@
 pub struct Targets {
     pub sends: Mutex<BTreeMap<u64, u32>>,
     pub fail: AtomicBool,
+    /// Items that were sent as urgent.
+    pub urgent: AtomicU64,
     pub run_ms: AtomicU64,
 }
 
@@ -231,6 +267,10 @@
         self.gate.pass().await;
         let body: Value = serde_json::from_slice(&item.body).unwrap();
         let number = body["n"].as_u64().unwrap();
+        let slot =
+            Decision::SlotGranted { target: "t".to_owned(), wait_us: 0, reason: "free".to_owned() };
+        item.trace.note(0, slot);
+        self.targets.urgent.fetch_add(u64::from(item.urgent), Ordering::Relaxed);
         *self.targets.sends.lock().unwrap().entry(number).or_default() += 1;
         let run = Duration::from_millis(self.targets.run_ms.load(Ordering::Relaxed) + number % 97);
         tokio::select! {
@@ -240,6 +280,8 @@
         self.gate.pass().await;
         if self.targets.fail.load(Ordering::Relaxed) {
             let error = Error::TargetLost { target: "t".to_owned(), detail: "reset".to_owned() };
+            let reason = error.to_string();
+            item.trace.note(0, Decision::AttemptFailed { target: "t".to_owned(), reason });
             return ItemOutcome::Failed { error };
         }
         let body = Bytes::from(json!({"answer": number}).to_string());
@@ -342,7 +384,7 @@
             bulk: Some(Arc::clone(&self.bulks[name])),
             config: ConfigView::default(),
             directory: Directory::default(),
-            lead: sesamewall_server::LeadView::default(),
+            lead: LeadView::default(),
             metrics: Metrics::default(),
             log: slog::Logger::root(slog::Discard, slog::o!()),
             draining: AtomicBool::new(false),
@@ -356,6 +398,42 @@
         self.publish();
     }
 
+    /// Ends a process as SIGTERM does: batch work first, then the rest.
+    pub async fn shut_down(&mut self, name: &str) {
+        let service = {
+            let members = self.members.lock().unwrap();
+            members[name].node.draining.store(true, Ordering::Relaxed);
+            Arc::clone(&members[name].service)
+        };
+        assert!(service.drain().await, "{name} has work left");
+        self.kill(name);
+    }
+
+    /// Puts accounts with these weights in force.
+    pub fn set_weights(&self, weights: &[(&str, f64)]) {
+        let account = |(name, weight): &(&str, f64)| {
+            let online = RateLimit { rate: 1.0, burst: 1.0 };
+            let name = AccountName::from(*name);
+            Resource::Account(Account { name, online, batch: None, weight: *weight })
+        };
+        let resources = weights.iter().map(account).collect();
+        let configuration = Arc::new(Configuration::from_resources(1, resources).unwrap());
+        for member in self.members.lock().unwrap().values() {
+            member.node.config.set(Arc::clone(&configuration));
+        }
+    }
+
+    /// Returns the decision records of all processes.
+    pub fn records(&self) -> Vec<DecisionRecord> {
+        let members = self.members.lock().unwrap();
+        members.values().flat_map(|member| member.node.recorder.find(|_| true)).collect()
+    }
+
+    /// Returns the segment records that were written, with their keys.
+    pub fn written(&self) -> Vec<(String, SegmentRecord)> {
+        self.commits.lock().unwrap().clone()
+    }
+
     /// Ends a process at once, wherever it is. Its disk stays.
     pub fn kill(&mut self, name: &str) {
         if let Some(member) = self.members.lock().unwrap().remove(name) {
--- a/crates/sesamewall-server/tests/batch/http.rs
+++ b/crates/sesamewall-server/tests/batch/http.rs
@@ -1,7 +1,15 @@
 //! Tests of the caller API.
 
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use axum::body::Body;
+use futures::StreamExt;
+use sesamewall_batch::SegmentState;
+use sesamewall_protocol::Decision;
 use sesamewall_server::BatchOptions;
+use sha2::Digest;
+use sha2::Sha256;
 
 use crate::fleet::Fleet;
 use crate::fleet::input;
@@ -88,18 +96,18 @@
 async fn cancelled_job_stops() {
     let fleet = Fleet::new(5, BatchOptions::default());
     let job = fleet.job("a", MODEL, 1_500).await;
-    tokio::time::sleep(std::time::Duration::from_secs(10)).await;
+    tokio::time::sleep(Duration::from_secs(10)).await;
     let cancel = axum::http::Request::post(format!("/v1/batches/{job}/cancel"));
     let (status, _) = fleet.call("a", cancel.body(Body::empty()).unwrap()).await;
     assert_eq!(status, 200);
-    tokio::time::sleep(std::time::Duration::from_secs(2)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     let sends: u32 = fleet.targets.sends.lock().unwrap().values().sum();
     let ended = fleet.wait("a", &job, 60).await;
     assert_eq!(ended["status"], "cancelled");
     let completed = ended["request_counts"]["completed"].as_u64().unwrap();
     assert!(completed > 0 && completed < 1_500, "{ended}");
     assert_eq!(fleet.lines("a", &ended).await.unwrap().len() as u64, completed);
-    tokio::time::sleep(std::time::Duration::from_secs(30)).await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
     assert_eq!(fleet.targets.sends.lock().unwrap().values().sum::<u32>(), sends);
 }
 
@@ -107,13 +115,15 @@
 #[tokio::test(start_paused = true)]
 async fn failing_item_ends_after_three_attempts() {
     let fleet = Fleet::new(6, BatchOptions::default());
-    fleet.targets.fail.store(true, std::sync::atomic::Ordering::Relaxed);
+    fleet.targets.fail.store(true, Ordering::Relaxed);
     let job = fleet.job("a", MODEL, 2).await;
     let ended = fleet.wait("a", &job, 60).await;
     let lines = fleet.lines("a", &ended).await.unwrap();
     assert_eq!(lines.len(), 2);
     assert_eq!(lines[0]["error"]["code"], "6006");
     assert!(lines[0]["error"]["message"].as_str().unwrap().contains("reset"));
+    // The connection was reset after the request was sent, so "not-run" would be wrong.
+    assert_eq!(lines[0]["error"]["outcome"], "unknown");
     assert!(fleet.targets.sends.lock().unwrap().values().all(|sends| *sends == 3));
 }
 
@@ -121,12 +131,12 @@
 /// was refused as "not run" exists all the same.
 async fn refused_job_exists(options: BatchOptions) -> bool {
     let fleet = Fleet::new(7, options);
-    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
     let (_, file) = fleet.upload("a", &input(MODEL, 2)).await;
     *fleet.faults.lose.lock().unwrap() = Some("batch/job/");
     let (status, _) = fleet.submit("a", file["id"].as_str().unwrap(), MODEL, None).await;
     *fleet.faults.lose.lock().unwrap() = None;
-    tokio::time::sleep(std::time::Duration::from_secs(30)).await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
     let (_, page) = fleet.get("a", "/v1/batches").await;
     let page: serde_json::Value = serde_json::from_slice(&page).unwrap();
     let exists = page["data"].as_array().is_some_and(|jobs| !jobs.is_empty());
@@ -141,3 +151,88 @@
     let without = BatchOptions { read_back: false, ..BatchOptions::default() };
     assert!(refused_job_exists(without).await, "the check does not notice a missing read-back");
 }
+
+/// Returns how many of the first twelve claims are for account `a`, which has three times the
+/// weight of `b`.
+async fn claims_of_heavy(options: BatchOptions) -> usize {
+    let options = BatchOptions { segments_at_once: 1, ..options };
+    let fleet = Fleet::new(9, options);
+    fleet.set_weights(&[("a", 3.0), ("b", 1.0)]);
+    let heavy = fleet.job("a", MODEL, 10 * 500).await;
+    fleet.job("b", MODEL, 10 * 500).await;
+    while fleet.written().len() < 24 {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let claims =
+        fleet.written().into_iter().filter(|(_, record)| record.state == SegmentState::Claimed);
+    claims.take(12).filter(|(key, _)| key.contains(&heavy)).count()
+}
+
+/// Guards against weights that do not count in the choice of segments.
+#[tokio::test(start_paused = true)]
+async fn segments_are_shared_by_weight() {
+    assert!(claims_of_heavy(BatchOptions::default()).await >= 8);
+    let without = BatchOptions { weights: false, ..BatchOptions::default() };
+    assert!(claims_of_heavy(without).await < 8, "the check does not notice missing weights");
+}
+
+/// Guards against items without a record that their identifier finds, and against records for each
+/// step of each item.
+#[tokio::test(start_paused = true)]
+async fn items_are_recorded_within_bounds() {
+    let fleet = Fleet::new(10, BatchOptions::default());
+    let job = fleet.job("a", MODEL, 1_100).await;
+    fleet.wait("a", &job, 600).await;
+    // One summary for each of three segments, and two records of its first item.
+    assert_eq!(fleet.records().len(), 3 * 3);
+    fleet.targets.fail.store(true, Ordering::Relaxed);
+    let job = fleet.job("a", MODEL, 40).await;
+    let ended = fleet.wait("a", &job, 600).await;
+    let records = fleet.records().split_off(9);
+    let in_full =
+        records.iter().filter(|record| matches!(record.decision, Decision::AttemptFailed { .. }));
+    assert_eq!(in_full.count(), 3 * 32);
+    for line in fleet.lines("a", &ended).await.unwrap() {
+        let custom = line["custom_id"].as_str().unwrap();
+        let digest = hex::encode(&Sha256::digest(custom.as_bytes())[..8]);
+        let id = format!("batch_req_{job}_{digest}");
+        assert_eq!(line["id"], id);
+        let about = records.iter().filter(|record| record.request.as_str() == id);
+        let ends = about.filter(|record| {
+            matches!(&record.decision, Decision::ItemEnded { custom_id, code: 6006, attempts: 3, .. }
+                if custom_id.as_deref() == Some(custom))
+        });
+        assert_eq!(ends.count(), 1, "{id}");
+    }
+}
+
+/// Guards against items past their latest start time that wait like others.
+#[tokio::test(start_paused = true)]
+async fn late_items_are_urgent() {
+    for (hours, wanted) in [(4, 0), (25, 5)] {
+        let urgent_before_due = Duration::from_secs(hours * 3600);
+        let fleet = Fleet::new(15, BatchOptions { urgent_before_due, ..BatchOptions::default() });
+        let job = fleet.job("a", MODEL, 5).await;
+        fleet.wait("a", &job, 60).await;
+        assert_eq!(fleet.targets.urgent.load(Ordering::Relaxed), wanted);
+    }
+}
+
+/// Guards against callers that keep a connection with a body that never ends.
+#[tokio::test(start_paused = true)]
+async fn stalled_bodies_are_refused() {
+    let fleet = Fleet::new(16, BatchOptions::default());
+    let field = "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbat";
+    let file = "--XX\r\ncontent-disposition: form-data; name=\"file\"\r\n\r\n{\"cus";
+    for (path, start) in [("files", ""), ("files", field), ("files", file), ("batches", "{")] {
+        let first = futures::stream::iter([Ok::<_, std::io::Error>(start.to_owned())]);
+        let body = Body::from_stream(first.chain(futures::stream::pending()));
+        let request = axum::http::Request::post(format!("/v1/{path}"))
+            .header("content-type", "multipart/form-data; boundary=XX")
+            .body(body)
+            .unwrap();
+        let call = fleet.call("a", request);
+        let (status, body) = tokio::time::timeout(Duration::from_secs(600), call).await.unwrap();
+        assert_eq!(status, 408, "{path} {start}: {body:?}");
+    }
+}
