Decide orders to targets and the placement of models

Change: Orders is a state machine for the lead of a failure domain. It has one order or read at a time for each target, checks the lease again directly before sending, waits 3 s + 2 s in a new term, reads a target back after an unclear end, and takes a token of the weight store's share for each load. It never unloads a model that no other target has. Placement adds a replica after 30 s of demand above capacity, removes one after 10 quiet minutes, keeps 2 minutes between moves, keeps the last replica and replaces those of targets absent for 10 s.

The overlap check fails without the lease check, the wait and the read-back, the rate check without the tokens, the move and replacement checks without hysteresis and replacement; each is asserted in the tests.

--- /dev/null
+++ b/crates/sesamewall-schedule/src/orders.rs
@@ -0,0 +1,348 @@
+//! Gives control commands ("orders") to the targets of a failure domain.
+//!
+//! Assumes that an order reaches its target within `in_flight` of the check of the lease, and that
+//! the lease of an earlier lead ends at most `old_lease` after its successor's term begins.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+
+/// Settings of orders. The switches take a mechanism out, so that tests can show that their checks
+/// notice it.
+#[derive(Clone, Debug)]
+pub struct OrderSettings {
+    /// Longest time for which the lease of an earlier lead can last into a new term.
+    pub old_lease: Duration,
+    /// Longest time between the check of the lease and the arrival of an order at its target.
+    pub in_flight: Duration,
+    /// Time until a target that could not be read is read again.
+    pub read_again: Duration,
+    /// Loads from the weight store a second: this lead's share of the store's rate.
+    pub loads_per_second: f64,
+    /// Loads that may start at once: this lead's share.
+    pub load_burst: f64,
+    /// The lease is checked before each order.
+    pub check_lease: bool,
+    /// A new term waits until orders of the earlier one have ended.
+    pub wait_term: bool,
+    /// An order whose end is unclear is read back before another one.
+    pub read_back: bool,
+    /// Loads take tokens of the weight store's rate.
+    pub limit_loads: bool,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            old_lease: Duration::from_secs(3),
+            in_flight: Duration::from_secs(2),
+            read_again: Duration::from_secs(5),
+            loads_per_second: 0.1,
+            load_burst: 1.0,
+            check_lease: true,
+            wait_term: true,
+            read_back: true,
+            limit_loads: true,
+        }
+    }
+}
+
+/// What an order changes. Versions and adapters are part of a model's name, as in `m@2` and `m+a`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// Load a model, a version or an adapter from the weight store.
+    Load(ModelName),
+    /// Unload it.
+    Unload(ModelName),
+    /// Change the target's role.
+    SetRole(String),
+}
+
+/// An order to one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetOrder {
+    /// Number of the order in its term.
+    pub number: u64,
+    /// The target.
+    pub target: TargetName,
+    /// Epoch of the lead, the fencing token.
+    pub fence: u64,
+    /// What is ordered.
+    pub kind: OrderKind,
+}
+
+/// What a target has, or is to have.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TargetContent {
+    /// Loaded models.
+    pub models: BTreeSet<ModelName>,
+    /// The role; `None` if it is unknown or does not matter.
+    pub role: Option<String>,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// The target did it.
+    Done,
+    /// The target refused it.
+    Refused,
+    /// It was not sent.
+    NotSent,
+    /// It may have been done, or may still be.
+    Unclear,
+}
+
+/// What the lead is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderAction {
+    /// Read what the target has loaded and report it with [`Orders::on_read`].
+    Read(TargetName),
+    /// Send the order after [`Orders::may_send`] and report its end with [`Orders::on_end`].
+    Send(TargetOrder),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum TargetState {
+    /// To be read at the time or later.
+    Unknown(Time),
+    Reading,
+    Known(TargetContent),
+    /// The order was decided at the time.
+    Busy(TargetOrder, Time, TargetContent),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    epoch: u64,
+    valid_until: Time,
+    /// No order before this time.
+    from: Time,
+}
+
+/// The orders of one failure domain's lead. There is at most one order or read at a time for each
+/// target. State: the content of each target of the failure domain; lost with the lead and read
+/// again by its successor.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    settings: OrderSettings,
+    term: Option<Term>,
+    targets: BTreeMap<TargetName, TargetState>,
+    wanted: BTreeMap<TargetName, TargetContent>,
+    number: u64,
+    loads: f64,
+    filled: Time,
+}
+
+impl Orders {
+    /// Returns the state of an instance that is not lead.
+    pub fn new(settings: OrderSettings) -> Self {
+        Self {
+            settings,
+            term: None,
+            targets: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            number: 0,
+            loads: 0.0,
+            filled: Time::ZERO,
+        }
+    }
+
+    /// Notes the own lease. With a new epoch, everything is read again, the tokens start at zero
+    /// and the first order waits for the end of the earlier lead's orders.
+    pub fn on_term(&mut self, epoch: u64, valid_until: Time, now: Time) {
+        match &mut self.term {
+            Some(term) if term.epoch == epoch => term.valid_until = valid_until,
+            _ => {
+                let wait = self.settings.old_lease + self.settings.in_flight;
+                let from = if self.settings.wait_term { now + wait } else { now };
+                self.term = Some(Term { epoch, valid_until, from });
+                self.targets.clear();
+                self.loads = 0.0;
+                // The earlier lead may use its tokens until then.
+                self.filled = from;
+            }
+        }
+    }
+
+    /// Notes that this instance is no longer lead.
+    pub fn end_term(&mut self) {
+        self.term = None;
+        self.targets.clear();
+    }
+
+    /// Sets what the targets are to have. Targets that are not named get no orders.
+    pub fn set_wanted(&mut self, wanted: BTreeMap<TargetName, TargetContent>) {
+        self.targets.retain(|name, state| {
+            wanted.contains_key(name) || matches!(state, TargetState::Busy(..))
+        });
+        self.wanted = wanted;
+    }
+
+    /// Returns what a target was last known to have.
+    pub fn content(&self, target: &TargetName) -> Option<&TargetContent> {
+        match self.targets.get(target)? {
+            TargetState::Known(content) | TargetState::Busy(_, _, content) => Some(content),
+            TargetState::Unknown(_) | TargetState::Reading => None,
+        }
+    }
+
+    /// Tells whether the order may be sent, and takes a token of the weight store for a load. Call it
+    /// directly before sending: the process may have paused since the order was decided. Without
+    /// permission, report [`OrderEnd::NotSent`].
+    pub fn may_send(&mut self, order: &TargetOrder, now: Time) -> bool {
+        let held = self.term.is_some_and(|term| {
+            term.epoch == order.fence && (now < term.valid_until || !self.settings.check_lease)
+        });
+        let current = match self.targets.get(&order.target) {
+            Some(TargetState::Busy(sent, _, _)) => sent == order,
+            _ => !self.settings.check_lease,
+        };
+        held && current && (!matches!(order.kind, OrderKind::Load(_)) || self.take_load(now))
+    }
+
+    /// Returns what is to be done at `now`.
+    pub fn next(&mut self, now: Time) -> Vec<OrderAction> {
+        let Some(term) = self.term else { return Vec::new() };
+        if self.settings.check_lease && now >= term.valid_until {
+            return Vec::new();
+        }
+        self.expire(now);
+        if now < term.from {
+            return Vec::new();
+        }
+        let names: Vec<TargetName> = self.wanted.keys().cloned().collect();
+        names.into_iter().filter_map(|name| self.step(term.epoch, name, now)).collect()
+    }
+
+    /// Notes what a target has loaded, or `None` if it could not be read.
+    pub fn on_read(&mut self, target: &TargetName, content: Option<TargetContent>, now: Time) {
+        if self.targets.get(target) != Some(&TargetState::Reading) {
+            return;
+        }
+        let state = match content {
+            Some(content) => TargetState::Known(content),
+            None => TargetState::Unknown(now + self.settings.read_again),
+        };
+        self.targets.insert(target.clone(), state);
+    }
+
+    /// Notes the end of an order. After an unclear end the target is read once the order can no
+    /// longer arrive.
+    pub fn on_end(&mut self, order: &TargetOrder, end: OrderEnd, now: Time) {
+        let Some(TargetState::Busy(sent, at, content)) = self.targets.get(&order.target) else {
+            return;
+        };
+        if sent != order {
+            return;
+        }
+        let state = match end {
+            OrderEnd::Done => TargetState::Known(after(content.clone(), &order.kind)),
+            OrderEnd::NotSent => TargetState::Known(content.clone()),
+            OrderEnd::Refused => TargetState::Unknown(now + self.settings.read_again),
+            OrderEnd::Unclear if self.settings.read_back => {
+                // The decision is not later than the check of the lease, so `now` counts as well.
+                TargetState::Unknown((*at).max(now) + self.settings.in_flight)
+            }
+            OrderEnd::Unclear => TargetState::Known(content.clone()),
+        };
+        self.targets.insert(order.target.clone(), state);
+    }
+
+    /// Gives up orders whose end was never reported.
+    fn expire(&mut self, now: Time) {
+        let limit = 2 * self.settings.in_flight;
+        let late = |state: &TargetState| match state {
+            TargetState::Busy(order, at, _) if now.since(*at) > limit => Some(order.clone()),
+            _ => None,
+        };
+        let late: Vec<TargetOrder> = self.targets.values().filter_map(late).collect();
+        for order in late {
+            self.on_end(&order, OrderEnd::Unclear, now);
+        }
+    }
+
+    fn step(&mut self, fence: u64, target: TargetName, now: Time) -> Option<OrderAction> {
+        let state = self.targets.entry(target.clone()).or_insert(TargetState::Unknown(now));
+        match state {
+            TargetState::Unknown(at) if now >= *at => {
+                *state = TargetState::Reading;
+                Some(OrderAction::Read(target))
+            }
+            TargetState::Known(content) => {
+                let content = content.clone();
+                let kind = self.missing(&target, &content, now)?;
+                self.number += 1;
+                let order =
+                    TargetOrder { number: self.number, target: target.clone(), fence, kind };
+                self.targets.insert(target, TargetState::Busy(order.clone(), now, content));
+                Some(OrderAction::Send(order))
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the next change that a target needs: unloads make room for loads, but a model that
+    /// no other target is known to have stays loaded.
+    fn missing(
+        &mut self,
+        target: &TargetName,
+        content: &TargetContent,
+        now: Time,
+    ) -> Option<OrderKind> {
+        let wanted = self.wanted.get(target)?;
+        if wanted.role.is_some() && wanted.role != content.role {
+            return wanted.role.clone().map(OrderKind::SetRole);
+        }
+        let extra = content.models.difference(&wanted.models);
+        let elsewhere = |model: &ModelName| {
+            self.targets.iter().any(|(name, state)| {
+                name != target
+                    && matches!(state, TargetState::Known(known) if known.models.contains(model))
+                    && self.wanted.get(name).is_some_and(|wanted| wanted.models.contains(model))
+            })
+        };
+        if let Some(model) = extra.into_iter().find(|model| elsewhere(model)) {
+            return Some(OrderKind::Unload(model.clone()));
+        }
+        let load = wanted.models.difference(&content.models).next().cloned()?;
+        self.refill(now);
+        let allowed = self.loads >= 1.0 || !self.settings.limit_loads;
+        allowed.then_some(OrderKind::Load(load))
+    }
+
+    fn refill(&mut self, now: Time) {
+        let added = now.since(self.filled).as_secs_f64() * self.settings.loads_per_second;
+        self.loads = (self.loads + added).min(self.settings.load_burst.max(1.0));
+        self.filled = self.filled.max(now);
+    }
+
+    fn take_load(&mut self, now: Time) -> bool {
+        self.refill(now);
+        if !self.settings.limit_loads {
+            return true;
+        }
+        if self.loads < 1.0 {
+            return false;
+        }
+        self.loads -= 1.0;
+        true
+    }
+}
+
+fn after(mut content: TargetContent, kind: &OrderKind) -> TargetContent {
+    match kind {
+        OrderKind::Load(model) => {
+            content.models.insert(model.clone());
+        }
+        OrderKind::Unload(model) => {
+            content.models.remove(model);
+        }
+        OrderKind::SetRole(role) => content.role = Some(role.clone()),
+    }
+    content
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/src/placement.rs
@@ -0,0 +1,245 @@
+//! Decides which targets of a failure domain hold which models.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+
+/// Settings of the placement. The switch takes a mechanism out, so that tests can show that their
+/// checks notice it.
+#[derive(Clone, Debug)]
+pub struct PlacementSettings {
+    /// A replica is added after demand was above the replicas' capacity for this long.
+    pub up_after: Duration,
+    /// A replica is removed after the others had more than enough room for this long.
+    pub down_after: Duration,
+    /// Least time between two moves of a model, other than replacements.
+    pub move_pause: Duration,
+    /// A replica is replaced after its target was absent for this long.
+    pub lost_after: Duration,
+    /// Share of the remaining replicas' capacity that demand may take when one is removed.
+    pub down_share: f64,
+    /// Moves wait for sustained demand and keep a pause.
+    pub hysteresis: bool,
+    /// Replicas on lost targets are replaced.
+    pub replace: bool,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            up_after: Duration::from_secs(30),
+            down_after: Duration::from_secs(600),
+            move_pause: Duration::from_secs(120),
+            lost_after: Duration::from_secs(10),
+            down_share: 0.7,
+            hysteresis: true,
+            replace: true,
+        }
+    }
+}
+
+/// A model to place.
+#[derive(Clone, Debug)]
+pub struct PlacedModel {
+    /// The model.
+    pub model: ModelName,
+    /// Queued and running requests.
+    pub demand: f64,
+    /// Requests that one replica serves at a time.
+    pub per_replica: f64,
+    /// Least number of replicas, at least 1.
+    pub least: usize,
+}
+
+/// A target that can hold models.
+#[derive(Clone, Debug)]
+pub struct PlacedTarget {
+    /// The target.
+    pub name: TargetName,
+    /// Models that it can hold.
+    pub room: usize,
+    /// It takes work.
+    pub live: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Replicas {
+    targets: BTreeSet<TargetName>,
+    above_since: Option<Time>,
+    below_since: Option<Time>,
+    moved: Option<Time>,
+}
+
+/// The placement of a failure domain. State: the replicas of each model; a new lead adopts them from
+/// what the targets have loaded.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    settings: PlacementSettings,
+    models: BTreeMap<ModelName, Replicas>,
+    absent: BTreeMap<TargetName, Time>,
+    moves: u64,
+}
+
+impl Placement {
+    /// Returns an empty placement.
+    pub fn new(settings: PlacementSettings) -> Self {
+        Self { settings, models: BTreeMap::new(), absent: BTreeMap::new(), moves: 0 }
+    }
+
+    /// Returns the number of replicas that were added or removed.
+    pub fn moves(&self) -> u64 {
+        self.moves
+    }
+
+    /// Notes that a target was found with a model, so that the model stays there.
+    pub fn adopt(&mut self, model: &ModelName, target: &TargetName) {
+        self.models.entry(model.clone()).or_default().targets.insert(target.clone());
+    }
+
+    /// Returns the models that each live target is to hold.
+    pub fn plan(
+        &mut self,
+        models: &[PlacedModel],
+        targets: &[PlacedTarget],
+        now: Time,
+    ) -> BTreeMap<TargetName, BTreeSet<ModelName>> {
+        self.note_absent(targets, now);
+        self.models.retain(|name, _| models.iter().any(|model| model.model == *name));
+        for model in models {
+            self.models.entry(model.model.clone()).or_default();
+            self.drop_lost(model, now);
+            self.fill(model, targets, now);
+            self.follow_demand(model, targets, now);
+        }
+        let mut plan: BTreeMap<TargetName, BTreeSet<ModelName>> = targets
+            .iter()
+            .filter(|target| target.live)
+            .map(|target| (target.name.clone(), BTreeSet::new()))
+            .collect();
+        for (model, replicas) in &self.models {
+            for target in &replicas.targets {
+                if let Some(held) = plan.get_mut(target) {
+                    held.insert(model.clone());
+                }
+            }
+        }
+        plan
+    }
+
+    fn note_absent(&mut self, targets: &[PlacedTarget], now: Time) {
+        let live =
+            |name: &TargetName| targets.iter().any(|target| target.live && target.name == *name);
+        let held = self.models.values().flat_map(|replicas| replicas.targets.iter());
+        let gone: BTreeSet<TargetName> = held.filter(|name| !live(name)).cloned().collect();
+        self.absent.retain(|name, _| gone.contains(name));
+        for name in gone {
+            self.absent.entry(name).or_insert(now);
+        }
+    }
+
+    fn drop_lost(&mut self, model: &PlacedModel, now: Time) {
+        let Some(replicas) = self.models.get_mut(&model.model) else { return };
+        let (absent, wait) = (&self.absent, self.settings.lost_after);
+        if self.settings.replace {
+            replicas
+                .targets
+                .retain(|name| absent.get(name).is_none_or(|since| now.since(*since) < wait));
+        }
+    }
+
+    /// Adds replicas up to the least number, without a pause: a model without a replica is not
+    /// served at all.
+    fn fill(&mut self, model: &PlacedModel, targets: &[PlacedTarget], now: Time) {
+        while self.count(&model.model) < model.least.max(1) {
+            if !self.add(model, targets, now) {
+                return;
+            }
+        }
+    }
+
+    fn follow_demand(&mut self, model: &PlacedModel, targets: &[PlacedTarget], now: Time) {
+        let count = self.count(&model.model);
+        let capacity = count as f64 * model.per_replica;
+        let rest = capacity - model.per_replica;
+        let above = model.demand > capacity;
+        let below = count > model.least.max(1) && model.demand < rest * self.settings.down_share;
+        let hysteresis = self.settings.hysteresis;
+        let (up_after, down_after) = (self.settings.up_after, self.settings.down_after);
+        let pause = self.settings.move_pause;
+        let Some(replicas) = self.models.get_mut(&model.model) else { return };
+        let since = |mark: &mut Option<Time>, holds: bool| {
+            *mark = holds.then(|| mark.unwrap_or(now));
+            mark.map(|since| now.since(since))
+        };
+        let above = since(&mut replicas.above_since, above);
+        let below = since(&mut replicas.below_since, below);
+        let paused = replicas.moved.is_some_and(|moved| now.since(moved) < pause);
+        if hysteresis && paused {
+            return;
+        }
+        let long = |held: Option<Duration>, wait: Duration| {
+            held.is_some_and(|held| !hysteresis || held >= wait)
+        };
+        if long(above, up_after) {
+            self.add(model, targets, now);
+        } else if long(below, down_after) {
+            self.remove(model, now);
+        }
+    }
+
+    fn count(&self, model: &ModelName) -> usize {
+        self.models.get(model).map_or(0, |replicas| replicas.targets.len())
+    }
+
+    fn held(&self, target: &TargetName) -> usize {
+        self.models.values().filter(|replicas| replicas.targets.contains(target)).count()
+    }
+
+    /// Places a replica on the live target with the most room. Returns whether there was one.
+    fn add(&mut self, model: &PlacedModel, targets: &[PlacedTarget], now: Time) -> bool {
+        let Some(replicas) = self.models.get(&model.model) else { return false };
+        let free = |target: &PlacedTarget| target.room.saturating_sub(self.held(&target.name));
+        let best = targets
+            .iter()
+            .filter(|target| target.live && !replicas.targets.contains(&target.name))
+            .filter(|target| free(target) > 0)
+            .max_by(|a, b| free(a).cmp(&free(b)).then(b.name.cmp(&a.name)));
+        let Some(best) = best.map(|target| target.name.clone()) else { return false };
+        self.moved(&model.model, now, |held| {
+            held.insert(best);
+        });
+        true
+    }
+
+    /// Removes the replica on the fullest target; the last one stays.
+    fn remove(&mut self, model: &PlacedModel, now: Time) {
+        let Some(replicas) = self.models.get(&model.model) else { return };
+        if replicas.targets.len() <= model.least.max(1) {
+            return;
+        }
+        let fullest = replicas.targets.iter().max_by_key(|target| self.held(target)).cloned();
+        self.moved(&model.model, now, |held| {
+            if let Some(target) = &fullest {
+                held.remove(target);
+            }
+        });
+    }
+
+    fn moved(
+        &mut self,
+        model: &ModelName,
+        now: Time,
+        change: impl FnOnce(&mut BTreeSet<TargetName>),
+    ) {
+        let Some(replicas) = self.models.get_mut(model) else { return };
+        change(&mut replicas.targets);
+        replicas.moved = Some(now);
+        replicas.above_since = None;
+        replicas.below_since = None;
+        self.moves += 1;
+    }
+}
--- a/crates/sesamewall-schedule/tests/main.rs
+++ b/crates/sesamewall-schedule/tests/main.rs
@@ -4,6 +4,8 @@
 mod admission;
 mod ejection;
 mod fairness;
+mod orders;
+mod placement;
 mod poison;
 mod retry;
 mod route;
--- /dev/null
+++ b/crates/sesamewall-schedule/tests/orders.rs
@@ -0,0 +1,279 @@
+//! Tests of orders to targets: two leads follow each other, and targets ignore fencing tokens.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_schedule::OrderAction;
+use sesamewall_schedule::OrderEnd;
+use sesamewall_schedule::OrderKind;
+use sesamewall_schedule::OrderSettings;
+use sesamewall_schedule::Orders;
+use sesamewall_schedule::TargetContent;
+use sesamewall_schedule::TargetOrder;
+
+const STEP: Duration = Duration::from_millis(50);
+const LEASE: Duration = Duration::from_secs(3);
+const STEPS: u32 = 2_400;
+const NAMES: [&str; 3] = ["t1", "t2", "t3"];
+
+fn at(step: u32) -> Time {
+    Time::ZERO + STEP * step
+}
+
+/// An order on its way, or to be sent once its lead goes on.
+struct Sent {
+    lead: usize,
+    order: TargetOrder,
+    start: u32,
+    arrive: u32,
+    answer: u32,
+    answered: bool,
+}
+
+/// Two leads, of which the second takes over when the first has not renewed for 3.5 s.
+struct World {
+    rng: ChaCha8Rng,
+    leads: [Orders; 2],
+    holder: usize,
+    epoch: u64,
+    renewed: u32,
+    paused: [u32; 2],
+    /// The holder runs, but cannot renew until this step.
+    cut: u32,
+    waiting: Vec<(usize, TargetOrder, u32)>,
+    sent: Vec<Sent>,
+    targets: BTreeMap<TargetName, TargetContent>,
+    loads: Vec<u32>,
+    done: u32,
+}
+
+impl World {
+    fn new(seed: u64, settings: &OrderSettings) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            leads: [Orders::new(settings.clone()), Orders::new(settings.clone())],
+            holder: 0,
+            epoch: 1,
+            renewed: 0,
+            paused: [0; 2],
+            cut: 0,
+            waiting: Vec::new(),
+            sent: Vec::new(),
+            targets: NAMES.iter().map(|name| ((*name).into(), TargetContent::default())).collect(),
+            loads: Vec::new(),
+            done: 0,
+        }
+    }
+
+    fn step(&mut self, step: u32) {
+        let now = at(step);
+        let free = step >= self.paused[self.holder].max(self.cut);
+        let unrenewed = now.since(at(self.renewed));
+        if free && (unrenewed >= Duration::from_secs(1) || step == 0) {
+            self.renewed = step;
+        } else if !free && unrenewed >= LEASE + Duration::from_millis(500) {
+            self.holder = 1 - self.holder;
+            self.epoch += 1;
+            self.renewed = step;
+            self.paused[self.holder] = step;
+            self.cut = step;
+        }
+        if free && self.rng.random_bool(0.004) {
+            self.paused[self.holder] = step + self.rng.random_range(10..160);
+        }
+        if free && self.rng.random_bool(0.004) {
+            self.cut = step + self.rng.random_range(10..160);
+        }
+        self.arrive(step);
+        self.send(step);
+        if step >= self.paused[self.holder] {
+            self.leads[self.holder].on_term(self.epoch, at(self.renewed) + LEASE, now);
+        }
+        for lead in 0..2 {
+            if step >= self.paused[lead] {
+                self.run_lead(lead, step);
+            }
+        }
+    }
+
+    fn run_lead(&mut self, lead: usize, step: u32) {
+        let now = at(step);
+        let models = ["a", "b", "c", "d"];
+        let wanted = NAMES.iter().map(|name| {
+            let turn = step / 60;
+            let chosen = models.iter().filter(|model| {
+                (turn + u32::from(model.as_bytes()[0]) + u32::from(name.as_bytes()[1])) % 3 > 0
+            });
+            let models = chosen.map(|model| ModelName::from(*model)).collect();
+            ((*name).into(), TargetContent { models, role: None })
+        });
+        self.leads[lead].set_wanted(wanted.collect());
+        for action in self.leads[lead].next(now) {
+            match action {
+                OrderAction::Read(target) => {
+                    let content = self.targets.get(&target).cloned();
+                    self.leads[lead].on_read(&target, content, now);
+                }
+                OrderAction::Send(order) => {
+                    let lag = self.rng.random_range(0..4);
+                    self.waiting.push((lead, order, step + lag));
+                }
+            }
+        }
+    }
+
+    /// Sends what was decided, once its lead runs. The lead is not paused between its last check and
+    /// the send by more than the time in flight allows.
+    fn send(&mut self, step: u32) {
+        let due = |entry: &(usize, TargetOrder, u32), paused: &[u32; 2]| {
+            entry.2 <= step && paused[entry.0] <= step
+        };
+        let (now, later): (Vec<_>, Vec<_>) =
+            self.waiting.drain(..).partition(|entry| due(entry, &self.paused));
+        self.waiting = later;
+        for (lead, order, _) in now {
+            if !self.leads[lead].may_send(&order, at(step)) {
+                self.leads[lead].on_end(&order, OrderEnd::NotSent, at(step));
+                continue;
+            }
+            if matches!(order.kind, OrderKind::Load(_)) {
+                self.loads.push(step);
+            }
+            let arrive = step + self.rng.random_range(1..40);
+            let lost = self.rng.random_bool(0.3);
+            let answer = if lost { step + self.rng.random_range(1..40) } else { arrive };
+            self.sent.push(Sent { lead, order, start: step, arrive, answer, answered: false });
+        }
+    }
+
+    fn arrive(&mut self, step: u32) {
+        for sent in &mut self.sent {
+            if sent.arrive == step {
+                let models = &mut self.targets.get_mut(&sent.order.target).unwrap().models;
+                match &sent.order.kind {
+                    OrderKind::Load(model) => models.insert(model.clone()),
+                    OrderKind::Unload(model) => models.remove(model),
+                    OrderKind::SetRole(_) => false,
+                };
+                self.done += 1;
+            }
+            if sent.answer <= step && !sent.answered && self.paused[sent.lead] <= step {
+                sent.answered = true;
+                let clear = sent.answer == sent.arrive;
+                let end = if clear { OrderEnd::Done } else { OrderEnd::Unclear };
+                self.leads[sent.lead].on_end(&sent.order, end, at(step));
+            }
+        }
+    }
+
+    /// Returns the pairs of orders that were on their way to one target at the same time.
+    fn overlaps(&self) -> usize {
+        let mut found = 0;
+        for (index, first) in self.sent.iter().enumerate() {
+            for second in &self.sent[index + 1..] {
+                let same = first.order.target == second.order.target;
+                found += usize::from(same && second.start < first.arrive);
+            }
+        }
+        found
+    }
+
+    /// Returns the windows in which more loads began than the weight store's rate allows.
+    fn over_rate(&self, settings: &OrderSettings) -> usize {
+        let mut found = 0;
+        for (index, first) in self.loads.iter().enumerate() {
+            for (more, last) in self.loads[index..].iter().enumerate() {
+                let window = at(*last).since(at(*first)).as_secs_f64();
+                let most = settings.load_burst + settings.loads_per_second * window;
+                found += usize::from((more + 1) as f64 > most + 1e-6);
+            }
+        }
+        found
+    }
+}
+
+fn run(seed: u64, settings: &OrderSettings) -> World {
+    let mut world = World::new(seed, settings);
+    for step in 0..STEPS {
+        world.step(step);
+    }
+    world
+}
+
+fn fast() -> OrderSettings {
+    OrderSettings { loads_per_second: 0.5, load_burst: 2.0, ..OrderSettings::default() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 100,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_26),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against two orders for one target at the same time and against a weight store that
+    /// gets more loads than it allows, while leads pause and targets ignore fencing tokens.
+    #[test]
+    fn orders_follow_each_other(seed in 0..1_000_000_u64) {
+        let world = run(seed, &fast());
+        prop_assert_eq!(world.overlaps(), 0, "seed {}", seed);
+        prop_assert_eq!(world.over_rate(&fast()), 0, "seed {}", seed);
+        prop_assert!(world.done > 5, "seed {}: {} orders", seed, world.done);
+    }
+}
+
+fn overlaps(settings: &OrderSettings) -> usize {
+    (0..30).map(|seed| run(seed, settings).overlaps()).sum()
+}
+
+/// Guards against checks of orders that notice nothing.
+#[test]
+fn checks_notice_missing_mechanisms() {
+    assert_eq!(overlaps(&fast()), 0);
+    assert!(overlaps(&OrderSettings { check_lease: false, ..fast() }) > 0, "lease");
+    // The tokens of a new term start at zero, which hides a missing wait.
+    let unlimited = OrderSettings { limit_loads: false, ..fast() };
+    assert_eq!(overlaps(&unlimited), 0);
+    assert!(overlaps(&OrderSettings { wait_term: false, ..unlimited }) > 0, "wait");
+    assert!(overlaps(&OrderSettings { read_back: false, ..fast() }) > 0, "read back");
+    let without = OrderSettings { limit_loads: false, ..fast() };
+    let over: usize = (0..20).map(|seed| run(seed, &without).over_rate(&fast())).sum();
+    assert!(over > 0, "rate");
+}
+
+/// Guards against a model that is unloaded from the last target that has it.
+#[test]
+fn last_copy_stays_until_another_is_loaded() {
+    let mut orders = Orders::new(OrderSettings { wait_term: false, ..fast() });
+    let content = |models: &[&str]| TargetContent {
+        models: models.iter().map(|model| ModelName::from(*model)).collect::<BTreeSet<_>>(),
+        role: None,
+    };
+    orders.on_term(1, at(2_000), at(0));
+    orders.set_wanted([("t1".into(), content(&[])), ("t2".into(), content(&["a"]))].into());
+    for action in orders.next(at(0)) {
+        let OrderAction::Read(target) = action else { panic!("{action:?}") };
+        let models: &[&str] = if target.as_str() == "t1" { &["a"] } else { &[] };
+        orders.on_read(&target, Some(content(models)), at(0));
+    }
+    let mut kinds = Vec::new();
+    for step in 1..200 {
+        for action in orders.next(at(step)) {
+            let OrderAction::Send(order) = action else { panic!("{action:?}") };
+            assert!(orders.may_send(&order, at(step)));
+            orders.on_end(&order, OrderEnd::Done, at(step));
+            kinds.push(order.kind);
+        }
+    }
+    assert_eq!(kinds, vec![OrderKind::Load("a".into()), OrderKind::Unload("a".into())]);
+}
--- /dev/null
+++ b/crates/sesamewall-schedule/tests/placement.rs
@@ -0,0 +1,120 @@
+//! Tests of the placement of models on targets.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_schedule::PlacedModel;
+use sesamewall_schedule::PlacedTarget;
+use sesamewall_schedule::Placement;
+use sesamewall_schedule::PlacementSettings;
+
+const STEP_SECONDS: u64 = 5;
+
+type Plan = BTreeMap<TargetName, BTreeSet<ModelName>>;
+
+fn at(seconds: u64) -> Time {
+    Time::ZERO + Duration::from_secs(seconds)
+}
+
+fn targets(count: usize, lost: &[usize]) -> Vec<PlacedTarget> {
+    let target = |number: usize| PlacedTarget {
+        name: TargetName::from(format!("t{number}")),
+        room: 2,
+        live: !lost.contains(&number),
+    };
+    (0..count).map(target).collect()
+}
+
+fn model(name: &str, demand: f64) -> PlacedModel {
+    PlacedModel { model: name.into(), demand, per_replica: 10.0, least: 1 }
+}
+
+fn replicas(plan: &Plan, model: &str) -> usize {
+    plan.values().filter(|held| held.contains(&ModelName::from(model))).count()
+}
+
+/// Runs an hour of demand that swings between two values and returns the moves.
+fn moves(settings: PlacementSettings, low: f64, high: f64, period: u64) -> u64 {
+    let mut placement = Placement::new(settings);
+    for seconds in (0..3600).step_by(STEP_SECONDS as usize) {
+        let demand = if seconds / period % 2 == 0 { low } else { high };
+        let plan = placement.plan(&[model("m", demand)], &targets(8, &[]), at(seconds));
+        assert!(replicas(&plan, "m") >= 1);
+    }
+    placement.moves()
+}
+
+/// Returns the most seconds in which a model had no replica on a live target, with one target lost
+/// after the other.
+fn unserved(settings: PlacementSettings, losses: &[(usize, u64)]) -> u64 {
+    let mut placement = Placement::new(settings);
+    let (mut longest, mut since) = (0, 0);
+    for seconds in (0..1200).step_by(STEP_SECONDS as usize) {
+        let lost: Vec<usize> = losses
+            .iter()
+            .filter(|(_, from)| (*from..*from + 300).contains(&seconds))
+            .map(|(number, _)| *number)
+            .collect();
+        let models = [model("m", 5.0), model("n", 25.0)];
+        let plan = placement.plan(&models, &targets(6, &lost), at(seconds));
+        let served = ["m", "n"].iter().all(|name| replicas(&plan, name) > 0);
+        since = if served { seconds } else { since };
+        longest = longest.max(seconds - since);
+    }
+    longest
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_26),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against thrashing: an hour has room for 30 pauses of two minutes, and a removal takes
+    /// ten quiet minutes, so at most six removals, as many returns and the first eight replicas.
+    #[test]
+    fn swinging_demand_moves_little(low in 0.0..40.0_f64, high in 0.0..90.0_f64, period in 5..900_u64) {
+        prop_assert!(moves(PlacementSettings::default(), low, high, period) <= 6 + 6 + 8);
+    }
+
+    /// Guards against models without a replica after targets are lost.
+    #[test]
+    fn lost_replicas_are_replaced(losses in prop::collection::vec((0..6_usize, 0..900_u64), 0..4)) {
+        let settings = PlacementSettings::default();
+        let bound = settings.lost_after.as_secs() + STEP_SECONDS;
+        // Six targets with room for two models each hold both models without four of the targets.
+        prop_assert!(unserved(settings, &losses) <= bound);
+    }
+}
+
+/// Guards against checks of the placement that notice nothing.
+#[test]
+fn checks_notice_missing_mechanisms() {
+    let without = PlacementSettings { hysteresis: false, ..PlacementSettings::default() };
+    assert!(moves(without, 5.0, 25.0, 10) > 6 + 6 + 8);
+    let without = PlacementSettings { replace: false, ..PlacementSettings::default() };
+    assert!(unserved(without, &[(0, 100), (1, 150), (2, 200), (3, 250)]) > 15);
+}
+
+/// Guards against demand that adds no replica, and against the last replica being removed.
+#[test]
+fn replicas_follow_lasting_demand() {
+    let mut placement = Placement::new(PlacementSettings::default());
+    let mut plan = |seconds: u64, demand: f64| {
+        let plan = placement.plan(&[model("m", demand)], &targets(4, &[]), at(seconds));
+        replicas(&plan, "m")
+    };
+    assert_eq!(plan(0, 35.0), 1);
+    let held: Vec<usize> = (0..120).map(|step| plan(step * 10, 35.0)).collect();
+    assert_eq!(held.last(), Some(&4));
+    let held: Vec<usize> = (120..1_000).map(|step| plan(step * 10, 0.0)).collect();
+    assert_eq!((held.first(), held.last()), (Some(&4), Some(&1)));
+}
