Place models on targets from the lead of each failure domain

Change: target groups have an optional field `placement`, checked by membership. OrderService runs in each instance and acts only while it holds the lead, for these groups: it reads their targets every 5 s, plans from the scheduler's queued and running requests, and sends orders through the new port TargetControl. The lease is checked again directly before each order. Admission gets what the targets have loaded, so that it sends no model's requests to a target without it. The test of the last copy answers the new periodic reads; its assertion on the orders is the same.

--- a/crates/sesamewall-adapters/src/lib.rs
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -4,12 +4,14 @@
 mod data_folder;
 mod generated;
 mod http_client;
+mod http_control;
 mod http_instances;
 mod http_store;
 mod http_target;
 mod tonic_peer;
 
 pub use data_folder::DataFolder;
+pub use http_control::HttpControl;
 pub use http_instances::HttpInstances;
 pub use http_store::HttpStore;
 pub use http_store::StoredEntry;
--- a/crates/sesamewall-membership/src/field_check.rs
+++ b/crates/sesamewall-membership/src/field_check.rs
@@ -184,6 +184,19 @@
     if group.limit == 0 {
         return fail("limit", "must be at least 1");
     }
+    if let Some(placement) = &group.placement {
+        if group.target_kind == TargetKind::Service {
+            return fail("placement", "must be absent for plain services");
+        }
+        let numbers = [
+            ("placement.models_per_target", placement.models_per_target),
+            ("placement.least_replicas", placement.least_replicas),
+            ("placement.requests_per_replica", placement.requests_per_replica),
+        ];
+        if let Some((field, _)) = numbers.iter().find(|(_, number)| *number == 0) {
+            return fail(field, "must be at least 1");
+        }
+    }
     if group.targets.len() > MAX_TARGETS {
         return fail("targets", &format!("at most {MAX_TARGETS} targets are allowed"));
     }
--- a/crates/sesamewall-membership/tests/configuration.rs
+++ b/crates/sesamewall-membership/tests/configuration.rs
@@ -26,6 +26,14 @@
     }))
 }
 
+fn placed(name: &str, models: Value, placement: Value) -> Operation {
+    let backend = if models == json!([]) { "service" } else { "engine" };
+    put(json!({
+        "kind": "target-group", "name": name, "type": backend, "models": models,
+        "targets": [], "placement": placement
+    }))
+}
+
 fn base() -> Configuration {
     let operations = vec![
         account("acme"),
@@ -75,6 +83,8 @@
             vec![group("g", &[], &[("t", "http://10.0.0.1:1"), ("t", "http://10.0.0.1:2")])],
         ),
         ("models", vec![group("llm2", &["org/llama:8b"], &[])]),
+        ("placement", vec![placed("web", json!([]), json!({}))]),
+        ("placement.least_replicas", vec![placed("g", json!(["m"]), json!({"least_replicas": 0}))]),
         ("name", vec![delete(ResourceKind::Account, "acme")]),
         ("name", vec![delete(ResourceKind::Account, "none")]),
         ("group", vec![delete(ResourceKind::TargetGroup, "web")]),
--- /dev/null
+++ b/crates/sesamewall-ports/src/fake/control.rs
@@ -0,0 +1,74 @@
+//! Targets that take commands, in memory.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_trait::async_trait;
+use sesamewall_protocol::ModelName;
+
+use crate::ControlAction;
+use crate::ControlCommand;
+use crate::ControlContent;
+use crate::ControlEnd;
+use crate::TargetControl;
+
+/// Targets by address. A target that is not in the map does not answer.
+#[derive(Debug, Default)]
+pub struct FakeControl {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    targets: BTreeMap<String, ControlContent>,
+    commands: Vec<ControlCommand>,
+}
+
+impl FakeControl {
+    /// Adds a target with these models loaded.
+    pub fn add(&self, address: &str, models: &[&str]) {
+        let models = models.iter().map(|model| ModelName::from(*model)).collect();
+        let content = ControlContent { models, role: None };
+        self.lock().targets.insert(address.to_owned(), content);
+    }
+
+    /// Removes a target.
+    pub fn remove(&self, address: &str) {
+        self.lock().targets.remove(address);
+    }
+
+    /// Returns the commands that were done.
+    pub fn commands(&self) -> Vec<ControlCommand> {
+        self.lock().commands.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[async_trait]
+impl TargetControl for FakeControl {
+    async fn order(&self, command: ControlCommand) -> ControlEnd {
+        let mut state = self.lock();
+        let Some(content) = state.targets.get_mut(&command.address) else {
+            return ControlEnd::NotSent;
+        };
+        match &command.action {
+            ControlAction::Load(model) => {
+                content.models.retain(|known| known != model);
+                content.models.push(model.clone());
+            }
+            ControlAction::Unload(model) => content.models.retain(|known| known != model),
+            ControlAction::SetRole(role) => content.role = Some(role.clone()),
+        }
+        state.commands.push(command);
+        ControlEnd::Done
+    }
+
+    async fn read(&self, address: &str) -> Option<ControlContent> {
+        self.lock().targets.get(address).cloned()
+    }
+}
--- a/crates/sesamewall-ports/src/lib.rs
+++ b/crates/sesamewall-ports/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod bulk;
 mod clock;
+mod control;
 mod fake;
 mod instances;
 mod peer;
@@ -12,8 +13,14 @@
 pub use bulk::BulkStorage;
 pub use clock::Clock;
 pub use clock::SystemClock;
+pub use control::ControlAction;
+pub use control::ControlCommand;
+pub use control::ControlContent;
+pub use control::ControlEnd;
+pub use control::TargetControl;
 pub use fake::FakeBulk;
 pub use fake::FakeClock;
+pub use fake::FakeControl;
 pub use fake::FakeStore;
 pub use instances::InstanceList;
 pub use instances::ListedInstance;
--- a/crates/sesamewall-protocol/src/lib.rs
+++ b/crates/sesamewall-protocol/src/lib.rs
@@ -32,6 +32,7 @@
 pub use resource::FailureDomain;
 pub use resource::Key;
 pub use resource::Operation;
+pub use resource::PlacementSpec;
 pub use resource::RateLimit;
 pub use resource::Resource;
 pub use resource::ResourceKind;
--- a/crates/sesamewall-protocol/src/resource.rs
+++ b/crates/sesamewall-protocol/src/resource.rs
@@ -121,6 +121,28 @@
     /// Upper bound of concurrent requests on one target.
     #[serde(default = "default_limit")]
     pub limit: u32,
+    /// How models are placed on the targets. Without it, the targets get no orders.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub placement: Option<PlacementSpec>,
+}
+
+/// How the lead of each failure domain places the group's models on its targets there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSpec {
+    /// Models that one target can hold at a time.
+    #[serde(default = "one_model")]
+    pub models_per_target: u32,
+    /// Least number of targets in each failure domain that hold a model.
+    #[serde(default = "one_model")]
+    pub least_replicas: u32,
+    /// Requests that one target serves at a time. More of them for a lasting time add a target.
+    #[serde(default = "default_limit")]
+    pub requests_per_replica: u32,
+}
+
+fn one_model() -> u32 {
+    1
 }
 
 /// Whether a failure domain gets work.
--- a/crates/sesamewall-schedule/src/orders.rs
+++ b/crates/sesamewall-schedule/src/orders.rs
@@ -11,6 +11,9 @@
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 
+/// A target without orders is read again after this long.
+const READ_EVERY: Duration = Duration::from_secs(5);
+
 /// Settings of orders. The switches take a mechanism out, so that tests can show that their checks
 /// notice it.
 #[derive(Clone, Debug)]
@@ -110,8 +113,9 @@
 enum TargetState {
     /// To be read at the time or later.
     Unknown(Time),
-    Reading,
-    Known(TargetContent),
+    Reading(Option<TargetContent>),
+    /// Known since the time.
+    Known(TargetContent, Time),
     /// The order was decided at the time.
     Busy(TargetOrder, Time, TargetContent),
 }
@@ -186,8 +190,10 @@
     /// Returns what a target was last known to have.
     pub fn content(&self, target: &TargetName) -> Option<&TargetContent> {
         match self.targets.get(target)? {
-            TargetState::Known(content) | TargetState::Busy(_, _, content) => Some(content),
-            TargetState::Unknown(_) | TargetState::Reading => None,
+            TargetState::Known(content, _)
+            | TargetState::Busy(_, _, content)
+            | TargetState::Reading(Some(content)) => Some(content),
+            TargetState::Unknown(_) | TargetState::Reading(None) => None,
         }
     }
 
@@ -221,11 +227,11 @@
 
     /// Notes what a target has loaded, or `None` if it could not be read.
     pub fn on_read(&mut self, target: &TargetName, content: Option<TargetContent>, now: Time) {
-        if self.targets.get(target) != Some(&TargetState::Reading) {
+        if !matches!(self.targets.get(target), Some(TargetState::Reading(_))) {
             return;
         }
         let state = match content {
-            Some(content) => TargetState::Known(content),
+            Some(content) => TargetState::Known(content, now),
             None => TargetState::Unknown(now + self.settings.read_again),
         };
         self.targets.insert(target.clone(), state);
@@ -241,14 +247,14 @@
             return;
         }
         let state = match end {
-            OrderEnd::Done => TargetState::Known(after(content.clone(), &order.kind)),
-            OrderEnd::NotSent => TargetState::Known(content.clone()),
+            OrderEnd::Done => TargetState::Known(after(content.clone(), &order.kind), now),
+            OrderEnd::NotSent => TargetState::Known(content.clone(), now),
             OrderEnd::Refused => TargetState::Unknown(now + self.settings.read_again),
             OrderEnd::Unclear if self.settings.read_back => {
                 // The decision is not later than the check of the lease, so `now` counts as well.
                 TargetState::Unknown((*at).max(now) + self.settings.in_flight)
             }
-            OrderEnd::Unclear => TargetState::Known(content.clone()),
+            OrderEnd::Unclear => TargetState::Known(content.clone(), now),
         };
         self.targets.insert(order.target.clone(), state);
     }
@@ -270,12 +276,18 @@
         let state = self.targets.entry(target.clone()).or_insert(TargetState::Unknown(now));
         match state {
             TargetState::Unknown(at) if now >= *at => {
-                *state = TargetState::Reading;
+                *state = TargetState::Reading(None);
                 Some(OrderAction::Read(target))
             }
-            TargetState::Known(content) => {
-                let content = content.clone();
-                let kind = self.missing(&target, &content, now)?;
+            TargetState::Known(content, since) => {
+                let (content, old) = (content.clone(), now.since(*since) >= READ_EVERY);
+                let Some(kind) = self.missing(&target, &content, now) else {
+                    // A target that restarted may have lost its models, or be gone.
+                    return old.then(|| {
+                        self.targets.insert(target.clone(), TargetState::Reading(Some(content)));
+                        OrderAction::Read(target)
+                    });
+                };
                 self.number += 1;
                 let order =
                     TargetOrder { number: self.number, target: target.clone(), fence, kind };
@@ -302,7 +314,7 @@
         let elsewhere = |model: &ModelName| {
             self.targets.iter().any(|(name, state)| {
                 name != target
-                    && matches!(state, TargetState::Known(known) if known.models.contains(model))
+                    && matches!(state, TargetState::Known(known, _) if known.models.contains(model))
                     && self.wanted.get(name).is_some_and(|wanted| wanted.models.contains(model))
             })
         };
--- a/crates/sesamewall-schedule/src/scheduler.rs
+++ b/crates/sesamewall-schedule/src/scheduler.rs
@@ -282,6 +282,19 @@
         self.slots.len()
     }
 
+    /// Returns the number of requests of both classes that wait for or run on each model.
+    pub fn demand(&self) -> BTreeMap<ModelName, usize> {
+        let mut demand = BTreeMap::new();
+        for (model, queues) in &self.queues {
+            let waiting: usize = queues.iter().map(|queue| queue.len()).sum();
+            *demand.entry(model.clone()).or_insert(0) += waiting;
+        }
+        for slot in self.slots.values() {
+            *demand.entry(slot.model.clone()).or_insert(0) += 1;
+        }
+        demand
+    }
+
     pub(crate) fn queue_index(&self, class: Class) -> usize {
         let shared = self.fleet.settings.policy == Policy::SharedQueue;
         usize::from(class == Class::Batch && !shared)
--- a/crates/sesamewall-schedule/tests/orders.rs
+++ b/crates/sesamewall-schedule/tests/orders.rs
@@ -111,7 +111,8 @@
         let wanted = NAMES.iter().map(|name| {
             let turn = step / 60;
             let chosen = models.iter().filter(|model| {
-                (turn + u32::from(model.as_bytes()[0]) + u32::from(name.as_bytes()[1])) % 3 > 0
+                let place = u32::from(model.as_bytes()[0]) + u32::from(name.as_bytes()[1]);
+                !(turn + place).is_multiple_of(3)
             });
             let models = chosen.map(|model| ModelName::from(*model)).collect();
             ((*name).into(), TargetContent { models, role: None })
@@ -261,16 +262,25 @@
     };
     orders.on_term(1, at(2_000), at(0));
     orders.set_wanted([("t1".into(), content(&[])), ("t2".into(), content(&["a"]))].into());
-    for action in orders.next(at(0)) {
-        let OrderAction::Read(target) = action else { panic!("{action:?}") };
-        let models: &[&str] = if target.as_str() == "t1" { &["a"] } else { &[] };
-        orders.on_read(&target, Some(content(models)), at(0));
-    }
+    let mut held: BTreeMap<TargetName, TargetContent> =
+        [("t1".into(), content(&["a"])), ("t2".into(), content(&[]))].into();
     let mut kinds = Vec::new();
-    for step in 1..200 {
+    for step in 0..200 {
         for action in orders.next(at(step)) {
-            let OrderAction::Send(order) = action else { panic!("{action:?}") };
+            let order = match action {
+                OrderAction::Read(target) => {
+                    orders.on_read(&target, held.get(&target).cloned(), at(step));
+                    continue;
+                }
+                OrderAction::Send(order) => order,
+            };
             assert!(orders.may_send(&order, at(step)));
+            let models = &mut held.get_mut(&order.target).unwrap().models;
+            match &order.kind {
+                OrderKind::Load(model) => models.insert(model.clone()),
+                OrderKind::Unload(model) => models.remove(model),
+                OrderKind::SetRole(_) => false,
+            };
             orders.on_end(&order, OrderEnd::Done, at(step));
             kinds.push(order.kind);
         }
--- a/crates/sesamewall-schedule/tests/placement.rs
+++ b/crates/sesamewall-schedule/tests/placement.rs
@@ -43,7 +43,7 @@
 fn moves(settings: PlacementSettings, low: f64, high: f64, period: u64) -> u64 {
     let mut placement = Placement::new(settings);
     for seconds in (0..3600).step_by(STEP_SECONDS as usize) {
-        let demand = if seconds / period % 2 == 0 { low } else { high };
+        let demand = if (seconds / period).is_multiple_of(2) { low } else { high };
         let plan = placement.plan(&[model("m", demand)], &targets(8, &[]), at(seconds));
         assert!(replicas(&plan, "m") >= 1);
     }
--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use axum::Router;
 use sesamewall_adapters::DataFolder;
+use sesamewall_adapters::HttpControl;
 use sesamewall_adapters::HttpInstances;
 use sesamewall_adapters::HttpStore;
 use sesamewall_adapters::HttpTarget;
@@ -57,6 +58,7 @@
 use crate::membership::MembershipService;
 use crate::membership::Outgoing;
 use crate::operator_router;
+use crate::order_service::OrderService;
 use crate::peer_service::PeerService;
 use crate::rate_service::RateService;
 use crate::slot_service::SlotService;
@@ -221,6 +223,7 @@
     floor: Arc<FloorService>,
     rates: Arc<RateService>,
     slots: Arc<SlotService>,
+    orders: Arc<OrderService>,
     executor: Arc<Executor>,
     batch: Arc<BatchService>,
     records: Arc<RecordService>,
@@ -237,6 +240,8 @@
         let membership = MembershipService::new(node.clone(), config.clone(), floor.clone(), store);
         let rates = RateService::new(node.clone());
         let slots = SlotService::new(node.clone());
+        let control = Arc::new(HttpControl::default());
+        let orders = OrderService::new(node.clone(), control, Arc::new(slots.clone()));
         let executor =
             Arc::new(Executor::new(node.clone(), Arc::new(rates.clone()), Arc::new(slots.clone())));
         let runner = Arc::new(BatchItemRunner::new(executor.clone()));
@@ -246,6 +251,7 @@
             Arc::new(DumpPart::new("membership", membership.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("rates", rates.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("slots", slots.clone(), |part| part.dump())),
+            Arc::new(DumpPart::new("orders", orders.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("batch", batch.clone(), |part| part.dump())),
         ];
         let operators = Arc::new(OperatorService {
@@ -264,6 +270,7 @@
             floor,
             rates,
             slots,
+            orders,
             executor,
             batch,
             records,
@@ -281,6 +288,7 @@
         self.floor.spawn(node.clone(), self.rates.clone());
         self.rates.spawn();
         self.slots.spawn();
+        self.orders.spawn();
         self.executor.spawn_mark_sender();
         self.batch.spawn();
         let (records, stop) = (self.records.clone(), self.stop.clone());
--- a/crates/sesamewall-server/src/dev.rs
+++ b/crates/sesamewall-server/src/dev.rs
@@ -102,6 +102,7 @@
             models: vec![MODEL.into()],
             targets: engines,
             limit: 64,
+            placement: None,
         }),
         Resource::TargetGroup(TargetGroup {
             name: "services".to_owned(),
@@ -109,6 +110,7 @@
             models: Vec::new(),
             targets: vec![target("service-0", &service.address.to_string())],
             limit: 64,
+            placement: None,
         }),
         Resource::Route(Route {
             name: "service".to_owned(),
--- a/crates/sesamewall-server/src/lead_targets.rs
+++ b/crates/sesamewall-server/src/lead_targets.rs
@@ -1,10 +1,17 @@
 //! The targets that the lead of a failure domain admits to, from the configuration.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
 use sesamewall_membership::Configuration;
 use sesamewall_protocol::DomainMode;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::ModelName;
 use sesamewall_protocol::TargetGroup;
+use sesamewall_protocol::TargetName;
 use sesamewall_schedule::Config;
 use sesamewall_schedule::TargetInfo;
 
@@ -33,3 +40,37 @@
     models.push(ModelName::from(group.name.as_str()));
     models
 }
+
+/// Models that targets under placement have loaded.
+pub type Loaded = BTreeMap<TargetName, BTreeSet<ModelName>>;
+
+/// Holds what is loaded.
+#[derive(Debug, Default)]
+pub struct LoadedCell {
+    loaded: Mutex<Loaded>,
+}
+
+impl LoadedCell {
+    /// Returns what is loaded.
+    pub fn lock(&self) -> MutexGuard<'_, Loaded> {
+        self.loaded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what is loaded and returns whether it changed.
+    pub fn replace(&self, loaded: Loaded) -> bool {
+        let mut held = self.lock();
+        let changed = *held != loaded;
+        *held = loaded;
+        changed
+    }
+}
+
+/// Leaves each target under placement only the models that it has loaded, so that no request is
+/// sent to a target without its model.
+pub fn keep_loaded(config: &mut Config, loaded: &Loaded) {
+    for target in &mut config.targets {
+        if let Some(models) = loaded.get(&target.name) {
+            target.models.retain(|model| models.contains(model));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-server/src/order_service.rs
@@ -0,0 +1,316 @@
+//! Gives control commands to the targets of the own failure domain while this instance is lead.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::future::join_all;
+use serde_json::json;
+use sesamewall_ports::ControlAction;
+use sesamewall_ports::ControlCommand;
+use sesamewall_ports::ControlContent;
+use sesamewall_ports::ControlEnd;
+use sesamewall_ports::TargetControl;
+use sesamewall_protocol::ModelName;
+use sesamewall_protocol::PlacementSpec;
+use sesamewall_protocol::TargetGroup;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use sesamewall_schedule::OrderAction;
+use sesamewall_schedule::OrderEnd;
+use sesamewall_schedule::OrderKind;
+use sesamewall_schedule::OrderSettings;
+use sesamewall_schedule::Orders;
+use sesamewall_schedule::PlacedModel;
+use sesamewall_schedule::PlacedTarget;
+use sesamewall_schedule::Placement;
+use sesamewall_schedule::PlacementSettings;
+use sesamewall_schedule::TargetContent;
+use sesamewall_schedule::TargetOrder;
+use slog::info;
+
+use crate::Node;
+
+const TICK: Duration = Duration::from_millis(500);
+/// Loads from the weight store that all leads together start in a second.
+const FLEET_LOADS_PER_SECOND: f64 = 0.5;
+const FLEET_LOAD_BURST: f64 = 8.0;
+/// A new lead reads all targets before it places models: 5 s until orders may be given, and time
+/// for a read that fails once.
+const PLAN_AFTER: Duration = Duration::from_secs(12);
+
+/// The admission to targets, as placement sees it.
+pub trait Admission: Send + Sync {
+    /// Returns the requests that wait for or run on each model.
+    fn demand(&self) -> BTreeMap<ModelName, usize>;
+
+    /// Takes what the targets under placement have loaded.
+    fn set_loaded(&self, loaded: BTreeMap<TargetName, BTreeSet<ModelName>>);
+}
+
+/// Places models on targets and gives the orders for it.
+pub struct OrderService {
+    node: Arc<Node>,
+    control: Arc<dyn TargetControl>,
+    admission: Arc<dyn Admission>,
+    state: Mutex<State>,
+}
+
+struct State {
+    orders: Orders,
+    placements: BTreeMap<String, Placement>,
+    published: BTreeMap<TargetName, BTreeSet<ModelName>>,
+    epoch: u64,
+    since: Time,
+}
+
+/// The targets of the own failure domain in a group under placement.
+struct Part {
+    group: Arc<TargetGroup>,
+    spec: PlacementSpec,
+    targets: Vec<(TargetName, String, bool)>,
+}
+
+impl OrderService {
+    /// Creates the service.
+    pub fn new(
+        node: Arc<Node>,
+        control: Arc<dyn TargetControl>,
+        admission: Arc<dyn Admission>,
+    ) -> Arc<Self> {
+        let share = 1.0 / node.settings.domains.len().max(1) as f64;
+        let settings = OrderSettings {
+            loads_per_second: FLEET_LOADS_PER_SECOND * share,
+            load_burst: (FLEET_LOAD_BURST * share).max(1.0),
+            ..OrderSettings::default()
+        };
+        let state = State {
+            orders: Orders::new(settings),
+            placements: BTreeMap::new(),
+            published: BTreeMap::new(),
+            epoch: 0,
+            since: Time::ZERO,
+        };
+        Arc::new(Self { node, control, admission, state: Mutex::new(state) })
+    }
+
+    /// Starts the background task.
+    pub fn spawn(self: &Arc<Self>) {
+        let service = Arc::clone(self);
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                service.tick().await;
+            }
+        });
+    }
+
+    /// Returns the state for a dump.
+    pub fn dump(&self) -> serde_json::Value {
+        let state = self.lock();
+        let moves: BTreeMap<&String, u64> =
+            state.placements.iter().map(|(group, placement)| (group, placement.moves())).collect();
+        json!({ "epoch": state.epoch, "moves": moves })
+    }
+
+    /// Does what is due: reads targets, places models and gives orders. It ends once all calls have
+    /// ended, at most 2 s later.
+    pub async fn tick(&self) {
+        let parts = self.parts();
+        let actions = {
+            let now = self.node.clock.now();
+            let state = &mut *self.lock();
+            let draining = self.node.draining.load(Ordering::Relaxed);
+            let term = self.node.lead.valid(now).filter(|_| !draining && !parts.is_empty());
+            let Some(term) = term else {
+                if state.epoch != 0 {
+                    state.epoch = 0;
+                    state.placements.clear();
+                    state.published.clear();
+                    state.orders.end_term();
+                    self.admission.set_loaded(BTreeMap::new());
+                }
+                return;
+            };
+            state.orders.on_term(term.epoch, term.valid_until, now);
+            if state.epoch != term.epoch {
+                state.epoch = term.epoch;
+                state.since = now;
+                state.placements.clear();
+            }
+            let wanted = state.plan(&parts, &self.admission.demand(), now);
+            state.orders.set_wanted(wanted);
+            state.orders.next(now)
+        };
+        let addresses: BTreeMap<&TargetName, &String> = parts
+            .iter()
+            .flat_map(|part| part.targets.iter().map(|(name, address, _)| (name, address)))
+            .collect();
+        join_all(actions.into_iter().map(|action| self.act(action, &addresses))).await;
+        self.publish(&parts);
+    }
+
+    async fn act(&self, action: OrderAction, addresses: &BTreeMap<&TargetName, &String>) {
+        match action {
+            OrderAction::Read(target) => {
+                let content = match addresses.get(&target) {
+                    Some(address) => self.control.read(address).await,
+                    None => None,
+                };
+                let content = content.map(|ControlContent { models, role }| TargetContent {
+                    models: models.into_iter().collect(),
+                    role,
+                });
+                let now = self.node.clock.now();
+                self.lock().orders.on_read(&target, content, now);
+            }
+            OrderAction::Send(order) => {
+                let end = match addresses.get(&order.target) {
+                    Some(address) => self.send(&order, address).await,
+                    None => OrderEnd::NotSent,
+                };
+                let now = self.node.clock.now();
+                self.lock().orders.on_end(&order, end, now);
+            }
+        }
+    }
+
+    async fn send(&self, order: &TargetOrder, address: &str) -> OrderEnd {
+        let command = ControlCommand {
+            address: address.to_owned(),
+            fence: order.fence,
+            action: match &order.kind {
+                OrderKind::Load(model) => ControlAction::Load(model.clone()),
+                OrderKind::Unload(model) => ControlAction::Unload(model.clone()),
+                OrderKind::SetRole(role) => ControlAction::SetRole(role.clone()),
+            },
+        };
+        if !self.lock().orders.may_send(order, self.node.clock.now()) {
+            return OrderEnd::NotSent;
+        }
+        let end = self.control.order(command).await;
+        info!(self.node.log, "order to target"; "target" => order.target.as_str(),
+            "fence" => order.fence, "order" => format!("{:?}", order.kind),
+            "end" => format!("{end:?}"));
+        let label = match end {
+            ControlEnd::Done => "order_done",
+            ControlEnd::Refused => "order_refused",
+            ControlEnd::NotSent => "order_not_sent",
+            ControlEnd::Unclear => "order_unclear",
+        };
+        self.node.metrics.changes.with_label_values(&[label]).inc();
+        match end {
+            ControlEnd::Done => OrderEnd::Done,
+            ControlEnd::Refused => OrderEnd::Refused,
+            ControlEnd::NotSent => OrderEnd::NotSent,
+            ControlEnd::Unclear => OrderEnd::Unclear,
+        }
+    }
+
+    /// Tells admission what is loaded. A target whose content is not known keeps what was last
+    /// known, since admission notices lost targets itself.
+    fn publish(&self, parts: &[Part]) {
+        let loaded = {
+            let state = &mut *self.lock();
+            let names: BTreeSet<&TargetName> = parts
+                .iter()
+                .flat_map(|part| part.targets.iter().map(|(name, _, _)| name))
+                .collect();
+            state.published.retain(|name, _| names.contains(name));
+            for name in names {
+                if let Some(content) = state.orders.content(name) {
+                    state.published.insert(name.clone(), content.models.clone());
+                }
+            }
+            state.published.clone()
+        };
+        self.admission.set_loaded(loaded);
+    }
+
+    fn parts(&self) -> Vec<Part> {
+        let domain = &self.node.own.domain;
+        let configuration = self.node.config.current();
+        let groups = configuration.groups().filter_map(|group| {
+            let spec = group.placement?;
+            let own = group.targets.iter().filter(|target| target.domain == *domain);
+            let targets: Vec<_> = own
+                .map(|target| (target.name.clone(), target.address.clone(), target.leaving))
+                .collect();
+            (!targets.is_empty()).then(|| Part { group: Arc::clone(group), spec, targets })
+        });
+        groups.collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Returns what each target is to have. Until the targets have been read, that is what they
+    /// have.
+    fn plan(
+        &mut self,
+        parts: &[Part],
+        demand: &BTreeMap<ModelName, usize>,
+        now: Time,
+    ) -> BTreeMap<TargetName, TargetContent> {
+        let mut wanted = BTreeMap::new();
+        let ready = now.since(self.since) >= PLAN_AFTER;
+        for part in parts {
+            let names = part.targets.iter().map(|(name, _, _)| name.clone());
+            wanted.extend(names.map(|name| (name, TargetContent::default())));
+            if ready {
+                for (name, models) in self.place(part, demand, now) {
+                    wanted.insert(name, TargetContent { models, role: None });
+                }
+            }
+        }
+        wanted
+    }
+
+    fn place(
+        &mut self,
+        part: &Part,
+        demand: &BTreeMap<ModelName, usize>,
+        now: Time,
+    ) -> BTreeMap<TargetName, BTreeSet<ModelName>> {
+        let orders = &self.orders;
+        let placement = self.placements.entry(part.group.name.clone()).or_insert_with(|| {
+            let mut placement = Placement::new(PlacementSettings::default());
+            for (name, _, _) in &part.targets {
+                let held = orders.content(name).into_iter().flat_map(|content| &content.models);
+                for model in held.filter(|model| part.group.models.contains(model)) {
+                    placement.adopt(model, name);
+                }
+            }
+            placement
+        });
+        let models: Vec<PlacedModel> = part
+            .group
+            .models
+            .iter()
+            .map(|model| PlacedModel {
+                model: model.clone(),
+                demand: demand.get(model).copied().unwrap_or(0) as f64,
+                per_replica: f64::from(part.spec.requests_per_replica),
+                least: part.spec.least_replicas as usize,
+            })
+            .collect();
+        let targets: Vec<PlacedTarget> = part
+            .targets
+            .iter()
+            .map(|(name, _, leaving)| PlacedTarget {
+                name: name.clone(),
+                room: part.spec.models_per_target as usize,
+                live: !leaving && orders.content(name).is_some(),
+            })
+            .collect();
+        placement.plan(&models, &targets, now)
+    }
+}
--- a/crates/sesamewall-server/src/slot_service.rs
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -1,6 +1,7 @@
 //! Slots on targets: the instance's side, which asks and reports, and the lead's side, which runs
 //! the scheduler of the failure domain.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -40,6 +41,8 @@
 use crate::gate::SlotReport;
 use crate::gate::SlotSink;
 use crate::lead_targets;
+use crate::lead_targets::Loaded;
+use crate::order_service::Admission;
 
 const TICK: Duration = Duration::from_millis(25);
 /// Pause before a lead that did not answer is asked again.
@@ -79,12 +82,18 @@
     node: Arc<Node>,
     held: Mutex<HashMap<SlotKey, Held>>,
     lead: Mutex<Option<LeadSide>>,
+    loaded: lead_targets::LoadedCell,
 }
 
 impl SlotService {
     /// Creates the service.
     pub fn new(node: Arc<Node>) -> Arc<Self> {
-        Arc::new(Self { node, held: Mutex::default(), lead: Mutex::default() })
+        Arc::new(Self {
+            node,
+            held: Mutex::default(),
+            lead: Mutex::default(),
+            loaded: Default::default(),
+        })
     }
 
     /// Starts the background tasks.
@@ -160,7 +169,8 @@
     /// Applies the configuration in force.
     pub fn configure(self: &Arc<Self>) {
         let configuration = self.node.config.current();
-        let config = lead_targets::targets_of(&configuration, &self.node.own.domain);
+        let mut config = lead_targets::targets_of(&configuration, &self.node.own.domain);
+        lead_targets::keep_loaded(&mut config, &self.loaded.lock());
         self.at_lead(|lead, now| lead.scheduler.on_config(&config, now));
     }
 
@@ -452,6 +462,18 @@
     }
 }
 
+impl Admission for Arc<SlotService> {
+    fn demand(&self) -> BTreeMap<ModelName, usize> {
+        self.lock_lead().as_ref().map_or_else(BTreeMap::new, |lead| lead.scheduler.demand())
+    }
+
+    fn set_loaded(&self, loaded: Loaded) {
+        if self.loaded.replace(loaded) {
+            self.configure();
+        }
+    }
+}
+
 fn refused(ask: &SlotAsk, code: u16, numbers: Option<Numbers>) -> Error {
     let model = ask.model.to_string();
     let numbers = numbers.unwrap_or_default();
--- a/crates/sesamewall-server/tests/batch.rs
+++ b/crates/sesamewall-server/tests/batch.rs
@@ -12,3 +12,5 @@
 mod fleet;
 #[path = "batch/http.rs"]
 mod http;
+#[path = "batch/store.rs"]
+mod store;
--- a/crates/sesamewall-standin/src/engine/mod.rs
+++ b/crates/sesamewall-standin/src/engine/mod.rs
@@ -11,6 +11,7 @@
 pub use settings::EngineSettings;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -47,6 +48,24 @@
 struct OrderState {
     fence: u64,
     orders: Vec<Value>,
+    models: BTreeSet<String>,
+    role: Option<String>,
+}
+
+impl OrderState {
+    fn apply(&mut self, order: &Value) {
+        let text = |name: &str| order.get(name).and_then(Value::as_str).map(str::to_owned);
+        match (text("kind").as_deref(), text("model"), text("role")) {
+            (Some("load"), Some(model), _) => {
+                self.models.insert(model);
+            }
+            (Some("unload"), Some(model), _) => {
+                self.models.remove(&model);
+            }
+            (Some("role"), _, role) => self.role = role,
+            _ => {}
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -67,7 +86,10 @@
             batch: Batch::new(&settings),
             cache: Mutex::new(PrefixCache::new(settings.cache_blocks)),
             faults: Mutex::default(),
-            orders: Mutex::default(),
+            orders: Mutex::new(OrderState {
+                models: settings.models.iter().cloned().collect(),
+                ..OrderState::default()
+            }),
             seen_headers: Mutex::default(),
             crash,
             settings,
@@ -109,13 +131,13 @@
 }
 
 async fn models(State(engine): State<Arc<Engine>>) -> Json<Value> {
-    let data: Vec<Value> = engine
-        .settings
+    let state = engine.orders.lock().unwrap_or_else(PoisonError::into_inner);
+    let data: Vec<Value> = state
         .models
         .iter()
         .map(|model| json!({ "id": model, "object": "model", "owned_by": "standin" }))
         .collect();
-    Json(json!({ "object": "list", "data": data }))
+    Json(json!({ "object": "list", "data": data, "role": state.role }))
 }
 
 async fn load(State(engine): State<Arc<Engine>>) -> Json<Value> {
@@ -141,6 +163,7 @@
         return (axum::http::StatusCode::CONFLICT, Json(answer));
     }
     state.fence = state.fence.max(fence);
+    state.apply(&order);
     state.orders.push(order);
     (axum::http::StatusCode::OK, Json(json!({ "fence": state.fence })))
 }
