--- a/crates/sesamewall-server/src/caller/model_request.rs
+++ b/crates/sesamewall-server/src/caller/model_request.rs
@@ -124,6 +124,8 @@
             forwarded: false,
             no_wait: false,
             resume_from: 0,
+            urgent: false,
+            trace: None,
             cancel: CancellationToken::new(),
         })
     }
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -366,6 +366,8 @@
         forwarded: false,
         no_wait: false,
         resume_from: 0,
+        urgent: false,
+        trace: None,
         cancel: CancellationToken::new(),
     })
 }
@@ -444,6 +446,8 @@
         forwarded: true,
         no_wait: false,
         resume_from: 0,
+        urgent: false,
+        trace: None,
         cancel: CancellationToken::new(),
     })
 }
--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -8,6 +8,7 @@
 
 use axum::Router;
 use sesamewall_adapters::DataFolder;
+use sesamewall_adapters::HttpControl;
 use sesamewall_adapters::HttpInstances;
 use sesamewall_adapters::HttpStore;
 use sesamewall_adapters::HttpTarget;
@@ -58,6 +59,7 @@
 use crate::membership::MembershipService;
 use crate::membership::Outgoing;
 use crate::operator_router;
+use crate::order_service::OrderService;
 use crate::peer_service::PeerService;
 use crate::rate_service::RateService;
 use crate::slot_service::SlotService;
@@ -199,7 +201,10 @@
     pub async fn shut_down(self) {
         self.node.draining.store(true, Ordering::Relaxed);
         info!(self.node.log, "instance drains");
-        tokio::time::sleep(Duration::from_millis(self.node.settings.drain_ms)).await;
+        // Batch work ends while the load balancer still lags, and before the peers' listener: the
+        // outcomes go to other instances.
+        let lag = tokio::time::sleep(Duration::from_millis(self.node.settings.drain_ms));
+        tokio::join!(lag, self.parts.batch.drain());
         // Waiting requests need the lead's slots, and there may be no successor.
         self.callers.end().await;
         self.parts.membership.shut_down().await;
@@ -221,6 +226,7 @@
     floor: Arc<FloorService>,
     rates: Arc<RateService>,
     slots: Arc<SlotService>,
+    orders: Arc<OrderService>,
     executor: Arc<Executor>,
     idempotency: Arc<IdempotencyService>,
     batch: Arc<BatchService>,
@@ -238,6 +244,8 @@
         let membership = MembershipService::new(node.clone(), config.clone(), floor.clone(), store);
         let rates = RateService::new(node.clone());
         let slots = SlotService::new(node.clone());
+        let control = Arc::new(HttpControl::default());
+        let orders = OrderService::new(node.clone(), control, Arc::new(slots.clone()));
         let executor =
             Arc::new(Executor::new(node.clone(), Arc::new(rates.clone()), Arc::new(slots.clone())));
         let idempotency = IdempotencyService::new(node.clone());
@@ -249,6 +257,7 @@
             Arc::new(DumpPart::new("rates", rates.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("slots", slots.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("idempotency", idempotency.clone(), |part| part.dump())),
+            Arc::new(DumpPart::new("orders", orders.clone(), |part| part.dump())),
             Arc::new(DumpPart::new("batch", batch.clone(), |part| part.dump())),
         ];
         let operators = Arc::new(OperatorService {
@@ -267,6 +276,7 @@
             floor,
             rates,
             slots,
+            orders,
             executor,
             idempotency,
             batch,
@@ -285,6 +295,7 @@
         self.floor.spawn(node.clone(), self.rates.clone());
         self.rates.spawn();
         self.slots.spawn();
+        self.orders.spawn();
         self.executor.spawn_mark_sender();
         self.batch.spawn();
         let (records, stop) = (self.records.clone(), self.stop.clone());
--- a/crates/sesamewall-server/src/execute/call.rs
+++ b/crates/sesamewall-server/src/execute/call.rs
@@ -1,5 +1,7 @@
 //! One accepted request on its way to targets.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Class;
@@ -7,6 +9,8 @@
 use sesamewall_protocol::RequestId;
 use tokio_util::sync::CancellationToken;
 
+use crate::ItemTrace;
+
 /// One accepted request.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -42,6 +46,10 @@
     pub no_wait: bool,
     /// Tokens that the caller has from attempts of another instance.
     pub resume_from: u64,
+    /// The batch item is past its latest start time.
+    pub urgent: bool,
+    /// Takes the decisions about a batch item in place of the recorder.
+    pub trace: Option<Arc<ItemTrace>>,
     /// Ends the request early.
     pub cancel: CancellationToken,
 }
--- a/crates/sesamewall-server/src/slot_service.rs
+++ b/crates/sesamewall-server/src/slot_service.rs
@@ -1,6 +1,7 @@
 //! Slots on targets: the instance's side, which asks and reports, and the lead's side, which runs
 //! the scheduler of the failure domain.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -47,6 +48,8 @@
 use crate::gate::SlotReport;
 use crate::gate::SlotSink;
 use crate::lead_targets;
+use crate::lead_targets::Loaded;
+use crate::order_service::Admission;
 
 const TICK: Duration = Duration::from_millis(15);
 /// Pause before a lead that did not answer is asked again.
@@ -96,6 +99,7 @@
     lead: Mutex<Option<LeadSide>>,
     backlogs: Backlogs,
     caches: CachePoll,
+    loaded: lead_targets::LoadedCell,
 }
 
 impl SlotService {
@@ -107,6 +111,7 @@
             lead: Mutex::default(),
             backlogs: Backlogs::default(),
             caches: CachePoll::default(),
+            loaded: Default::default(),
         })
     }
 
@@ -215,7 +220,8 @@
     /// Applies the configuration in force.
     pub fn configure(self: &Arc<Self>) {
         let configuration = self.node.config.current();
-        let config = lead_targets::targets_of(&configuration, &self.node.own.domain);
+        let mut config = lead_targets::targets_of(&configuration, &self.node.own.domain);
+        lead_targets::keep_loaded(&mut config, &self.loaded.lock());
         self.at_lead(|lead, now| lead.scheduler.on_config(&config, now));
     }
 
@@ -539,6 +545,18 @@
     }
 }
 
+impl Admission for Arc<SlotService> {
+    fn demand(&self) -> BTreeMap<ModelName, usize> {
+        self.lock_lead().as_ref().map_or_else(BTreeMap::new, |lead| lead.scheduler.demand())
+    }
+
+    fn set_loaded(&self, loaded: Loaded) {
+        if self.loaded.replace(loaded) {
+            self.configure();
+        }
+    }
+}
+
 fn refused(ask: &SlotAsk, code: u16, numbers: Option<Numbers>) -> Error {
     let model = ask.model.to_string();
     let numbers = numbers.unwrap_or_default();
--- a/crates/sesamewall-server/tests/batch/fleet.rs
+++ b/crates/sesamewall-server/tests/batch/fleet.rs
@@ -19,16 +19,50 @@
 use serde_json::json;
 use sesamewall_batch::SegmentRecord;
 use sesamewall_batch::SegmentState;
-use sesamewall_ports::*;
+use sesamewall_membership::Configuration;
+use sesamewall_ports::BulkStorage;
+use sesamewall_ports::Clock;
+use sesamewall_ports::FakeBulk;
+use sesamewall_ports::FakeStore;
+use sesamewall_ports::InstanceList;
+use sesamewall_ports::ListedInstance;
+use sesamewall_ports::ListedState;
+use sesamewall_ports::PeerAddress;
+use sesamewall_ports::PeerLink;
+use sesamewall_ports::Target;
+use sesamewall_ports::TargetAnswer;
+use sesamewall_ports::TargetError;
+use sesamewall_ports::TargetRequest;
+use sesamewall_protocol::Account;
 use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Decision;
+use sesamewall_protocol::DecisionRecord;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::RateLimit;
 use sesamewall_protocol::RequestId;
+use sesamewall_protocol::Resource;
 use sesamewall_protocol::Result;
 use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::PeerMessage;
-use sesamewall_server::*;
-use tokio::sync::watch;
+use sesamewall_server::BatchOptions;
+use sesamewall_server::BatchService;
+use sesamewall_server::Caller;
+use sesamewall_server::ConfigView;
+use sesamewall_server::Directory;
+use sesamewall_server::ItemOutcome;
+use sesamewall_server::ItemRequest;
+use sesamewall_server::ItemRunner;
+use sesamewall_server::LeadView;
+use sesamewall_server::Metrics;
+use sesamewall_server::Node;
+use sesamewall_server::Recorder;
+use sesamewall_server::Settings;
+
+use crate::store::Commits;
+use crate::store::Gate;
+use crate::store::GatedStore;
+use crate::store::StoreFaults;
 
 pub const RETENTION_SECONDS: u64 = 2 * 3600;
 const NAMES: [&str; 3] = ["i1", "i2", "i3"];
@@ -45,114 +79,6 @@
     }
 }
 
-/// Holds back all calls of a paused process.
-#[derive(Clone)]
-pub struct Gate(Arc<watch::Sender<bool>>);
-
-impl Gate {
-    fn new() -> Self {
-        Self(Arc::new(watch::channel(true).0))
-    }
-
-    pub fn set(&self, open: bool) {
-        self.0.send_replace(open);
-    }
-
-    async fn pass(&self) {
-        let _ = self.0.subscribe().wait_for(|open| *open).await;
-    }
-}
-
-type Commits = Arc<Mutex<Vec<(String, SegmentRecord)>>>;
-
-/// Faults of the store calls of single processes.
-#[derive(Default)]
-pub struct StoreFaults {
-    /// Writes to keys with this prefix take effect while their answers are lost.
-    pub lose: Mutex<Option<&'static str>>,
-    /// The next process that is about to commit is paused before its write.
-    pub pause_commit: AtomicBool,
-    /// The process that was paused.
-    pub paused: Mutex<Option<Gate>>,
-}
-
-struct GatedStore {
-    inner: Arc<FakeStore>,
-    gate: Gate,
-    commits: Commits,
-    faults: Arc<StoreFaults>,
-}
-
-impl GatedStore {
-    fn pause_commit(&self, key: &str, value: &Bytes) {
-        let committing = key.starts_with("batch/segment/")
-            && serde_json::from_slice::<SegmentRecord>(value).unwrap().state
-                == SegmentState::Committed;
-        if committing && self.faults.pause_commit.swap(false, Ordering::Relaxed) {
-            self.gate.set(false);
-            *self.faults.paused.lock().unwrap() = Some(self.gate.clone());
-        }
-    }
-}
-
-#[async_trait]
-impl Store for GatedStore {
-    async fn get(&self, key: &str) -> std::result::Result<Option<Versioned>, StoreError> {
-        self.gate.pass().await;
-        self.inner.get(key).await
-    }
-
-    async fn list(
-        &self,
-        prefix: &str,
-        after: &str,
-        limit: usize,
-    ) -> std::result::Result<Vec<Versioned>, StoreError> {
-        self.gate.pass().await;
-        self.inner.list(prefix, after, limit).await
-    }
-
-    async fn put(
-        &self,
-        key: &str,
-        value: Bytes,
-        expect: Expect,
-    ) -> std::result::Result<u64, StoreError> {
-        if self.faults.pause_commit.load(Ordering::Relaxed) {
-            self.pause_commit(key, &value);
-        }
-        self.gate.pass().await;
-        let written = self.inner.put(key, value.clone(), expect).await;
-        if key.starts_with("batch/segment/") && matches!(written, Ok(_) | Err(StoreError::Unclear))
-        {
-            let record = serde_json::from_slice(&value).unwrap();
-            self.commits.lock().unwrap().push((key.to_owned(), record));
-        }
-        let lose = *self.faults.lose.lock().unwrap();
-        if written.is_ok() && lose.is_some_and(|prefix| key.starts_with(prefix)) {
-            return Err(StoreError::Unclear);
-        }
-        written
-    }
-
-    async fn delete(&self, key: &str, version: u64) -> std::result::Result<(), StoreError> {
-        self.gate.pass().await;
-        self.inner.delete(key, version).await
-    }
-
-    async fn watch(
-        &self,
-        prefix: &str,
-        after: u64,
-        wait_ms: u64,
-    ) -> std::result::Result<Vec<Versioned>, StoreError> {
-        self.gate.pass().await;
-        let found = self.inner.watch(prefix, after, wait_ms).await;
-        self.gate.pass().await;
-        found
-    }
-}
-
 struct Member {
     service: Arc<BatchService>,
     node: Arc<Node>,
@@ -217,6 +143,8 @@
 pub struct Targets {
     pub sends: Mutex<BTreeMap<u64, u32>>,
     pub fail: AtomicBool,
+    /// Items that were sent as urgent.
+    pub urgent: AtomicU64,
     pub run_ms: AtomicU64,
 }
 
@@ -231,6 +159,10 @@
         self.gate.pass().await;
         let body: Value = serde_json::from_slice(&item.body).unwrap();
         let number = body["n"].as_u64().unwrap();
+        let slot =
+            Decision::SlotGranted { target: "t".to_owned(), wait_us: 0, reason: "free".to_owned() };
+        item.trace.note(0, slot);
+        self.targets.urgent.fetch_add(u64::from(item.urgent), Ordering::Relaxed);
         *self.targets.sends.lock().unwrap().entry(number).or_default() += 1;
         let run = Duration::from_millis(self.targets.run_ms.load(Ordering::Relaxed) + number % 97);
         tokio::select! {
@@ -240,6 +172,8 @@
         self.gate.pass().await;
         if self.targets.fail.load(Ordering::Relaxed) {
             let error = Error::TargetLost { target: "t".to_owned(), detail: "reset".to_owned() };
+            let reason = error.to_string();
+            item.trace.note(0, Decision::AttemptFailed { target: "t".to_owned(), reason });
             return ItemOutcome::Failed { error };
         }
         let body = Bytes::from(json!({"answer": number}).to_string());
@@ -342,7 +276,7 @@
             bulk: Some(Arc::clone(&self.bulks[name])),
             config: ConfigView::default(),
             directory: Directory::default(),
-            lead: sesamewall_server::LeadView::default(),
+            lead: LeadView::default(),
             metrics: Metrics::default(),
             log: slog::Logger::root(slog::Discard, slog::o!()),
             draining: AtomicBool::new(false),
@@ -356,6 +290,42 @@
         self.publish();
     }
 
+    /// Ends a process as SIGTERM does: batch work first, then the rest.
+    pub async fn shut_down(&mut self, name: &str) {
+        let service = {
+            let members = self.members.lock().unwrap();
+            members[name].node.draining.store(true, Ordering::Relaxed);
+            Arc::clone(&members[name].service)
+        };
+        assert!(service.drain().await, "{name} has work left");
+        self.kill(name);
+    }
+
+    /// Puts accounts with these weights in force.
+    pub fn set_weights(&self, weights: &[(&str, f64)]) {
+        let account = |(name, weight): &(&str, f64)| {
+            let online = RateLimit { rate: 1.0, burst: 1.0 };
+            let name = AccountName::from(*name);
+            Resource::Account(Account { name, online, batch: None, weight: *weight })
+        };
+        let resources = weights.iter().map(account).collect();
+        let configuration = Arc::new(Configuration::from_resources(1, resources).unwrap());
+        for member in self.members.lock().unwrap().values() {
+            member.node.config.set(Arc::clone(&configuration));
+        }
+    }
+
+    /// Returns the decision records of all processes.
+    pub fn records(&self) -> Vec<DecisionRecord> {
+        let members = self.members.lock().unwrap();
+        members.values().flat_map(|member| member.node.recorder.find(|_| true)).collect()
+    }
+
+    /// Returns the segment records that were written, with their keys.
+    pub fn written(&self) -> Vec<(String, SegmentRecord)> {
+        self.commits.lock().unwrap().clone()
+    }
+
     /// Ends a process at once, wherever it is. Its disk stays.
     pub fn kill(&mut self, name: &str) {
         if let Some(member) = self.members.lock().unwrap().remove(name) {
--- a/crates/sesamewall-server/tests/slots.rs
+++ b/crates/sesamewall-server/tests/slots.rs
@@ -258,6 +258,8 @@
         forwarded: false,
         no_wait: false,
         resume_from: 0,
+        urgent: false,
+        trace: None,
         cancel: CancellationToken::new(),
     }
 }
@@ -393,6 +395,8 @@
         attempt: "1".to_owned(),
         class: Class::Online,
         resume_from: 0,
+        urgent: false,
+        trace: None,
     };
     let answer = target.send(request).await.unwrap();
     assert_eq!(answer.status, 200);
