Report a forwarded call with unknown outcome as unknown

Cause: an instance that forwarded a call took the other instance's error answer for the answer of the target, so a caller whose non-idempotent POST lost its answer was told outcome run, and the decision record said completed. A target could also forge the header of a forwarded refusal. Change: an answer of another instance with outcome unknown is a failed attempt; outcome headers count on forwarded calls only.

--- a/crates/sesamewall-server/src/execute/attempt.rs
+++ b/crates/sesamewall-server/src/execute/attempt.rs
@@ -95,14 +95,16 @@
             return Err(Failure { error: lost, end: SlotEnd::Failed, not_run: false });
         }
     };
-    match refusal(&answer) {
-        Some((reason, end)) => {
-            let error =
-                Error::TargetRefused { target: target.to_owned(), reason: reason.to_owned() };
-            Err(Failure { error, end, not_run: true })
-        }
-        None => Ok(answer),
+    if let Some((reason, end)) = refusal(&answer, slot) {
+        let error = Error::TargetRefused { target: target.to_owned(), reason: reason.to_owned() };
+        return Err(Failure { error, end, not_run: true });
+    }
+    if forwarded_outcome(&answer, slot) == Some("unknown") {
+        let detail = format!("it answered status {} with outcome unknown", answer.status);
+        let lost = Error::TargetLost { target: target.to_owned(), detail };
+        return Err(Failure { error: lost, end: SlotEnd::Failed, not_run: false });
     }
+    Ok(answer)
 }
 
 /// Returns the headers for the target. A request that goes to an instance of another failure domain
@@ -121,21 +123,24 @@
 }
 
 /// Reads whether the target says that it did not run the request.
-fn refusal(answer: &TargetAnswer) -> Option<(&'static str, SlotEnd)> {
+fn refusal(answer: &TargetAnswer, slot: &Slot) -> Option<(&'static str, SlotEnd)> {
     let header = answer.headers.iter().find(|(name, _)| name == "x-refused");
     match (answer.status, header.map(|(_, reason)| reason.as_str())) {
         (_, Some("leaving")) => Some(("leaving", SlotEnd::Leaving)),
         (_, Some("cold")) => Some(("cold", SlotEnd::Cold)),
         (_, Some("overloaded")) | (429, _) => Some(("overloaded", SlotEnd::Overloaded)),
-        _ if is_forwarded_refusal(answer) => Some(("not run", SlotEnd::Failed)),
+        (429.., _) if forwarded_outcome(answer, slot) == Some("not-run") => {
+            Some(("not run", SlotEnd::Failed))
+        }
         _ => None,
     }
 }
 
-/// An instance of another failure domain refused the request before it reached a target.
-fn is_forwarded_refusal(answer: &TargetAnswer) -> bool {
+/// Returns what an instance of another failure domain says about the execution. A target cannot
+/// say it, since its slot has the epoch of a lead.
+fn forwarded_outcome<'a>(answer: &'a TargetAnswer, slot: &Slot) -> Option<&'a str> {
     let outcome = answer.headers.iter().find(|(name, _)| name == forward::OUTCOME);
-    answer.status >= 429 && outcome.is_some_and(|(_, outcome)| outcome == "not-run")
+    outcome.filter(|_| slot.epoch == 0).map(|(_, outcome)| outcome.as_str())
 }
 
 /// Reads a whole body of at most `limit` bytes. The second part tells whether the body ended.
