--- a/crates/sesamewall-server/src/caller/model_request.rs
+++ b/crates/sesamewall-server/src/caller/model_request.rs
@@ -116,6 +116,7 @@
             prefix: self.prefix(),
             idempotent: true,
             forwarded: false,
+            resume_from: 0,
             cancel: CancellationToken::new(),
         })
     }
--- a/crates/sesamewall-server/src/caller/plain_route.rs
+++ b/crates/sesamewall-server/src/caller/plain_route.rs
@@ -46,6 +46,7 @@
         prefix: Vec::new(),
         idempotent: is_idempotent(route, &item.method, &item.path),
         forwarded: false,
+        resume_from: 0,
         cancel: item.cancel.clone(),
     })
 }
--- a/crates/sesamewall-server/src/caller/router.rs
+++ b/crates/sesamewall-server/src/caller/router.rs
@@ -20,6 +20,7 @@
 use http::HeaderMap;
 use http::Uri;
 use http::header;
+use sesamewall_adapters::RESUME_HEADER;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Class;
 use sesamewall_protocol::Error;
@@ -265,6 +266,7 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(&route, head.method.as_str(), path),
         forwarded: false,
+        resume_from: 0,
         cancel: CancellationToken::new(),
     })
 }
@@ -282,6 +284,7 @@
         Some("batch") => Class::Batch,
         _ => Class::Online,
     };
+    let resume_from = field(RESUME_HEADER).and_then(|tokens| tokens.parse().ok()).unwrap_or(0);
     let body = match service.read_body(body).await {
         Ok(body) => body,
         Err(error) => return service.refuse(&id, account.as_ref(), &error),
@@ -300,7 +303,7 @@
     };
     match built {
         Ok((call, stream)) => {
-            let call = Call { class, forwarded: true, ..call };
+            let call = Call { class, forwarded: true, resume_from, ..call };
             match stream {
                 Some(stream) => service.run_model(call, stream, &path).await,
                 None => service.run_route(call).await,
@@ -339,6 +342,7 @@
         prefix: Vec::new(),
         idempotent: plain_route::is_idempotent(route, head.method.as_str(), path),
         forwarded: true,
+        resume_from: 0,
         cancel: CancellationToken::new(),
     })
 }
--- a/crates/sesamewall-server/src/execute/call.rs
+++ b/crates/sesamewall-server/src/execute/call.rs
@@ -38,6 +38,8 @@
     pub idempotent: bool,
     /// The request came from another failure domain and is not sent to a third one.
     pub forwarded: bool,
+    /// Tokens that the instance which forwarded the request has already; a stream starts after them.
+    pub resume_from: u64,
     /// Ends the request early.
     pub cancel: CancellationToken,
 }
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -70,12 +70,12 @@
                 return;
             }
         };
-        let mut progress = Progress::default();
+        let mut progress = Progress { made: call.resume_from, ..Progress::default() };
         let result = loop {
             let lease = match self.place(call, &attempts, progress.made).await {
                 Ok(lease) => lease,
                 Err(Error::QueueTimeout { .. }) if call.may_wait() => continue,
-                Err(error) => break Err(after_delivery(error, progress.made)),
+                Err(error) => break Err(after_delivery(error, progress.made - call.resume_from)),
             };
             let slot = lease.slot.clone();
             match self.attempt_stream(call, lease, &mut progress, &pieces).await {
@@ -87,7 +87,7 @@
                 // caller does not rule out another attempt.
                 AttemptEnd::Failed(failure) => {
                     if let Err(error) = self.retry(call, &mut attempts, &slot, failure, false) {
-                        break Err(after_delivery(error, progress.made));
+                        break Err(after_delivery(error, progress.made - call.resume_from));
                     }
                 }
             }
