Double the limit of a cold target once a second at most

Cause: a cold target doubled its limit after each complete response, so with responses of some 20 ms a returned target was at full load long before its warm-up had ended. Change: a limit on the ramp must hold for one second before it is doubled.

--- a/crates/sesamewall-schedule/src/limit.rs
+++ b/crates/sesamewall-schedule/src/limit.rs
@@ -11,6 +11,8 @@
     pub cold_limit: u32,
     /// Starts targets cold; without it every target starts at its upper bound.
     pub ramp: bool,
+    /// Time for which a cold target must handle a limit before the limit is doubled.
+    pub ramp_step: Duration,
     /// Time to first token over the baseline from which the limit is decreased.
     pub slow_ratio: f64,
     /// Time to first token over the baseline from which a target counts as cold.
@@ -26,6 +28,7 @@
         Self {
             cold_limit: 1,
             ramp: true,
+            ramp_step: Duration::from_secs(1),
             slow_ratio: 3.0,
             cold_ratio: 4.0,
             decrease: 0.8,
@@ -35,7 +38,8 @@
 }
 
 /// Holds the concurrency limit of one target. A cold target doubles its limit after each complete
-/// response at the current limit. A warm target follows additive increase and multiplicative
+/// response at the current limit, and not before `ramp_step` has passed at it: a warm-up takes
+/// seconds, and many short responses in it say nothing about the doubled load. A warm target follows additive increase and multiplicative
 /// decrease (D. Chiu and R. Jain, "Analysis of the Increase and Decrease Algorithms for Congestion
 /// Avoidance in Computer Networks", 1989).
 #[derive(Clone, Debug)]
@@ -45,6 +49,7 @@
     max: u32,
     cold: bool,
     step: u64,
+    proven_from: Option<Time>,
     baseline_us: Option<f64>,
     smooth_us: f64,
     slow_streak: u32,
@@ -63,6 +68,7 @@
             max,
             cold,
             step: 0,
+            proven_from: None,
             baseline_us: None,
             smooth_us: 0.0,
             slow_streak: 0,
@@ -95,6 +101,7 @@
     /// Starts the ramp again after a sign that the target is cold.
     pub fn turn_cold(&mut self) {
         self.step += 1;
+        self.proven_from = None;
         self.slow_streak = 0;
         self.smooth_us = self.baseline_us.unwrap_or(0.0);
         if self.settings.ramp {
@@ -147,10 +154,15 @@
     }
 
     /// Records that the target handled its limit in the period `step`: a request granted at the full
-    /// limit completed.
-    pub fn on_complete(&mut self, step: u64) {
+    /// limit at the time `granted` completed.
+    pub fn on_complete(&mut self, step: u64, granted: Time, now: Time) {
         let max = f64::from(self.max);
         if self.cold && step == self.step {
+            let from = *self.proven_from.get_or_insert(granted);
+            if now.since(from) < self.settings.ramp_step {
+                return;
+            }
+            self.proven_from = None;
             self.limit = (self.limit * 2.0).min(max);
             self.step += 1;
             self.cold = self.limit < max;
--- a/crates/sesamewall-schedule/src/state.rs
+++ b/crates/sesamewall-schedule/src/state.rs
@@ -341,15 +341,17 @@
             proof.complete = true;
         }
         let step = self.limit.step();
-        let mut proven = false;
+        let mut proven = None;
         self.proofs.retain(|_, proof| {
             proof.unconfirmed.remove(&key);
             let ready = proof.complete && proof.unconfirmed.is_empty();
-            proven |= ready && proof.step == step;
+            if ready && proof.step == step {
+                proven = Some(proof.started);
+            }
             !ready && proof.step == step
         });
-        if proven {
-            self.limit.on_complete(step);
+        if let Some(granted) = proven {
+            self.limit.on_complete(step, granted, now);
         }
     }
 
--- a/crates/sesamewall-schedule/tests/admission.rs
+++ b/crates/sesamewall-schedule/tests/admission.rs
@@ -249,8 +249,8 @@
     let now = Time::from_millis(1);
     for _ in 0..2 {
         assert!(limit.is_cold());
-        limit.on_complete(limit.step() + 1);
-        limit.on_complete(limit.step());
+        limit.on_complete(limit.step() + 1, Time::ZERO, Time::from_millis(1_000));
+        limit.on_complete(limit.step(), Time::ZERO, Time::from_millis(1_000));
     }
     assert!(!limit.is_cold() && limit.limit() == 4);
     limit.on_first_token(100_000, 0, now);
@@ -261,6 +261,20 @@
     assert!(limit.is_cold() && limit.limit() == 1);
 }
 
+/// Guards against a ramp on which many short responses raise the limit above what a target in its
+/// warm-up can handle.
+#[test]
+fn short_responses_do_not_hurry_the_ramp() {
+    let mut limit = TargetLimit::new(LimitSettings::default(), 64);
+    for millis in (20..2_000).step_by(20) {
+        let granted = Time::from_millis(millis - 20);
+        limit.on_complete(limit.step(), granted, Time::from_millis(millis));
+    }
+    assert_eq!(limit.limit(), 2);
+    limit.on_complete(limit.step(), Time::from_millis(1_980), Time::from_millis(2_020));
+    assert!(limit.limit() <= 4 && limit.is_cold());
+}
+
 /// Guards against an ask that waits in a full failure domain although it may not wait, and against
 /// its denial while a slot for it is on its way back.
 #[test]
