Test fleets of real processes

Cause: no test ran the programs together; kills, outages and operators' changes were tested in one process on fakes only.

--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,85 @@
+//! Runs a fleet of real processes through load, kills, outages and operators' changes.
+
+#![allow(clippy::unwrap_used)]
+
+#[path = "fleet/batch.rs"]
+mod batch;
+#[path = "fleet/client.rs"]
+mod client;
+#[path = "fleet/configuration.rs"]
+mod configuration;
+#[path = "fleet/forwarding.rs"]
+mod forwarding;
+#[path = "fleet/load.rs"]
+mod load;
+#[path = "fleet/outage.rs"]
+mod outage;
+#[path = "fleet/process.rs"]
+mod process;
+#[path = "fleet/rates.rs"]
+mod rates;
+#[path = "fleet/records.rs"]
+mod records;
+#[path = "fleet/services.rs"]
+mod services;
+#[path = "fleet/shutdown.rs"]
+mod shutdown;
+#[path = "fleet/world.rs"]
+mod world;
+
+use std::time::Instant;
+
+use world::World;
+
+/// Prints the time of a step, for people only.
+fn report(start: Instant, step: &str) {
+    println!("{:5.1} s: {step}", start.elapsed().as_secs_f64());
+}
+
+/// Starts a fleet and returns it with a key once all instances serve.
+async fn serving_fleet() -> (World, String) {
+    let world = World::start().await;
+    let key = world.grant("online", "key-online").await;
+    for index in world.live() {
+        world.wait_until_serving(index, &key).await;
+    }
+    (world, key)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn batch_work_survives_kills_and_withdrawn_keys() {
+    let start = Instant::now();
+    let (mut world, key) = serving_fleet().await;
+    let bulk = world.grant("bulk", "key-bulk").await;
+    report(start, "fleet for batch work serves");
+    forwarding::resumed_stream_repeats_nothing(&world).await;
+    let job = batch::start_with_kills(&mut world, &key, &bulk).await;
+    report(start, "online bursts complete over a batch job, two instances killed");
+    configuration::withdrawn_key_is_refused_everywhere(&world, &key).await;
+    report(start, "withdrawn key refused");
+    batch::completes_exactly_once(&mut world, &key, job).await;
+    report(start, "batch job complete, killed instances started again");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn online_work_survives_changes_outage_and_shutdown() {
+    let start = Instant::now();
+    let (mut world, key) = serving_fleet().await;
+    let bulk = world.grant("bulk", "key-bulk").await;
+    report(start, "fleet for online work serves");
+    let job = batch::start(&world, 0, &bulk).await;
+    configuration::domain_goes_out_and_returns(&world, &key).await;
+    batch::cancel(&world, job, &bulk).await;
+    report(start, "failure domain out and back under batch work");
+    outage::store_outage_stops_changes_only(&world, &key).await;
+    report(start, "store outage over");
+    services::lost_answer_is_reported_unknown(&world, &key).await;
+    report(start, "lost answers reported");
+    let low = world.grant("low", "key-low").await;
+    let decided = rates::sum_of_rates_holds(&mut world, &key, &low).await;
+    report(start, "sum of rates held, an instance killed");
+    records::outlive_their_instance(&world, &decided).await;
+    report(start, "decisions explained");
+    shutdown::interrupts_no_stream(&mut world, &key).await;
+    report(start, "shutdown complete");
+}
--- /dev/null
+++ b/tests/fleet/process.rs
@@ -0,0 +1,76 @@
+//! Processes of the fleet. Each is ended by its own id when its handle is dropped.
+
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Longest wait for a state; only a fault reaches it. The slowest repair in the design is the copy
+/// of a lost storage instance's blobs, after 30 s and the time to copy.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// A process with its output in files.
+pub struct Process {
+    child: Child,
+    pub output: PathBuf,
+}
+
+impl Process {
+    /// Starts a program; `output` takes what it prints.
+    pub fn start(program: &str, args: &[String], output: &Path) -> Self {
+        let file = File::create(output).unwrap();
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().unwrap())
+            .stderr(file)
+            .spawn()
+            .unwrap();
+        Self { child, output: output.to_owned() }
+    }
+
+    /// Returns what the process has printed.
+    pub fn printed(&self) -> String {
+        std::fs::read_to_string(&self.output).unwrap_or_default()
+    }
+
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
+    /// Returns the exit status once the process has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Tries `attempt` until it succeeds. Fails the test with its last fault after a long time.
+pub async fn eventually<T>(what: &str, mut attempt: impl AsyncFnMut() -> Result<T, String>) -> T {
+    let start = Instant::now();
+    loop {
+        match attempt().await {
+            Ok(value) => return value,
+            Err(fault) if start.elapsed() > PATIENCE => panic!("{what}: {fault}"),
+            Err(_) => tokio::time::sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
