--- /dev/null
+++ b/crates/sesamewall-schedule/tests/idempotency.rs
@@ -0,0 +1,74 @@
+//! Tests of idempotency keys at their owner.
+
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+use sesamewall_protocol::peer::KeyClaim;
+use sesamewall_protocol::peer::KeyEnd;
+use sesamewall_protocol::peer::KeyVerdict;
+use sesamewall_protocol::peer::StoredAnswer;
+use sesamewall_schedule::IdempotencyKeys;
+use sesamewall_schedule::IdempotencySettings;
+
+fn claim(key: &str, request: &str, idempotent: bool) -> KeyClaim {
+    KeyClaim {
+        account: "a".into(),
+        key: key.to_owned(),
+        digest: "d".to_owned(),
+        request: request.into(),
+        instance: "i1".into(),
+        idempotent,
+    }
+}
+
+fn answer(length: usize) -> KeyEnd {
+    KeyEnd::Answer(StoredAnswer { status: 200, headers: Vec::new(), body: vec![0; length].into() })
+}
+
+fn keys() -> IdempotencyKeys {
+    let settings =
+        IdempotencySettings { max_keys: 2, max_bytes: 100, ..IdempotencySettings::default() };
+    IdempotencyKeys::new(settings)
+}
+
+/// Guards against keys and answers without bound in count, bytes or time.
+#[test]
+fn keys_are_bounded() {
+    let mut keys = keys();
+    let now = Time::from_millis(1);
+    let account = "a".into();
+    for (key, length) in [("k1", 60), ("k2", 60)] {
+        assert_eq!(keys.claim(&claim(key, key, false), |_| true, now), KeyVerdict::Run);
+        keys.finish(&account, key, &key.into(), answer(length), now);
+    }
+    assert_eq!(keys.size(), (2, 60));
+    // The second answer did not fit, and the call must not be repeated.
+    assert_eq!(keys.claim(&claim("k2", "r", false), |_| true, now), KeyVerdict::Ended);
+    assert_eq!(keys.claim(&claim("k3", "r", false), |_| true, now), KeyVerdict::Full);
+    let before = now + Duration::from_secs(599);
+    assert_eq!(keys.claim(&claim("k3", "r", false), |_| true, before), KeyVerdict::Full);
+    let later = now + Duration::from_secs(600);
+    assert_eq!(keys.claim(&claim("k3", "r", false), |_| true, later), KeyVerdict::Run);
+    assert_eq!(keys.size(), (1, 0));
+}
+
+/// Guards against a key that a lost instance keeps from a call that may be repeated, and against a
+/// second run of one that may not.
+#[test]
+fn lost_instance_frees_repeatable_calls_only() {
+    let mut keys = keys();
+    let now = Time::from_millis(1);
+    for (key, idempotent, then) in
+        [("k1", true, KeyVerdict::Run), ("k2", false, KeyVerdict::Running)]
+    {
+        keys.claim(&claim(key, "r1", idempotent), |_| true, now);
+        let again = claim(key, "r2", idempotent);
+        assert_eq!(keys.claim(&again, |_| true, now), KeyVerdict::Running);
+        assert_eq!(keys.claim(&again, |_| false, now), then);
+    }
+    // A late report of the request that lost its key does not end the one that holds it.
+    keys.finish(&"a".into(), "k1", &"r1".into(), KeyEnd::Released, now);
+    assert_eq!(keys.claim(&claim("k1", "r3", true), |_| true, now), KeyVerdict::Running);
+    let later = now + Duration::from_secs(3600);
+    assert_eq!(keys.claim(&claim("k2", "r3", false), |_| true, later), KeyVerdict::Run);
+}
--- a/crates/sesamewall-schedule/tests/main.rs
+++ b/crates/sesamewall-schedule/tests/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod ejection;
 mod fairness;
+mod idempotency;
 mod poison;
 mod retry;
 mod route;
