--- a/crates/sesamewall-schedule/tests/main.rs
+++ b/crates/sesamewall-schedule/tests/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod ejection;
 mod fairness;
+mod idempotency;
 mod orders;
 mod placement;
 mod poison;
