Make the weight store's rate a setting

Cause: the rate at which models are loaded was fixed in the program.

Change: the setting weight_loads_per_minute (default 30, as before) is the rate of the whole fleet; each failure domain's lead uses an equal share.

--- a/crates/sesamewall-server/src/order_service.rs
+++ b/crates/sesamewall-server/src/order_service.rs
@@ -37,8 +37,7 @@
 use crate::Node;
 
 const TICK: Duration = Duration::from_millis(500);
-/// Loads from the weight store that all leads together start in a second.
-const FLEET_LOADS_PER_SECOND: f64 = 0.5;
+/// Loads that all leads together start at once, if each share is at least 1.
 const FLEET_LOAD_BURST: f64 = 8.0;
 /// A new lead reads all targets before it places models: 5 s until orders may be given, and time
 /// for a read that fails once.
@@ -85,7 +84,7 @@
     ) -> Arc<Self> {
         let share = 1.0 / node.settings.domains.len().max(1) as f64;
         let settings = OrderSettings {
-            loads_per_second: FLEET_LOADS_PER_SECOND * share,
+            loads_per_second: f64::from(node.settings.weight_loads_per_minute) / 60.0 * share,
             load_burst: (FLEET_LOAD_BURST * share).max(1.0),
             ..OrderSettings::default()
         };
--- a/crates/sesamewall-server/src/settings.rs
+++ b/crates/sesamewall-server/src/settings.rs
@@ -44,6 +44,8 @@
     pub domains: Vec<String>,
     /// Items that this instance runs at a time for batch jobs.
     pub batch_workers: usize,
+    /// Loads from the weight store that the leads of all failure domains together start in a minute.
+    pub weight_loads_per_minute: u32,
 }
 
 impl Default for Settings {
@@ -65,6 +67,7 @@
             drain_ms: 5_000,
             domains: vec!["domain-1".to_owned()],
             batch_workers: 64,
+            weight_loads_per_minute: 30,
         }
     }
 }
--- a/crates/sesamewall-server/src/settings_check.rs
+++ b/crates/sesamewall-server/src/settings_check.rs
@@ -47,6 +47,7 @@
     ("drain_ms", Rule::Number { least: 0, most: 600_000 }),
     ("domains", Rule::Names),
     ("batch_workers", Rule::Number { least: 1, most: 4096 }),
+    ("weight_loads_per_minute", Rule::Number { least: 1, most: 100_000 }),
 ];
 
 /// Reads settings from the text of a TOML file. Keys that are absent keep their defaults.
