Print what delays the slowest online requests

Cause: the online tail misses its target, and the experiment did not say why.

Change: the engine model notes what each stream meets before its first token, and the table shows the means over the slowest 2% of online requests. The model's timing is unchanged.

--- a/crates/sesamewall-bench/src/engine_model.rs
+++ b/crates/sesamewall-bench/src/engine_model.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sesamewall_protocol::Class;
 use sesamewall_protocol::Time;
 
 /// Costs of an engine.
@@ -35,12 +36,38 @@
     }
 }
 
+/// What a stream met before its first token, in microseconds of engine time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Met {
+    /// Rest of the step that ran when the stream came.
+    pub rest: u64,
+    /// The part of `rest` that is due to batch prompts in that step.
+    pub rest_batch: u64,
+    /// Prompts of batch streams in later steps.
+    pub batch: u64,
+    /// Prompts of other online streams in later steps.
+    pub online: u64,
+    /// Tokens of running streams in later steps.
+    pub streams: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Stream {
+    class: Class,
     prompt: u64,
     output: u64,
     generated: u64,
     first: Option<Time>,
+    met: Met,
+}
+
+#[derive(Clone, Debug)]
+struct Step {
+    started: Time,
+    end: Time,
+    /// Prompt tokens by stream; 0 for a stream whose prompt is complete.
+    work: BTreeMap<u64, u64>,
+    batch: u64,
 }
 
 /// What happened to a stream in a step.
@@ -52,6 +79,8 @@
     pub first: Time,
     /// Output tokens.
     pub generated: u64,
+    /// What delayed the first token.
+    pub met: Met,
 }
 
 /// Runs streams in steps. Each step computes part of the waiting prompts, in arrival order, and one
@@ -60,7 +89,7 @@
 pub struct Engine {
     settings: EngineSettings,
     streams: BTreeMap<u64, Stream>,
-    step: Option<(Time, BTreeMap<u64, u64>)>,
+    step: Option<Step>,
     cold_left_us: u64,
 }
 
@@ -82,8 +111,18 @@
 
     /// Adds a stream; numbers rise in arrival order. Returns the end of the step that starts now, if
     /// the engine was idle.
-    pub fn start(&mut self, stream: u64, prompt: u64, output: u64, now: Time) -> Option<Time> {
-        let state = Stream { prompt, output, generated: 0, first: None };
+    pub fn start(
+        &mut self,
+        stream: u64,
+        class: Class,
+        (prompt, output): (u64, u64),
+        now: Time,
+    ) -> Option<Time> {
+        let met = self.step.as_ref().map_or_else(Met::default, |step| {
+            let rest = step.end.since(now).as_micros() as u64;
+            Met { rest, rest_batch: rest.min(step.batch), ..Met::default() }
+        });
+        let state = Stream { class, prompt, output, generated: 0, first: None, met };
         self.streams.insert(stream, state);
         if self.step.is_none() { self.begin_step(now) } else { None }
     }
@@ -95,18 +134,19 @@
 
     /// Ends the step at `now`. Returns the finished streams and the end of the next step.
     pub fn end_step(&mut self, now: Time) -> (Vec<Finished>, Option<Time>) {
-        let Some((started, prompts)) = self.step.take() else { return (Vec::new(), None) };
-        let elapsed = now.since(started).as_micros() as u64;
+        let Some(step) = self.step.take() else { return (Vec::new(), None) };
+        let elapsed = now.since(step.started).as_micros() as u64;
         self.cold_left_us = self.cold_left_us.saturating_sub(elapsed);
         let mut finished = Vec::new();
-        for (number, tokens) in prompts {
+        for (number, tokens) in step.work {
             let Some(stream) = self.streams.get_mut(&number) else { continue };
             stream.prompt -= tokens;
             if stream.prompt == 0 {
                 stream.generated += 1;
                 let first = *stream.first.get_or_insert(now);
                 if stream.generated >= stream.output {
-                    finished.push(Finished { stream: number, first, generated: stream.generated });
+                    let Stream { generated, met, .. } = *stream;
+                    finished.push(Finished { stream: number, first, generated, met });
                 }
             }
         }
@@ -134,7 +174,29 @@
             self.settings;
         let cost = step_us + stream_us * work.len() as u64 + prompt_us * (chunk - left);
         let cost = if self.cold_left_us > 0 { cost * cold_factor } else { cost };
-        self.step = Some((now, work));
-        Some(now + Duration::from_micros(cost))
+        let end = now + Duration::from_micros(cost);
+        let batch = self.note_met(&work);
+        self.step = Some(Step { started: now, end, work, batch });
+        Some(end)
+    }
+
+    /// Notes for each stream without a first token what else the step computes. Returns the part of
+    /// batch prompts.
+    fn note_met(&mut self, work: &BTreeMap<u64, u64>) -> u64 {
+        let EngineSettings { stream_us, prompt_us, .. } = self.settings;
+        let part = |class: Class| -> u64 {
+            let prompts = work.iter().filter(|(number, _)| self.streams[number].class == class);
+            prompts.map(|(_, tokens)| tokens * prompt_us).sum()
+        };
+        let (batch, online) = (part(Class::Batch), part(Class::Online));
+        for (number, stream) in self.streams.iter_mut().filter(|(_, stream)| stream.first.is_none())
+        {
+            let own = work.get(number).map_or(0, |tokens| tokens * prompt_us);
+            let own_batch = if stream.class == Class::Batch { own } else { 0 };
+            stream.met.batch += batch - own_batch;
+            stream.met.online += online - (own - own_batch);
+            stream.met.streams += stream_us * work.len() as u64;
+        }
+        batch
     }
 }
--- a/crates/sesamewall-bench/src/fleet_model.rs
+++ b/crates/sesamewall-bench/src/fleet_model.rs
@@ -26,6 +26,7 @@
 
 use crate::engine_model::Engine;
 use crate::engine_model::EngineSettings;
+use crate::engine_model::Met;
 
 const TICK: Duration = Duration::from_millis(10);
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -90,6 +91,10 @@
     pub output: u64,
     /// The request was refused.
     pub refused: bool,
+    /// Start on the engine.
+    pub started: Option<Time>,
+    /// What delayed the first token on the engine.
+    pub met: Met,
 }
 
 /// Result of a run.
@@ -356,6 +361,8 @@
             work,
             output,
             refused: false,
+            started: None,
+            met: Met::default(),
         };
         self.report.requests.push(outcome);
         number
@@ -436,8 +443,9 @@
         let state = &mut self.requests[request];
         state.place = Some((target, stream, key));
         state.sent = self.now;
-        let (prompt, output) = (state.prompt, state.output);
-        if let Some(at) = self.engines[target].start(stream, prompt, output, self.now) {
+        let (class, work) = (state.ask.class, (state.prompt, state.output));
+        self.report.requests[request].started = Some(self.now);
+        if let Some(at) = self.engines[target].start(stream, class, work, self.now) {
             self.at(at, Event::Step { target });
         }
     }
@@ -456,6 +464,7 @@
             let outcome = &mut self.report.requests[request];
             outcome.first.get_or_insert(done.first);
             outcome.ended = Some(self.now);
+            outcome.met = done.met;
             self.count_batch(request, done.generated);
             self.end(request, SlotEnd::Whole, Some(done.first), done.generated);
             if self.requests[request].ask.class == Class::Batch {
--- a/crates/sesamewall-bench/src/online_tail.rs
+++ b/crates/sesamewall-bench/src/online_tail.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use sesamewall_protocol::Class;
 use sesamewall_protocol::Time;
 use sesamewall_schedule::LimitSettings;
 use sesamewall_schedule::Policy;
@@ -12,6 +13,7 @@
 use crate::fleet_model::DEPLOYMENT_A;
 use crate::fleet_model::DEPLOYMENT_B;
 use crate::fleet_model::Deployment;
+use crate::fleet_model::Outcome;
 use crate::fleet_model::Report;
 use crate::fleet_model::Scenario;
 use crate::fleet_model::run as run_scenario;
@@ -44,6 +46,59 @@
     pub mean_limit: f64,
     /// Cancelled batch streams.
     pub cancelled: u64,
+    /// What the 2% slowest online requests spent their time with, as means.
+    pub tail: Tail,
+}
+
+/// Parts of the time to first token in microseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Tail {
+    /// Messages and queues until the start on the engine.
+    pub before_start: u64,
+    /// Rest of the step that ran at the start.
+    pub step_rest: u64,
+    /// Part of `step_rest` due to batch prompts.
+    pub rest_batch: u64,
+    /// Batch prompts in later steps.
+    pub batch_prompts: u64,
+    /// Prompts of other online requests in later steps.
+    pub online_prompts: u64,
+    /// Tokens of running streams in later steps.
+    pub streams: u64,
+    /// The request's own prompt, and the fixed part of its steps.
+    pub own: u64,
+}
+
+fn tail(report: &Report) -> Tail {
+    let mut slow: Vec<_> = report
+        .requests
+        .iter()
+        .filter(|request| request.class == Class::Online && request.ended.is_some())
+        .filter(|request| (Time::ZERO + FROM..Time::ZERO + END).contains(&request.arrived))
+        .filter_map(|request| Some((request.first?.since(request.arrived), request)))
+        .collect();
+    slow.sort_by_key(|(time, _)| std::cmp::Reverse(*time));
+    slow.truncate(slow.len().div_ceil(50));
+    let mean = |part: &dyn Fn(&Outcome) -> u64| {
+        slow.iter().map(|(_, request)| part(request)).sum::<u64>() / slow.len().max(1) as u64
+    };
+    let before = |request: &Outcome| {
+        let started = request.started.unwrap_or(request.arrived);
+        started.since(request.arrived).as_micros() as u64
+    };
+    let all = slow.iter().map(|(time, _)| time.as_micros() as u64).sum::<u64>();
+    let tail = Tail {
+        before_start: mean(&before),
+        step_rest: mean(&|request| request.met.rest),
+        rest_batch: mean(&|request| request.met.rest_batch),
+        batch_prompts: mean(&|request| request.met.batch),
+        online_prompts: mean(&|request| request.met.online),
+        streams: mean(&|request| request.met.streams),
+        own: 0,
+    };
+    let known = tail.before_start + tail.step_rest + tail.batch_prompts + tail.online_prompts;
+    let own = all / slow.len().max(1) as u64;
+    Tail { own: own.saturating_sub(known + tail.streams), ..tail }
 }
 
 /// Runs the experiment for both deployments. What online leaves is the batch throughput without
@@ -84,6 +139,7 @@
         refused: refused(report),
         mean_limit: report.limits.iter().sum::<usize>() as f64 / report.limits.len() as f64,
         cancelled: report.cancelled,
+        tail: tail(report),
     };
     let mut rows = vec![row("batch alone", &alone), row("online alone", &quiet)];
     for (name, policy) in [
