Send online requests to targets without a prompt in progress

Change: a lead denies an online ask that may not wait while each target with a free slot computes a prompt, so that the request is offered elsewhere; a batch prompt that would be cancelled for the request counts only as the rest of a step. The part of the burst kept free is a setting, and the test prints both figures for four values. The callers of the model offer a request to two other failure domains and then wait in their own, as instances now do; before, they tried all and waited where the least work was. Rows also show the free slots.

--- a/crates/sesamewall-bench/src/fleet_model.rs
+++ b/crates/sesamewall-bench/src/fleet_model.rs
@@ -27,10 +27,14 @@
 use crate::engine_model::Engine;
 use crate::engine_model::EngineSettings;
 use crate::engine_model::Met;
+pub use crate::fleet_report::Outcome;
+pub use crate::fleet_report::Report;
 
 const TICK: Duration = Duration::from_millis(10);
 const HEARTBEAT: Duration = Duration::from_secs(1);
 const BATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Other failure domains to which an instance offers a request.
+const OFFERS: usize = 2;
 const ONLINE_WAIT_US: u64 = 10_000_000;
 
 /// Shape of a deployment.
@@ -72,66 +76,6 @@
     pub round_robin: bool,
 }
 
-/// One request after the run.
-#[derive(Clone, Debug)]
-pub struct Outcome {
-    /// Position of the account.
-    pub account: usize,
-    /// Service class.
-    pub class: Class,
-    /// Arrival of the request.
-    pub arrived: Time,
-    /// First token, unless the request was refused.
-    pub first: Option<Time>,
-    /// End of the response, unless the request was refused or still runs.
-    pub ended: Option<Time>,
-    /// Prompt and output tokens.
-    pub work: u64,
-    /// Output tokens.
-    pub output: u64,
-    /// The request was refused.
-    pub refused: bool,
-    /// Start on the engine.
-    pub started: Option<Time>,
-    /// What delayed the first token on the engine.
-    pub met: Met,
-}
-
-/// Result of a run.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    /// All requests.
-    pub requests: Vec<Outcome>,
-    /// Output tokens of batch streams, by second.
-    pub batch_tokens: BTreeMap<u64, u64>,
-    /// Cancelled batch streams.
-    pub cancelled: u64,
-    /// Starts on targets of failure domain 0 (time of the start).
-    pub starts_in_first: Vec<Time>,
-    /// Largest excess of streams on a target over what its ramp allows, after the outage.
-    pub ramp_excess: usize,
-    /// Limits of all targets at the end.
-    pub limits: Vec<usize>,
-}
-
-impl Report {
-    /// Returns the percentile of online times to first token in microseconds, of requests that
-    /// arrived in the window.
-    pub fn first_token_us(&self, percent: f64, from: Duration, to: Duration) -> u64 {
-        let (from, to) = (Time::ZERO + from, Time::ZERO + to);
-        let mut times: Vec<_> = self
-            .requests
-            .iter()
-            .filter(|request| request.class == Class::Online)
-            .filter(|request| from <= request.arrived && request.arrived < to)
-            .filter_map(|request| Some(request.first?.since(request.arrived).as_micros() as u64))
-            .collect();
-        times.sort_unstable();
-        let rank = (times.len() as f64 * percent / 100.0) as usize;
-        times.get(rank.min(times.len().saturating_sub(1))).copied().unwrap_or(0)
-    }
-}
-
 enum Event {
     Arrive { account: usize },
     Ask { request: usize, domain: usize, wait_us: u64 },
@@ -400,7 +344,8 @@
         }
     }
 
-    /// Tries the other failure domains without waiting, then waits where the least work waits.
+    /// Tries two other failure domains without waiting, as instances do, then waits in the own one or,
+    /// if it cannot serve, where the least work waits.
     fn denied(&mut self, request: usize, domain: usize, backlog: f64) {
         let domains = self.leads.len();
         let state = &mut self.requests[request];
@@ -412,12 +357,17 @@
         state.tried.push((backlog, domain));
         let tried = state.tried.len();
         match tried {
-            _ if tried < domains => self.ask(request, (domain + 1) % domains, 0),
-            _ if tried == domains => {
-                let best =
-                    state.tried.iter().copied().min_by(|left, right| {
-                        left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
-                    });
+            _ if tried < domains.min(1 + OFFERS) => self.ask(request, (domain + 1) % domains, 0),
+            _ if tried == domains.min(1 + OFFERS) => {
+                // A failure domain that cannot serve has no queue and thus no backlog.
+                let order = |left: &(f64, usize), right: &(f64, usize)| {
+                    let away = |tried: &(f64, usize)| tried.1 != state.home;
+                    let unable = |tried: &(f64, usize)| tried.0 == f64::MAX;
+                    (unable(left), away(left))
+                        .cmp(&(unable(right), away(right)))
+                        .then(left.0.total_cmp(&right.0))
+                };
+                let best = state.tried.iter().copied().min_by(order);
                 self.ask(request, best.map_or(0, |(_, domain)| domain), ONLINE_WAIT_US);
             }
             _ => self.report.requests[request].refused = true,
@@ -513,6 +463,11 @@
     /// Reports the slots of all instances to all leads.
     fn heartbeat(&mut self) {
         self.after(HEARTBEAT, Event::Heartbeat);
+        let running = self.now < Time::ZERO + self.scenario.end;
+        for view in self.leads.iter().filter(|_| running).flat_map(|lead| lead.targets(self.now)) {
+            self.report.free_slots.0 += view.limit.saturating_sub(view.outstanding);
+            self.report.free_slots.1 += 1;
+        }
         let targets = self.scenario.deployment.targets;
         let mut held: BTreeMap<(usize, usize), Vec<HeldSlot>> = BTreeMap::new();
         for state in &self.requests {
--- a/crates/sesamewall-bench/src/lib.rs
+++ b/crates/sesamewall-bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine_model;
 pub mod fairness;
 pub mod fleet_model;
+pub mod fleet_report;
 pub mod online_tail;
 pub mod rate_simulation;
 pub mod wrongful_refusals;
--- a/crates/sesamewall-bench/src/online_tail.rs
+++ b/crates/sesamewall-bench/src/online_tail.rs
@@ -44,6 +44,8 @@
     pub refused: usize,
     /// Mean learned limit of the targets at the end.
     pub mean_limit: f64,
+    /// Mean slots not in use on a target.
+    pub free_slots: f64,
     /// Cancelled batch streams.
     pub cancelled: u64,
     /// What the 2% slowest online requests spent their time with, as means.
@@ -105,16 +107,31 @@
 /// online requests and with all targets at their upper bound, less the share of engine time that the
 /// online requests need in full batches.
 pub fn run(seed: u64) -> Vec<Row> {
-    [DEPLOYMENT_A, DEPLOYMENT_B].into_iter().flat_map(|deployment| rows(deployment, seed)).collect()
+    let headroom = Settings::default().headroom;
+    [DEPLOYMENT_A, DEPLOYMENT_B]
+        .into_iter()
+        .flat_map(|deployment| rows(deployment, seed, headroom, &POLICIES))
+        .collect()
 }
 
-fn rows(deployment: Deployment, seed: u64) -> Vec<Row> {
+const POLICIES: [(&str, Policy); 3] = [
+    ("online first", Policy::OnlineFirst),
+    ("shared queue", Policy::SharedQueue),
+    ("fixed split", Policy::FixedSplit { batch: 0.5 }),
+];
+
+fn rows(
+    deployment: Deployment,
+    seed: u64,
+    headroom: f64,
+    policies: &[(&'static str, Policy)],
+) -> Vec<Row> {
     // All targets start warm in each row, so that the rows compare steady states.
     let warm = LimitSettings { ramp: false, ..LimitSettings::default() };
     let scenario = |policy, online: f64, batch| Scenario {
         deployment,
         seed,
-        settings: Settings { policy, limit: warm.clone(), ..Settings::default() },
+        settings: Settings { policy, headroom, limit: warm.clone(), ..Settings::default() },
         max_limit: MAX_LIMIT,
         online: vec![online / 8.0; 8],
         batch: if batch { 2 * deployment.targets * MAX_LIMIT as usize } else { 0 },
@@ -138,20 +155,30 @@
         batch_share: batch_rate(report) / left,
         refused: refused(report),
         mean_limit: report.limits.iter().sum::<usize>() as f64 / report.limits.len() as f64,
+        free_slots: report.free_slots.0 as f64 / report.free_slots.1.max(1) as f64,
         cancelled: report.cancelled,
         tail: tail(report),
     };
     let mut rows = vec![row("batch alone", &alone), row("online alone", &quiet)];
-    for (name, policy) in [
-        ("online first", Policy::OnlineFirst),
-        ("shared queue", Policy::SharedQueue),
-        ("fixed split", Policy::FixedSplit { batch: 0.5 }),
-    ] {
-        rows.push(row(name, &run_scenario(scenario(policy, ONLINE_RATE, true))));
+    for (name, policy) in policies {
+        rows.push(row(name, &run_scenario(scenario(*policy, ONLINE_RATE, true))));
     }
     rows
 }
 
+/// Runs deployment A and B with different settings of the headroom. A larger headroom gives online
+/// requests more choice of targets and batch streams fewer slots.
+pub fn trade_off(seed: u64) -> Vec<(f64, Row)> {
+    let mut table = Vec::new();
+    for headroom in [0.25, 0.5, 1.0, 2.0] {
+        for deployment in [DEPLOYMENT_A, DEPLOYMENT_B] {
+            let rows = rows(deployment, seed, headroom, &[("online first", Policy::OnlineFirst)]);
+            table.extend(rows.into_iter().skip(2).map(|row| (headroom, row)));
+        }
+    }
+    table
+}
+
 fn refused(report: &Report) -> usize {
     let late = |arrived: Time| arrived >= Time::ZERO + FROM;
     report.requests.iter().filter(|request| request.refused && late(request.arrived)).count()
--- a/crates/sesamewall-bench/tests/schedule.rs
+++ b/crates/sesamewall-bench/tests/schedule.rs
@@ -35,6 +35,9 @@
     for row in &rows {
         println!("{}", serde_json::to_string(row).unwrap());
     }
+    for (headroom, row) in online_tail::trade_off(1) {
+        println!("headroom {headroom}: {}", serde_json::to_string(&row).unwrap());
+    }
     for row in rows.iter().filter(|row| row.policy == "online first") {
         assert!(row.p99_ratio <= 1.05 && row.batch_share >= 0.9, "{row:?}");
     }
--- a/crates/sesamewall-schedule/src/fleet.rs
+++ b/crates/sesamewall-schedule/src/fleet.rs
@@ -204,6 +204,20 @@
         Some((open[choice.index].name.clone(), reason))
     }
 
+    /// Tells whether an online request would wait for other prompts on each target that has room.
+    pub(crate) fn delays_online(&self, ask: &SlotAsk, now: Time) -> bool {
+        let usable = |state: &&&TargetState| {
+            !ask.exclude.contains(&state.info.name) && self.has_room(state, ask.class, now)
+        };
+        let staggers = self.settings.stagger && self.settings.policy == Policy::OnlineFirst;
+        let serving = self.serving(&ask.model, now);
+        let mut open = serving.iter().filter(usable).peekable();
+        staggers
+            && ask.class == Class::Online
+            && open.peek().is_some()
+            && open.all(|state| state.in_prompt(now))
+    }
+
     /// Reserves the least loaded target for an isolated request. At most one isolated request runs
     /// or waits for its target in a failure domain, so that one account cannot empty it.
     pub(crate) fn reserve(&mut self, ask: &SlotAsk, now: Time) {
@@ -312,6 +326,7 @@
     fn headroom_share(&self, state: &TargetState, now: Time) -> usize {
         let share = |model: &ModelName| {
             let slots = self.headroom.get(model).map_or(1, |headroom| headroom.slots(now));
+            let slots = (slots as f64 * self.settings.headroom).ceil().max(1.0) as usize;
             slots.div_ceil(self.models.get(model).map_or(1, Vec::len).max(1))
         };
         state.info.models.iter().map(share).sum()
--- a/crates/sesamewall-schedule/src/scheduler.rs
+++ b/crates/sesamewall-schedule/src/scheduler.rs
@@ -95,7 +95,8 @@
 
     /// Handles an ask of the instance `from`. An ask that is repeated gets the same slot. An ask with
     /// no time to wait is denied at once unless a slot is free or on its way back, so that the
-    /// instance can try another failure domain.
+    /// instance can try another failure domain. An online ask of this kind is also denied while each
+    /// target with a free slot computes a prompt, since engines compute prompts in arrival order.
     pub fn on_ask(&mut self, ask: SlotAsk, from: &InstanceName, now: Time) -> Vec<Action> {
         if now >= self.valid_until {
             return vec![deny(&ask, from, NOT_LEAD, Vec::new(), "the lead's lease has ended")];
@@ -108,6 +109,13 @@
         if let Some(grant) = self.repeated_grant(&ask, from) {
             return vec![grant];
         }
+        if ask.wait_us == 0 && self.fleet.delays_online(&ask, now) {
+            let index = self.queue_index(ask.class);
+            let queues = self.queues.get(&ask.model);
+            let numbers = queues.map_or(Vec::new(), |queues| numbers_of(&queues[index]));
+            let reason = "all targets with a free slot compute prompts and the ask may not wait";
+            return vec![deny(&ask, from, QUEUE_TIMEOUT, numbers, reason)];
+        }
         if ask.class == Class::Online {
             self.fleet.headroom.entry(ask.model.clone()).or_default().on_arrival(now);
         }
--- a/crates/sesamewall-schedule/src/state.rs
+++ b/crates/sesamewall-schedule/src/state.rs
@@ -63,6 +63,8 @@
     /// Starts batch streams one after the other on a target, and only while at least half of a
     /// model's targets compute no prompt, so that online requests find such a target.
     pub stagger: bool,
+    /// Part of the recent online burst for which slots are kept free of batch streams.
+    pub headroom: f64,
 }
 
 impl Default for Settings {
@@ -80,6 +82,7 @@
             leaving_hold: Duration::from_secs(30),
             max_wait: Duration::from_secs(60),
             stagger: true,
+            headroom: 1.0,
         }
     }
 }
@@ -171,6 +174,10 @@
 /// earlier prompts, but runs together with streams in progress.
 const PROMPT_WEIGHT: u64 = 256;
 
+/// Prompt tokens that take as long as the rest of a running step. A new request waits for it even if
+/// the batch prompt in progress is cancelled for it.
+const STEP_REST_TOKENS: u64 = 128;
+
 /// Longest usual time from the end of a request until its report arrives.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
@@ -242,6 +249,7 @@
     /// Expected time at which all granted prompts are computed.
     prompts_until: Time,
     batch_prompts_until: Time,
+    online_prompts_until: Time,
     /// Batch slot granted last.
     batch_start: Option<SlotKey>,
 }
@@ -265,6 +273,7 @@
             lost_in_a_row: 0,
             prompts_until: Time::ZERO,
             batch_prompts_until: Time::ZERO,
+            online_prompts_until: Time::ZERO,
             batch_start: None,
         }
     }
@@ -293,6 +302,9 @@
         if slot.class == Class::Batch {
             self.batch_prompts_until = self.prompts_until;
             self.batch_start = Some(key);
+        } else {
+            let queued = self.online_prompts_until + expected / 2;
+            self.online_prompts_until = queued.max(now + expected).min(now + 4 * expected);
         }
     }
 
@@ -315,8 +327,13 @@
     /// for.
     pub(crate) fn load(&self, now: Time) -> u64 {
         let per_thousand = self.limit.expected_us(1000).max(1);
-        let left = self.prompts_until.since(now).as_micros() as u64;
-        self.work + PROMPT_WEIGHT * (1000 * left / per_thousand)
+        let tokens = |until: Time| 1000 * until.since(now).as_micros() as u64 / per_thousand;
+        let all = tokens(self.prompts_until);
+        let ahead = match self.starting_batch(now) {
+            Some(_) => tokens(self.online_prompts_until).max(all.min(STEP_REST_TOKENS)),
+            None => all,
+        };
+        self.work + PROMPT_WEIGHT * ahead
     }
 
     /// Notes that a slot was granted at the full limit.
@@ -364,6 +381,7 @@
         if self.outstanding == 0 {
             self.prompts_until = Time::ZERO;
             self.batch_prompts_until = Time::ZERO;
+            self.online_prompts_until = Time::ZERO;
         }
         if slot.class == Class::Batch {
             self.batch_total -= 1;
