--- a/crates/sesamewall-bench/src/online_tail.rs
+++ b/crates/sesamewall-bench/src/online_tail.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use sesamewall_protocol::Class;
 use sesamewall_protocol::Time;
 use sesamewall_schedule::LimitSettings;
 use sesamewall_schedule::Policy;
@@ -12,6 +13,7 @@
 use crate::fleet_model::DEPLOYMENT_A;
 use crate::fleet_model::DEPLOYMENT_B;
 use crate::fleet_model::Deployment;
+use crate::fleet_model::Outcome;
 use crate::fleet_model::Report;
 use crate::fleet_model::Scenario;
 use crate::fleet_model::run as run_scenario;
@@ -42,8 +44,63 @@
     pub refused: usize,
     /// Mean learned limit of the targets at the end.
     pub mean_limit: f64,
+    /// Mean slots not in use on a target.
+    pub free_slots: f64,
     /// Cancelled batch streams.
     pub cancelled: u64,
+    /// What the 2% slowest online requests spent their time with, as means.
+    pub tail: Tail,
+}
+
+/// Parts of the time to first token in microseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Tail {
+    /// Messages and queues until the start on the engine.
+    pub before_start: u64,
+    /// Rest of the step that ran at the start.
+    pub step_rest: u64,
+    /// Part of `step_rest` due to batch prompts.
+    pub rest_batch: u64,
+    /// Batch prompts in later steps.
+    pub batch_prompts: u64,
+    /// Prompts of other online requests in later steps.
+    pub online_prompts: u64,
+    /// Tokens of running streams in later steps.
+    pub streams: u64,
+    /// The request's own prompt, and the fixed part of its steps.
+    pub own: u64,
+}
+
+fn tail(report: &Report) -> Tail {
+    let mut slow: Vec<_> = report
+        .requests
+        .iter()
+        .filter(|request| request.class == Class::Online && request.ended.is_some())
+        .filter(|request| (Time::ZERO + FROM..Time::ZERO + END).contains(&request.arrived))
+        .filter_map(|request| Some((request.first?.since(request.arrived), request)))
+        .collect();
+    slow.sort_by_key(|(time, _)| std::cmp::Reverse(*time));
+    slow.truncate(slow.len().div_ceil(50));
+    let mean = |part: &dyn Fn(&Outcome) -> u64| {
+        slow.iter().map(|(_, request)| part(request)).sum::<u64>() / slow.len().max(1) as u64
+    };
+    let before = |request: &Outcome| {
+        let started = request.started.unwrap_or(request.arrived);
+        started.since(request.arrived).as_micros() as u64
+    };
+    let all = slow.iter().map(|(time, _)| time.as_micros() as u64).sum::<u64>();
+    let tail = Tail {
+        before_start: mean(&before),
+        step_rest: mean(&|request| request.met.rest),
+        rest_batch: mean(&|request| request.met.rest_batch),
+        batch_prompts: mean(&|request| request.met.batch),
+        online_prompts: mean(&|request| request.met.online),
+        streams: mean(&|request| request.met.streams),
+        own: 0,
+    };
+    let known = tail.before_start + tail.step_rest + tail.batch_prompts + tail.online_prompts;
+    let own = all / slow.len().max(1) as u64;
+    Tail { own: own.saturating_sub(known + tail.streams), ..tail }
 }
 
 /// Runs the experiment for both deployments. What online leaves is the batch throughput without
@@ -55,16 +112,29 @@
 
 /// Runs the experiment for the given deployments.
 pub fn run_in(deployments: &[Deployment], seed: u64) -> Vec<Row> {
-    deployments.iter().flat_map(|deployment| rows(*deployment, seed)).collect()
+    let headroom = Settings::default().headroom;
+    let rows_of = |deployment: &Deployment| rows(*deployment, seed, headroom, &POLICIES);
+    deployments.iter().flat_map(rows_of).collect()
 }
 
-fn rows(deployment: Deployment, seed: u64) -> Vec<Row> {
+const POLICIES: [(&str, Policy); 3] = [
+    ("online first", Policy::OnlineFirst),
+    ("shared queue", Policy::SharedQueue),
+    ("fixed split", Policy::FixedSplit { batch: 0.5 }),
+];
+
+fn rows(
+    deployment: Deployment,
+    seed: u64,
+    headroom: f64,
+    policies: &[(&'static str, Policy)],
+) -> Vec<Row> {
     // All targets start warm in each row, so that the rows compare steady states.
     let warm = LimitSettings { ramp: false, ..LimitSettings::default() };
     let scenario = |policy, online: f64, batch| Scenario {
         deployment,
         seed,
-        settings: Settings { policy, limit: warm.clone(), ..Settings::default() },
+        settings: Settings { policy, headroom, limit: warm.clone(), ..Settings::default() },
         max_limit: MAX_LIMIT,
         online: vec![online / 8.0; 8],
         batch: if batch { 2 * deployment.targets * MAX_LIMIT as usize } else { 0 },
@@ -88,19 +158,30 @@
         batch_share: batch_rate(report) / left,
         refused: refused(report),
         mean_limit: report.limits.iter().sum::<usize>() as f64 / report.limits.len() as f64,
+        free_slots: report.free_slots.0 as f64 / report.free_slots.1.max(1) as f64,
         cancelled: report.cancelled,
+        tail: tail(report),
     };
     let mut rows = vec![row("batch alone", &alone), row("online alone", &quiet)];
-    for (name, policy) in [
-        ("online first", Policy::OnlineFirst),
-        ("shared queue", Policy::SharedQueue),
-        ("fixed split", Policy::FixedSplit { batch: 0.5 }),
-    ] {
-        rows.push(row(name, &run_scenario(scenario(policy, ONLINE_RATE, true))));
+    for (name, policy) in policies {
+        rows.push(row(name, &run_scenario(scenario(*policy, ONLINE_RATE, true))));
     }
     rows
 }
 
+/// Runs deployment A and B with different settings of the headroom. A larger headroom gives online
+/// requests more choice of targets and batch streams fewer slots.
+pub fn trade_off(seed: u64) -> Vec<(f64, Row)> {
+    let mut table = Vec::new();
+    for headroom in [0.25, 0.5, 1.0, 2.0] {
+        for deployment in [DEPLOYMENT_A, DEPLOYMENT_B] {
+            let rows = rows(deployment, seed, headroom, &[("online first", Policy::OnlineFirst)]);
+            table.extend(rows.into_iter().skip(2).map(|row| (headroom, row)));
+        }
+    }
+    table
+}
+
 fn refused(report: &Report) -> usize {
     let late = |arrived: Time| arrived >= Time::ZERO + FROM;
     report.requests.iter().filter(|request| request.refused && late(request.arrived)).count()
