Shorten grant life and lead lease

Change: GRANT_LIFE 1 s with a margin of 0.25 s (was 3 s and 0.5 s), lease of lead and floor 2 s renewed each 0.6 s (was 3 s and 1 s). Unit tests take the times from the constants; the recorded takeover names the times it was recorded with; the bounds for takeover and recovery are 1 s lower.

--- a/crates/sesamewall-bench/src/rate_simulation/fleet.rs
+++ b/crates/sesamewall-bench/src/rate_simulation/fleet.rs
@@ -8,6 +8,8 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sesamewall_membership::LEAD_LEASE;
+use sesamewall_membership::LEAD_MARGIN;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::Time;
@@ -29,8 +31,8 @@
 use super::Simulation;
 use super::Step;
 
-pub(super) const LEASE: Duration = Duration::from_secs(3);
-const TAKEOVER: Duration = Duration::from_millis(3500);
+/// Time from the loss of a lead to the claim of its successor.
+const TAKEOVER: Duration = LEAD_LEASE.saturating_add(LEAD_MARGIN);
 
 pub(super) enum Event {
     Step(Step),
@@ -303,7 +305,7 @@
     fn pause(&mut self, i: usize, time: Duration) {
         self.instances[i].paused_until = self.now + time;
         let domain = i % self.domains.len();
-        if time > LEASE && self.leads[domain].0 == i {
+        if time > LEAD_LEASE && self.leads[domain].0 == i {
             self.push(self.now + TAKEOVER + Duration::from_secs(1), Event::Succeed(domain));
         }
     }
@@ -373,7 +375,7 @@
         let now = self.clock(to);
         let Some(lead) = &mut self.instances[to].lead else { return };
         let unbound = self.simulation.sabotage == Sabotage::LeadLease;
-        let valid_until = if unbound { now + LEASE } else { lead.valid_until };
+        let valid_until = if unbound { now + LEAD_LEASE } else { lead.valid_until };
         let domain = lead.domain;
         let grant = lead.grantor.ask(&ask, now, valid_until);
         self.send(to, from, || Event::Grant(from, ask.incarnation, domain, grant.clone()));
--- a/crates/sesamewall-bench/src/rate_simulation/lead.rs
+++ b/crates/sesamewall-bench/src/rate_simulation/lead.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use sesamewall_membership::LEAD_LEASE;
+use sesamewall_membership::LEAD_MARGIN;
+use sesamewall_membership::LEAD_RENEWAL;
 use sesamewall_protocol::Time;
 use sesamewall_rate::Backup;
 use sesamewall_rate::Floor;
@@ -19,12 +22,10 @@
 use super::fleet::Event;
 use super::fleet::Fleet;
 use super::fleet::Kind;
-use super::fleet::LEASE;
 use super::fleet::Lead;
 
 const LEAD_TICK: Duration = Duration::from_millis(100);
 const STALE: Duration = Duration::from_secs(60);
-const MARGIN: Duration = Duration::from_millis(500);
 
 impl Fleet {
     /// Makes a live instance the lead of the failure domain.
@@ -37,7 +38,7 @@
         // The record of a lead stays unchanged for the lease and 0.5 s before a successor claims it.
         let former =
             self.instances.get(old).and_then(|former| Some((former, former.lead.as_ref()?)));
-        let end = former.map(|(former, lead)| lead.valid_until + former.clock_behind + MARGIN);
+        let end = former.map(|(former, lead)| lead.valid_until + former.clock_behind + LEAD_MARGIN);
         if let Some(end) = end.filter(|end| self.now < *end) {
             return self.push(end, Event::Succeed(domain));
         }
@@ -69,12 +70,12 @@
             grantor.set_limits(name, *limits, early);
         }
         if hasty {
-            grantor.set_floor(now + LEASE, BTreeMap::new(), early);
+            grantor.set_floor(now + LEAD_LEASE, BTreeMap::new(), early);
         }
         let floor = Floor::new(FloorSettings::default());
         let upper = share - reserve_share(share);
         let backup = Backup::new(FloorSettings::default(), epoch, upper, now);
-        let (renewed, valid_until) = (now - LEASE, now + LEASE);
+        let (renewed, valid_until) = (now - LEAD_LEASE, now + LEAD_LEASE);
         let (home_call, backup_call) = (None, None);
         Lead { domain, epoch, grantor, floor, backup, valid_until, renewed, home_call, backup_call }
     }
@@ -91,12 +92,12 @@
         let backed = self.domains[self.backed(domain)].clone();
         let Some(lead) = &mut self.instances[i].lead else { return };
         let mut calls = Vec::new();
-        if now >= lead.renewed + Duration::from_secs(1) {
+        if now >= lead.renewed + LEAD_RENEWAL {
             lead.renewed = now;
             calls.push(Kind::Renew);
             // Stands for the promises of the other instances of a failure domain that is cut off.
             if self.cut[domain] && now < lead.valid_until {
-                lead.valid_until = now + LEASE;
+                lead.valid_until = now + LEAD_LEASE;
             }
         }
         let free =
@@ -121,7 +122,7 @@
         let mut inherited = lead.backup.inherited(now);
         let mut full_until = lead.floor.full_until(now);
         if matches!(sabotage, Sabotage::FloorLease | Sabotage::Takeover) {
-            full_until = now + LEASE;
+            full_until = now + LEAD_LEASE;
         }
         if full_until > Time::ZERO {
             full_until = full_until.min(lead.valid_until);
@@ -214,7 +215,7 @@
         let sent = call.sent;
         match (call.kind, answer) {
             (Kind::Renew, _) => {
-                lead.valid_until = lead.valid_until.max(sent + LEASE);
+                lead.valid_until = lead.valid_until.max(sent + LEAD_LEASE);
                 lead.floor.on_renewed(sent, now);
             }
             (Kind::Home(write), answer) if lead.home_call == Some(sent) => {
--- a/crates/sesamewall-bench/src/wrongful_refusals.rs
+++ b/crates/sesamewall-bench/src/wrongful_refusals.rs
@@ -422,7 +422,7 @@
     match rng.random_range(0..7) {
         0 | 1 => steps.extend([(at, Step::Kill(i)), (later, Step::Start(i))]),
         2 => steps.push((at, Step::Pause(i, later.since(at)))),
-        // The margin of the grant life covers clocks that stand still for less than 0.5 s in 3 s.
+        // The margin of the grant life covers clocks that stand still for less than 0.25 s in 1 s.
         3 => steps.push((at, Step::Freeze(i, Duration::from_millis(rng.random_range(1..200))))),
         4 => steps
             .extend([(at, Step::Partition(i % 3, true)), (later, Step::Partition(i % 3, false))]),
--- a/crates/sesamewall-membership/src/lead_types.rs
+++ b/crates/sesamewall-membership/src/lead_types.rs
@@ -12,11 +12,14 @@
 use sesamewall_protocol::peer::MembershipMessage;
 
 /// The lease time of a lead.
-pub const LEAD_LEASE: Duration = Duration::from_secs(3);
+pub const LEAD_LEASE: Duration = Duration::from_secs(2);
 
 /// Time that a successor waits beyond the lease.
 pub const LEAD_MARGIN: Duration = Duration::from_millis(500);
 
+/// Time between two renewals of the lease.
+pub const LEAD_RENEWAL: Duration = Duration::from_millis(600);
+
 /// Settings of the lead lease. The switches exist so that tests can show that their checks report
 /// a breach without the mechanism.
 #[derive(Clone, Debug)]
@@ -40,7 +43,7 @@
         Self {
             lease: LEAD_LEASE,
             margin: LEAD_MARGIN,
-            renew: Duration::from_secs(1),
+            renew: LEAD_RENEWAL,
             suspect: Duration::from_millis(1_500),
             wait: true,
             expire: true,
--- a/crates/sesamewall-membership/src/lib.rs
+++ b/crates/sesamewall-membership/src/lib.rs
@@ -28,6 +28,7 @@
 pub use lead::Lead;
 pub use lead_types::LEAD_LEASE;
 pub use lead_types::LEAD_MARGIN;
+pub use lead_types::LEAD_RENEWAL;
 pub use lead_types::LeadAction;
 pub use lead_types::LeadRecord;
 pub use lead_types::LeadSettings;
--- a/crates/sesamewall-membership/tests/lead.rs
+++ b/crates/sesamewall-membership/tests/lead.rs
@@ -1,5 +1,7 @@
 //! Guards the times and outcomes of single takeovers.
 
+use std::time::Duration;
+
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
@@ -37,7 +39,10 @@
 fn recorded_takeover_has_the_stated_outcomes() {
     let trace: Trace = serde_json::from_str(include_str!("traces/takeover.json")).unwrap();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let mut lead = Lead::new(trace.own, LeadSettings::default(), Time::ZERO);
+    // The trace was recorded with these times.
+    let (lease, renew) = (Duration::from_secs(3), Duration::from_secs(1));
+    let settings = LeadSettings { lease, renew, ..LeadSettings::default() };
+    let mut lead = Lead::new(trace.own, settings, Time::ZERO);
     lead.set_peers(trace.peers);
     let (mut clock, mut puts, mut last) = (0, 0, 0);
     for step in trace.steps {
@@ -85,8 +90,8 @@
     let stops: Vec<u64> = (0..20).map(|seed| gap(stop, seed)).collect();
     println!("ms without lead after a crash: {crashes:?}");
     println!("ms without lead after a shutdown: {stops:?}");
-    // 3.5 s by the slowest clock (2%), rank delay 0.5 s, one tick and the store's response.
-    assert!(crashes.iter().all(|gap| *gap <= 4_250), "{crashes:?}");
+    // 2.5 s by the slowest clock (2%), rank delay 0.5 s, one tick and the store's response.
+    assert!(crashes.iter().all(|gap| *gap <= 3_250), "{crashes:?}");
     assert!(stops.iter().all(|gap| *gap <= 500), "{stops:?}");
 }
 
--- a/crates/sesamewall-membership/tests/sim.rs
+++ b/crates/sesamewall-membership/tests/sim.rs
@@ -91,8 +91,8 @@
 pub const DOMAINS: usize = 2;
 pub const NODES: usize = 6;
 /// Time after the last fault by which a lead must exist: a read (1.5 s until suspicion, 0.5 s to the
-/// next retry), the wait of 3.5 s, the rank delay of up to 0.5 s and one lost call of 1 s, rounded up.
-pub const RECOVERY_MS: u64 = 8_000;
+/// next retry), the wait of 2.5 s, the rank delay of up to 0.5 s and one lost call of 1 s, rounded up.
+pub const RECOVERY_MS: u64 = 7_000;
 const PROPAGATION_MS: u64 = 6_000;
 const QUIET_MS: u64 = 16_000;
 
--- a/crates/sesamewall-rate/src/floor.rs
+++ b/crates/sesamewall-rate/src/floor.rs
@@ -12,6 +12,16 @@
 
 use crate::GRANT_WAIT;
 
+/// Length of the floor lease, of a promise and of a claim; equal to the lease of a domain lead,
+/// whose renewal confirms the floor.
+pub const FLOOR_LEASE: Duration = Duration::from_secs(2);
+
+/// Time that the other side waits beyond the lease.
+pub const FLOOR_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between two renewals of a claim.
+pub const FLOOR_RENEWAL: Duration = Duration::from_millis(600);
+
 /// Part of the rates that a lead holds for another failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Inherited {
@@ -64,10 +74,10 @@
 impl Default for FloorSettings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(3),
-            silence: Duration::from_millis(3500),
+            lease: FLOOR_LEASE,
+            silence: FLOOR_LEASE + FLOOR_MARGIN,
             wait: GRANT_WAIT,
-            renewal: Duration::from_secs(1),
+            renewal: FLOOR_RENEWAL,
         }
     }
 }
--- a/crates/sesamewall-rate/src/lib.rs
+++ b/crates/sesamewall-rate/src/lib.rs
@@ -9,6 +9,9 @@
 
 pub use bucket::Bucket;
 pub use floor::Backup;
+pub use floor::FLOOR_LEASE;
+pub use floor::FLOOR_MARGIN;
+pub use floor::FLOOR_RENEWAL;
 pub use floor::Floor;
 pub use floor::FloorRecord;
 pub use floor::FloorSettings;
--- a/crates/sesamewall-rate/src/limits.rs
+++ b/crates/sesamewall-rate/src/limits.rs
@@ -10,11 +10,11 @@
 pub const REQUEST: u64 = 1000;
 
 /// Time from the sending of an ask to the end of the tokens that it brought.
-pub const GRANT_LIFE: Duration = Duration::from_secs(3);
+pub const GRANT_LIFE: Duration = Duration::from_secs(1);
 
 /// Time after which a lead regards the grants of a silent holder, or of an earlier lead, as ended:
-/// `GRANT_LIFE` and a margin of 0.5 s for clocks that run at different speeds.
-pub const GRANT_WAIT: Duration = Duration::from_millis(3500);
+/// `GRANT_LIFE` and a margin of 0.25 s for clocks that run at different speeds.
+pub const GRANT_WAIT: Duration = Duration::from_millis(1_250);
 
 /// A share of 1: shares of a rate are counted in billionths.
 pub const SHARE_UNIT: u64 = 1_000_000_000;
--- a/crates/sesamewall-rate/tests/grantor.rs
+++ b/crates/sesamewall-rate/tests/grantor.rs
@@ -1,6 +1,7 @@
 //! Guards the lead's side of the escrow.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Time;
@@ -8,6 +9,7 @@
 use sesamewall_protocol::peer::RateDenial;
 use sesamewall_protocol::peer::RateGrant;
 use sesamewall_protocol::peer::SpentTotal;
+use sesamewall_rate::GRANT_WAIT;
 use sesamewall_rate::Grantor;
 use sesamewall_rate::GrantorSettings;
 use sesamewall_rate::Limits;
@@ -48,10 +50,11 @@
 #[test]
 fn grants_only_while_lead() {
     let (mut grantor, _) = grantor(9);
-    let early = grantor.ask(&ask(1, 1, 1000), Time::from_millis(3_499), VALID);
+    let (start, step) = (Time::ZERO + GRANT_WAIT, Duration::from_millis(1));
+    let early = grantor.ask(&ask(1, 1, 1000), start - step, VALID);
     assert_eq!(early.denial, Some(RateDenial::NotReady));
-    let first = grantor.ask(&ask(1, 2, 1000), Time::from_millis(3_600), VALID);
-    assert_eq!((first.denial, first.granted_total), (None, 1000), "refill starts at 3.5 s");
+    let first = grantor.ask(&ask(1, 2, 1000), start + 100 * step, VALID);
+    assert_eq!((first.denial, first.granted_total), (None, 1000), "refill starts after the wait");
     let late = grantor.ask(&ask(1, 3, 1000), Time::from_millis(9_000), Time::from_millis(9_000));
     assert_eq!(late.denial, Some(RateDenial::NotReady));
 }
@@ -82,9 +85,11 @@
 #[test]
 fn silent_holder_is_written_off() {
     let (mut grantor, key) = grantor(9);
-    grantor.ask(&ask(1, 1, 20_000), Time::from_millis(20_000), VALID);
-    assert_eq!(grantor.levels(&key, Time::from_millis(23_499)).unwrap().1, 20_000);
-    assert_eq!(grantor.levels(&key, Time::from_millis(23_500)).unwrap().1, 0);
+    let at = Time::from_millis(20_000);
+    grantor.ask(&ask(1, 1, 20_000), at, VALID);
+    let end = at + GRANT_WAIT;
+    assert_eq!(grantor.levels(&key, end - Duration::from_millis(1)).unwrap().1, 20_000);
+    assert_eq!(grantor.levels(&key, end).unwrap().1, 0);
     assert_eq!(grantor.holders(), 0);
 }
 
--- a/crates/sesamewall-rate/tests/holder.rs
+++ b/crates/sesamewall-rate/tests/holder.rs
@@ -8,6 +8,7 @@
 use sesamewall_protocol::peer::RateAsk;
 use sesamewall_protocol::peer::RateGrant;
 use sesamewall_rate::Action;
+use sesamewall_rate::GRANT_LIFE;
 use sesamewall_rate::Holder;
 use sesamewall_rate::HolderSettings;
 use sesamewall_rate::Limits;
@@ -87,8 +88,9 @@
     assert!(matches!(spent[0], Action::Spent { ticket: 1, .. }));
     holder.on_grant(&lead, &grant(&ask, 5_000), at);
     assert_eq!(holder.tokens(&key, at), 4_000);
-    assert_eq!(holder.tokens(&key, sent + Duration::from_millis(2_999)), 4_000);
-    assert_eq!(holder.tokens(&key, sent + Duration::from_millis(3_000)), 0);
+    let end = sent + GRANT_LIFE;
+    assert_eq!(holder.tokens(&key, end - Duration::from_millis(1)), 4_000);
+    assert_eq!(holder.tokens(&key, end), 0);
 }
 
 /// Guards against separate asks for each of several waiting requests.
