Measure costs of decisions, heartbeats and proxied requests

Cause: there were no slopes for the capacity at the planned size. The test of control bytes counts notices by LEAD_RENEWAL.

--- a/crates/sesamewall-bench/src/lib.rs
+++ b/crates/sesamewall-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Experiments on virtual time that measure decisions against plain alternatives.
 
+mod cost;
 pub mod domain_outage;
 pub mod engine_model;
 pub mod fairness;
--- a/crates/sesamewall-bench/src/program/mod.rs
+++ b/crates/sesamewall-bench/src/program/mod.rs
@@ -6,12 +6,14 @@
 
 use argh::FromArgs;
 
+use crate::cost::hot_path;
+use crate::cost::slopes;
 use crate::table::Table;
 
 /// Runs an experiment and prints its figures next to their targets.
 #[derive(FromArgs)]
 struct Arguments {
-    /// online-tail, fairness, wrongful-refusals, domain-outage or invariants
+    /// online-tail, fairness, wrongful-refusals, domain-outage, invariants, slopes or hot-path
     #[argh(positional)]
     name: String,
     /// seed of traffic and faults
@@ -69,6 +71,8 @@
         "wrongful-refusals" => Ok(outcomes::wrongful_refusals(seed, small)),
         "domain-outage" => Ok(outcomes::domain_outage(seed, small)),
         "invariants" => Ok(outcomes::invariants(seed, seeds)),
+        "slopes" => Ok(slopes(small)),
+        "hot-path" => Ok(hot_path(small)),
         name => Err(format!("no experiment is named `{name}`; see --help")),
     }
 }
--- a/crates/sesamewall-bench/tests/program.rs
+++ b/crates/sesamewall-bench/tests/program.rs
@@ -58,6 +58,24 @@
     assert_eq!(table["notes"][0], "seeds that breach: []");
 }
 
+/// Guards against costs that are not measured: a request that fails leaves a note and no ratio.
+#[test]
+fn costs_print_tables() {
+    let figures = |table: &Value| -> Vec<String> {
+        let rows = table["rows"].as_array().unwrap();
+        rows.iter().map(|row| row["figure"].as_str().unwrap().to_owned()).collect()
+    };
+    let table = json(&["hot-path", "--small"]);
+    check(&table, "hot-path");
+    assert_eq!(table["notes"], Value::Array(Vec::new()));
+    let ratios = figures(&table).iter().filter(|name| *name == "over pass-through").count();
+    assert_eq!(ratios, 2);
+    let table = json(&["slopes", "--small"]);
+    check(&table, "slopes");
+    assert_eq!(table["notes"], Value::Array(Vec::new()));
+    assert!(figures(&table).iter().any(|name| name.starts_with("plain instance, TCP")));
+}
+
 /// Guards against an unknown name that passes silently.
 #[test]
 fn unknown_names_fail() {
--- a/crates/sesamewall-membership/tests/control_bytes.rs
+++ b/crates/sesamewall-membership/tests/control_bytes.rs
@@ -4,6 +4,7 @@
 
 use sesamewall_membership::Configuration;
 use sesamewall_membership::DomainState;
+use sesamewall_membership::LEAD_RENEWAL;
 use sesamewall_membership::MemberAction;
 use sesamewall_membership::Members;
 use sesamewall_membership::Report;
@@ -108,8 +109,10 @@
     let lead = counted[..DOMAINS].iter().max().unwrap();
     let plain = counted[DOMAINS..].iter().max().unwrap();
     // A lead reads each change once and pushes it to its members, and tells two of each renewal.
-    let lead = *lead as f64 / SECONDS as f64 + changes * diff * (members + 1.0) + 2.0 * notice;
-    let plain = *plain as f64 / SECONDS as f64 + changes * diff + notice;
+    let renewals = 1.0 / LEAD_RENEWAL.as_secs_f64();
+    let pushes = changes * diff * (members + 1.0);
+    let lead = *lead as f64 / SECONDS as f64 + pushes + 2.0 * renewals * notice;
+    let plain = *plain as f64 / SECONDS as f64 + changes * diff + renewals * notice;
     (lead, plain)
 }
 
