--- a/crates/sesamewall-batch/src/frame.rs
+++ b/crates/sesamewall-batch/src/frame.rs
@@ -7,7 +7,8 @@
 const HEAD_BYTES: usize = 8;
 
 /// What a frame says about an item.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FrameBody {
     /// Opens the blob. A copy without it lost its disk.
@@ -33,7 +34,8 @@
 }
 
 /// A checkpoint frame.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Frame {
     /// Fencing token of the writer.
     pub fence: u64,
--- a/crates/sesamewall-batch/src/input.rs
+++ b/crates/sesamewall-batch/src/input.rs
@@ -17,7 +17,8 @@
 pub const SEGMENT_BYTES: u64 = 8 << 20;
 
 /// One line of a batch input file.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct InputLine {
     /// The caller's identifier of the item, unique in the file.
     pub custom_id: String,
@@ -30,7 +31,8 @@
 }
 
 /// Place of a segment in the input file.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SegmentRange {
     /// Offset of the first line in bytes.
     pub offset: u64,
--- a/crates/sesamewall-batch/src/job.rs
+++ b/crates/sesamewall-batch/src/job.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// State of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobState {
     /// The input is being checked.
--- a/crates/sesamewall-batch/src/record.rs
+++ b/crates/sesamewall-batch/src/record.rs
@@ -10,7 +10,8 @@
 use crate::SegmentRange;
 
 /// Names a blob and the storage instances that hold it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct BlobRef {
     /// Name of the blob.
     pub name: String,
@@ -23,7 +24,8 @@
 }
 
 /// Where the content of a file comes from.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FileSource {
     /// An uploaded blob.
@@ -38,7 +40,8 @@
 }
 
 /// A file of a client account, under `batch/file/<id>`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct FileRecord {
     /// Identifier.
     pub id: String,
@@ -67,7 +70,8 @@
 }
 
 /// Item counts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counts {
     /// Items of the job or segment.
     pub total: u64,
@@ -86,7 +90,8 @@
 }
 
 /// A job, under `batch/job/<id>`. It is written only when its state changes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobRecord {
     /// Identifier.
     pub id: JobId,
@@ -129,7 +134,8 @@
 }
 
 /// State of a segment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SegmentState {
     /// A worker runs it.
@@ -141,7 +147,8 @@
 }
 
 /// A segment, under `batch/segment/<job>/<n>`. It does not exist before its first claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SegmentRecord {
     /// State.
     pub state: SegmentState,
@@ -179,7 +186,8 @@
 }
 
 /// A worker's heartbeat, under `batch/worker/<instance>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkerRecord {
     /// Process incarnation.
     pub incarnation: String,
--- a/crates/sesamewall-bench/src/domain_outage.rs
+++ b/crates/sesamewall-bench/src/domain_outage.rs
@@ -20,7 +20,8 @@
 const ONLINE_RATE: f64 = 36.0;
 
 /// One way to send requests.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Deployment.
     pub deployment: &'static str,
--- a/crates/sesamewall-bench/src/fairness.rs
+++ b/crates/sesamewall-bench/src/fairness.rs
@@ -20,7 +20,8 @@
 const RATE: f64 = 9.0;
 
 /// One order of service.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Deployment.
     pub deployment: &'static str,
--- a/crates/sesamewall-bench/src/online_tail.rs
+++ b/crates/sesamewall-bench/src/online_tail.rs
@@ -24,7 +24,8 @@
 const MAX_LIMIT: u32 = 32;
 
 /// One way to share the targets.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Deployment.
     pub deployment: &'static str,
@@ -53,7 +54,8 @@
 }
 
 /// Parts of the time to first token in microseconds.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Serialize)]
 pub struct Tail {
     /// Messages and queues until the start on the engine.
     pub before_start: u64,
--- a/crates/sesamewall-bench/src/table.rs
+++ b/crates/sesamewall-bench/src/table.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 
 /// Bound that a figure is held to.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Target {
     /// Largest value that meets the target.
@@ -25,7 +26,8 @@
 }
 
 /// Comparison of a figure with its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// The target is met.
@@ -35,7 +37,8 @@
 }
 
 /// One measured figure.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Deployment, or `-`.
     pub deployment: String,
@@ -56,7 +59,8 @@
 }
 
 /// All figures of one run of an experiment.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Table {
     /// Name of the experiment.
     pub name: String,
--- a/crates/sesamewall-bench/src/wrongful_refusals.rs
+++ b/crates/sesamewall-bench/src/wrongful_refusals.rs
@@ -33,7 +33,8 @@
 const END: Time = Time::from_millis(140_000);
 
 /// One measured case.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// Deployment A or B.
     pub deployment: &'static str,
@@ -58,7 +59,8 @@
 }
 
 /// Breaches found over random faults.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Invariants {
     /// Seeds run.
     pub seeds: u64,
--- a/crates/sesamewall-membership/src/lead_types.rs
+++ b/crates/sesamewall-membership/src/lead_types.rs
@@ -52,7 +52,8 @@
 }
 
 /// The value of the store record `lead/<domain>`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeadRecord {
     /// The holder, or the successor after a hand-over.
     pub instance: InstanceName,
--- a/crates/sesamewall-membership/src/log_format.rs
+++ b/crates/sesamewall-membership/src/log_format.rs
@@ -23,7 +23,8 @@
 pub const MAX_VALUE_BYTES: usize = 900_000;
 
 /// Names the newest whole snapshot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotHead {
     /// Revision of the snapshot.
     pub revision: Revision,
@@ -32,7 +33,8 @@
 }
 
 /// First line of a chunk; resources in JSON follow, one a line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChunkHeader {
     /// Revision of the snapshot.
     pub revision: Revision,
--- a/crates/sesamewall-membership/tests/sim.rs
+++ b/crates/sesamewall-membership/tests/sim.rs
@@ -26,7 +26,8 @@
 use crate::fixtures::account;
 
 /// A fault; times are in milliseconds.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
     StoreDown { from: u64, len: u64 },
@@ -38,7 +39,8 @@
 }
 
 /// A run: faults, operators' writes as (node, time), and which mechanisms are in.
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
 #[serde(default)]
 pub struct Plan {
     pub seed: u64,
--- a/crates/sesamewall-ports/src/instances.rs
+++ b/crates/sesamewall-ports/src/instances.rs
@@ -10,7 +10,8 @@
 use crate::PeerAddress;
 
 /// State of an instance in the platform's list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ListedState {
     /// In service.
@@ -20,7 +21,8 @@
 }
 
 /// One entry of the list.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedInstance {
     /// The instance.
     pub name: InstanceName,
--- a/crates/sesamewall-ports/src/peer.rs
+++ b/crates/sesamewall-ports/src/peer.rs
@@ -9,7 +9,8 @@
 use sesamewall_protocol::peer::PeerMessage;
 
 /// Addresses at which peers reach an instance, as `IP:PORT`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerAddress {
     /// Address for peer messages.
     pub peer: String,
--- a/crates/sesamewall-ports/src/store.rs
+++ b/crates/sesamewall-ports/src/store.rs
@@ -24,7 +24,8 @@
 }
 
 /// Failure of a store call.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum StoreError {
     /// The condition of the write did not hold. Nothing was written.
     #[display("the stored version differs from the expected one")]
--- a/crates/sesamewall-ports/src/target.rs
+++ b/crates/sesamewall-ports/src/target.rs
@@ -29,7 +29,8 @@
 }
 
 /// Failure of a request to a target.
-#[derive(Clone, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
 pub enum TargetError {
     /// No byte of the request was sent.
     #[display("not sent: {detail}")]
@@ -66,7 +67,8 @@
 pub const PREFIX_BLOCK_BYTES: usize = 256;
 
 /// A change of a target's prefix cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Number of the event, rising by one at the target; a jump shows a gap.
     pub number: u64,
--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -14,7 +14,8 @@
 /// Everything that can go wrong, by result code. Codes 1000 to 1999 are faults of the request,
 /// 2000 to 2999 of credentials, 3000 to 3999 rates, 4000 to 4999 admission, 5000 to 5999 targets,
 /// 6000 to 6999 batch, 7000 to 7999 resources and settings, 8000 to 8999 store and peers.
-#[derive(Clone, Debug, PartialEq, Display, DeriveError)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Display, DeriveError)]
 pub enum Error {
     /// The body is not valid JSON.
     #[display("the request body is not valid JSON: {detail}")]
--- a/crates/sesamewall-protocol/src/outcome.rs
+++ b/crates/sesamewall-protocol/src/outcome.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Tells a caller whether its request was run by a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// No byte of the request reached a target, or the target said that it did not run it.
--- a/crates/sesamewall-protocol/src/peer/batch.rs
+++ b/crates/sesamewall-protocol/src/peer/batch.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// A message to a holder of bulk data.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum BatchMessage {
     /// Appends bytes at an offset of a blob and syncs them to disk.
     Append {
--- a/crates/sesamewall-protocol/src/peer/idempotency.rs
+++ b/crates/sesamewall-protocol/src/peer/idempotency.rs
@@ -9,7 +9,8 @@
 use crate::RequestId;
 
 /// A message between an instance and the lead that owns an idempotency key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum IdempotencyMessage {
     /// Claims a key before its request runs; answered by `Claimed`.
     Claim(KeyClaim),
@@ -31,7 +32,8 @@
 }
 
 /// Claims an idempotency key.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct KeyClaim {
     /// The client account.
     pub account: AccountName,
@@ -48,7 +50,8 @@
 }
 
 /// The decision about a claim.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum KeyVerdict {
     /// The request holds the key and may run.
     Run,
@@ -67,7 +70,8 @@
 }
 
 /// How a request that held a key ended.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum KeyEnd {
     /// It was not run, or may be repeated; the key is free again.
     Released,
@@ -78,7 +82,8 @@
 }
 
 /// An answer that is given again to a resent request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredAnswer {
     /// HTTP status.
     pub status: u16,
--- a/crates/sesamewall-protocol/src/peer/membership.rs
+++ b/crates/sesamewall-protocol/src/peer/membership.rs
@@ -9,7 +9,8 @@
 
 /// A message between instances about who is live and which configuration is in force. A receiver
 /// may send its answer as the reply on the link or as a message of its own.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum MembershipMessage {
     /// Reports that the sender is live.
     #[serde(rename = "hb")]
@@ -50,7 +51,8 @@
 
 /// Reports that an instance is live. A lead at the planned size exchanges 54 of these a second, so
 /// the fields have short names on the wire.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Revision of the configuration in force.
     #[serde(rename = "r")]
@@ -67,7 +69,8 @@
 }
 
 /// Answers a heartbeat.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeartbeatReply {
     /// Revision of the configuration in force at the receiver.
     #[serde(rename = "r")]
@@ -84,7 +87,8 @@
 }
 
 /// Tells that the sender is the lead of its failure domain.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeadNotice {
     /// Epoch of the lead.
     #[serde(rename = "e")]
@@ -98,7 +102,8 @@
 }
 
 /// Asks for a promise not to claim the lead for the lease time.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PromiseAsk {
     /// Number of the round, rising within the sender's incarnation.
     pub sequence: u64,
@@ -109,7 +114,8 @@
 }
 
 /// Answers a promise ask.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PromiseReply {
     /// Number of the round.
     pub sequence: u64,
@@ -120,7 +126,8 @@
 }
 
 /// Describes a failure domain to the leads of the others.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct DomainDigest {
     /// The failure domain.
     pub domain: DomainName,
--- a/crates/sesamewall-protocol/src/peer/mod.rs
+++ b/crates/sesamewall-protocol/src/peer/mod.rs
@@ -18,7 +18,8 @@
 use serde::Serialize;
 
 /// A message or reply on the peer link.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Rate grants.
     Rate(RateMessage),
--- a/crates/sesamewall-protocol/src/peer/rate.rs
+++ b/crates/sesamewall-protocol/src/peer/rate.rs
@@ -9,7 +9,8 @@
 /// A message between a holder of tokens and a domain lead. Token counts are in thousandths of a
 /// request. All counters are cumulative within one session, so a doubled or reordered message
 /// changes nothing.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum RateMessage {
     /// Asks for tokens.
     Ask(RateAsk),
@@ -28,7 +29,8 @@
 }
 
 /// Asks a lead for tokens of one account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RateAsk {
     /// The account and class key, for example `acme` or `acme#batch`.
     pub account: AccountName,
@@ -51,7 +53,8 @@
 }
 
 /// States how much of a session's grants was spent at a point in the past.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SpentTotal {
     /// Microseconds between that point and the sending of the ask.
     pub age_us: u64,
@@ -60,7 +63,8 @@
 }
 
 /// Says why a lead granted nothing at all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RateDenial {
     /// The instance is not the lead now, or waits for the grants of its predecessor to end.
     NotReady,
@@ -71,7 +75,8 @@
 }
 
 /// Answers an ask.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RateGrant {
     /// The account and class key.
     pub account: AccountName,
--- a/crates/sesamewall-protocol/src/peer/record.rs
+++ b/crates/sesamewall-protocol/src/peer/record.rs
@@ -9,7 +9,8 @@
 use crate::Revision;
 
 /// A message to an instance that keeps decision records.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum RecordMessage {
     /// Stores records.
     Put {
@@ -43,7 +44,8 @@
 }
 
 /// An operator's question to one instance, passed on by another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum OperatorMessage {
     /// Asks for the revision in force.
     AskRevision,
--- a/crates/sesamewall-protocol/src/peer/schedule.rs
+++ b/crates/sesamewall-protocol/src/peer/schedule.rs
@@ -10,7 +10,8 @@
 use crate::TargetName;
 
 /// A message between an instance and the lead that owns admission to its targets.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum ScheduleMessage {
     /// Asks for a slot; answered by `Slot`, `Denied` or, when it must wait, later.
     Ask(SlotAsk),
@@ -52,7 +53,8 @@
 }
 
 /// Asks for a slot on a target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotAsk {
     /// The request.
     pub request: RequestId,
@@ -84,7 +86,8 @@
 }
 
 /// A right to send one request to one target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Slot {
     /// Number of the slot, unique within the epoch.
     pub slot: u64,
@@ -111,7 +114,8 @@
 }
 
 /// Reports how a request ended.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct SlotDone {
     /// The slot.
     pub slot: u64,
@@ -128,7 +132,8 @@
 }
 
 /// How a request on a target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum SlotEnd {
     /// Whole answer.
     Whole,
@@ -149,7 +154,8 @@
 }
 
 /// A slot that an instance holds, as it reports it to a lead.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct HeldSlot {
     /// The slot.
     pub slot: u64,
@@ -174,7 +180,8 @@
 }
 
 /// Changes of a target's prefix cache. Hints arrive late and can be missing.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheHint {
     /// The target.
     pub target: TargetName,
@@ -187,7 +194,8 @@
 }
 
 /// Tells that a request was running at a target's crash.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashMark {
     /// The client account.
     pub account: AccountName,
--- a/crates/sesamewall-protocol/src/record.rs
+++ b/crates/sesamewall-protocol/src/record.rs
@@ -9,7 +9,8 @@
 use crate::RequestId;
 
 /// One step on the path of a request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Decision {
     /// The request was accepted at this instance.
@@ -95,7 +96,8 @@
 }
 
 /// A decision with its place and time.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct DecisionRecord {
     /// Wall time in milliseconds since the Unix epoch, for people only.
     pub at_ms: u64,
--- a/crates/sesamewall-protocol/src/resource.rs
+++ b/crates/sesamewall-protocol/src/resource.rs
@@ -14,7 +14,8 @@
 pub type Revision = u64;
 
 /// A rate and burst.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RateLimit {
     /// Requests a second.
@@ -24,7 +25,8 @@
 }
 
 /// A client account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Account {
     /// The account's name.
@@ -40,7 +42,8 @@
 }
 
 /// A caller's key. Only the hash of the secret is kept.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Key {
     /// Public identifier of the key.
@@ -52,7 +55,8 @@
 }
 
 /// A route to a plain HTTP service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The route's name.
@@ -77,7 +81,8 @@
 }
 
 /// What kind of back end a target group holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetKind {
     /// Model engines.
@@ -87,7 +92,8 @@
 }
 
 /// One target in a group.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetSpec {
     /// The target's name.
@@ -105,7 +111,8 @@
 }
 
 /// Targets that serve the same models.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TargetGroup {
     /// The group's name.
@@ -127,7 +134,8 @@
 }
 
 /// How the lead of each failure domain places the group's models on its targets there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PlacementSpec {
     /// Models that one target can hold at a time.
@@ -146,7 +154,8 @@
 }
 
 /// Whether a failure domain gets work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DomainMode {
     /// The failure domain gets work.
@@ -156,7 +165,8 @@
 }
 
 /// State of a failure domain as operators want it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FailureDomain {
     /// The failure domain.
@@ -166,7 +176,8 @@
 }
 
 /// A resource.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum Resource {
     /// A client account with its rate.
@@ -182,19 +193,8 @@
 }
 
 /// Kind of a resource.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    derive_more::Display,
-    Serialize,
-    Deserialize,
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(derive_more::Display, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ResourceKind {
     /// A client account.
@@ -239,7 +239,8 @@
 }
 
 /// One step of a change.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Operation {
     /// Creates or replaces a resource.
@@ -254,7 +255,8 @@
 }
 
 /// An accepted configuration change. All operations of a change take effect together.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// Number of this change; it follows the change with the number one less.
     pub revision: Revision,
--- a/crates/sesamewall-protocol/src/time.rs
+++ b/crates/sesamewall-protocol/src/time.rs
@@ -8,9 +8,8 @@
 use serde::Serialize;
 
 /// Microseconds on the monotonic clock of one process. Values of two processes are not comparable.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Time(u64);
 
--- a/crates/sesamewall-rate/src/floor.rs
+++ b/crates/sesamewall-rate/src/floor.rs
@@ -34,7 +34,8 @@
 }
 
 /// The store record `floor/<domain>`.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FloorRecord {
     /// Epoch of the backup lead that claims the upper part of the floor.
     pub claimant: Option<u64>,
--- a/crates/sesamewall-rate/src/limits.rs
+++ b/crates/sesamewall-rate/src/limits.rs
@@ -25,7 +25,8 @@
 }
 
 /// Rate and burst of one account key with the configuration revision that set them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Limits {
     /// Millionths of a request a second.
     pub rate: u64,
--- a/crates/sesamewall-server/src/operator/jobs.rs
+++ b/crates/sesamewall-server/src/operator/jobs.rs
@@ -20,7 +20,8 @@
 const LIST_LIMIT: usize = 1_000;
 
 /// One batch job as operators see it.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct JobView {
     /// The job.
     pub id: JobId,
--- a/crates/sesamewall-server/src/settings.rs
+++ b/crates/sesamewall-server/src/settings.rs
@@ -8,7 +8,8 @@
 use sesamewall_rate::GRANT_WAIT;
 
 /// Settings of one instance.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Settings {
     /// Name of the instance, unique in the fleet.
--- a/crates/sesamewall-standin/src/engine/batch.rs
+++ b/crates/sesamewall-standin/src/engine/batch.rs
@@ -14,7 +14,8 @@
 const REPORT_LAG: Duration = Duration::from_secs(1);
 
 /// Counts of an engine since its process started.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct EngineCounts {
     /// Requests taken.
     pub taken: u64,
--- a/crates/sesamewall-standin/src/engine/faults.rs
+++ b/crates/sesamewall-standin/src/engine/faults.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Faults of an engine, set while it runs. A field that is left out is off.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// A request whose body contains this text crashes the engine once it runs.
--- a/crates/sesamewall-standin/src/platform.rs
+++ b/crates/sesamewall-standin/src/platform.rs
@@ -90,7 +90,8 @@
 }
 
 /// Faults of the platform that can be set while it runs.
-#[derive(Debug, Default, Serialize, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct PlatformFaults {
     outage: Option<bool>,
--- a/crates/sesamewall-standin/src/service.rs
+++ b/crates/sesamewall-standin/src/service.rs
@@ -34,7 +34,8 @@
 }
 
 /// Faults of a plain service.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 struct ServiceFaults {
     /// Ends the connection after the call took effect and before the answer, this many times.
