--- a/crates/sesamewall-membership/tests/main.rs
+++ b/crates/sesamewall-membership/tests/main.rs
@@ -9,4 +9,6 @@
 mod fixtures;
 mod lead;
 mod sim;
+mod sim_names;
+mod sim_plan;
 mod store_budget;
--- a/crates/sesamewall-membership/tests/sim.rs
+++ b/crates/sesamewall-membership/tests/sim.rs
@@ -2,7 +2,6 @@
 //! process faults, and reports breaches.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::Rng;
@@ -13,88 +12,26 @@
 use sesamewall_membership::log_format::decode_change;
 use sesamewall_membership::*;
 use sesamewall_ports::Expect;
-use sesamewall_ports::ListedInstance;
-use sesamewall_ports::ListedState;
-use sesamewall_ports::PeerAddress;
 use sesamewall_ports::StoreError;
-use sesamewall_protocol::DomainName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
 use sesamewall_protocol::peer::MembershipMessage;
 
 use crate::fixtures::account;
-
-/// A fault; times are in milliseconds.
-#[derive(Clone, Debug)]
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Fault {
-    StoreDown { from: u64, len: u64 },
-    Partition { domain: usize, peers: bool, store: bool, from: u64, len: u64 },
-    Pause { node: usize, from: u64, len: u64 },
-    Crash { node: usize, from: u64, len: u64 },
-    ShutDown { node: usize, from: u64, len: u64 },
-    NoStore { node: usize, from: u64, len: u64 },
-}
-
-/// A run: faults, operators' writes as (node, time), and which mechanisms are in.
-#[derive(Clone, Debug)]
-#[derive(serde::Deserialize)]
-#[serde(default)]
-pub struct Plan {
-    pub seed: u64,
-    pub faults: Vec<Fault>,
-    pub writes: Vec<(usize, u64)>,
-    pub loss: f64,
-    pub end: u64,
-    pub wait: bool,
-    pub expire: bool,
-    pub in_order: bool,
-    pub read_back: bool,
-    /// Checks the 6 s of an accepted revision during faults too.
-    pub strict: bool,
-    /// Asks for missing revisions that a heartbeat or digest shows.
-    pub ask: bool,
-    pub margin_ms: u64,
-}
-
-impl Default for Plan {
-    fn default() -> Self {
-        Self {
-            seed: 1,
-            faults: Vec::new(),
-            writes: Vec::new(),
-            loss: 0.05,
-            end: 25_000,
-            wait: true,
-            expire: true,
-            in_order: true,
-            read_back: true,
-            strict: false,
-            ask: true,
-            margin_ms: 500,
-        }
-    }
-}
-
-/// What a run showed.
-#[derive(Debug, Default)]
-pub struct Outcome {
-    pub breaches: BTreeSet<String>,
-    pub revision: u64,
-    pub accepted: usize,
-    pub conflicts: usize,
-    pub leads: BTreeMap<usize, BTreeSet<(u64, usize)>>,
-    /// Longest time without a valid lead after the first one, in milliseconds.
-    pub leadless: BTreeMap<usize, u64>,
-}
+use crate::sim_names::OwnedReport;
+use crate::sim_names::domain;
+use crate::sim_names::domain_name;
+use crate::sim_names::index;
+pub use crate::sim_names::listed;
+use crate::sim_names::node_name;
+pub use crate::sim_plan::Fault;
+pub use crate::sim_plan::Outcome;
+pub use crate::sim_plan::Plan;
+pub use crate::sim_plan::RECOVERY_MS;
 
 pub const DOMAINS: usize = 2;
 pub const NODES: usize = 6;
-/// Time after the last fault by which a lead must exist: a read (1.5 s until suspicion, 0.5 s to the
-/// next retry), the wait of 2.5 s, the rank delay of up to 0.5 s and one lost call of 1 s, rounded up.
-pub const RECOVERY_MS: u64 = 7_000;
 const PROPAGATION_MS: u64 = 6_000;
 const QUIET_MS: u64 = 16_000;
 
@@ -155,28 +92,6 @@
     outcome: Outcome,
 }
 
-fn domain(node: usize) -> usize {
-    node / (NODES / DOMAINS)
-}
-
-fn domain_name(domain: usize) -> DomainName {
-    DomainName::from(format!("d{domain}"))
-}
-
-fn node_name(node: usize) -> InstanceName {
-    InstanceName::from(format!("i{node}"))
-}
-
-fn index(name: &InstanceName) -> usize {
-    name.as_str()[1..].parse().unwrap()
-}
-
-pub fn listed(node: usize) -> ListedInstance {
-    let address = PeerAddress { peer: "127.0.0.1:1".into(), forward: "127.0.0.1:2".into() };
-    let (name, domain) = (node_name(node), domain_name(domain(node)));
-    ListedInstance { name, domain, address, bulk: false, state: ListedState::Live }
-}
-
 impl Sim {
     pub fn run(plan: Plan) -> Outcome {
         let rng = ChaCha8Rng::seed_from_u64(plan.seed);
@@ -682,20 +597,3 @@
         self.outcome
     }
 }
-
-struct OwnedReport {
-    lead: Option<InstanceName>,
-    notice: Option<sesamewall_protocol::peer::LeadNotice>,
-    revision: u64,
-}
-
-impl OwnedReport {
-    fn borrow(&self) -> Report<'_> {
-        Report {
-            lead: self.lead.as_ref(),
-            notice: self.notice.clone(),
-            revision: self.revision,
-            suspects: Vec::new(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/sesamewall-membership/tests/sim_plan.rs
@@ -0,0 +1,73 @@
+//! What a simulated run is given and what it shows.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// Time after the last fault by which a lead must exist: a read (1.5 s until suspicion, 0.5 s to the
+/// next retry), the wait of 2.5 s, the rank delay of up to 0.5 s and one lost call of 1 s, rounded up.
+pub const RECOVERY_MS: u64 = 7_000;
+
+/// A fault; times are in milliseconds.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    StoreDown { from: u64, len: u64 },
+    Partition { domain: usize, peers: bool, store: bool, from: u64, len: u64 },
+    Pause { node: usize, from: u64, len: u64 },
+    Crash { node: usize, from: u64, len: u64 },
+    ShutDown { node: usize, from: u64, len: u64 },
+    NoStore { node: usize, from: u64, len: u64 },
+}
+
+/// A run: faults, operators' writes as (node, time), and which mechanisms are in.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
+#[serde(default)]
+pub struct Plan {
+    pub seed: u64,
+    pub faults: Vec<Fault>,
+    pub writes: Vec<(usize, u64)>,
+    pub loss: f64,
+    pub end: u64,
+    pub wait: bool,
+    pub expire: bool,
+    pub in_order: bool,
+    pub read_back: bool,
+    /// Checks the 6 s of an accepted revision during faults too.
+    pub strict: bool,
+    /// Asks for missing revisions that a heartbeat or digest shows.
+    pub ask: bool,
+    pub margin_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            faults: Vec::new(),
+            writes: Vec::new(),
+            loss: 0.05,
+            end: 25_000,
+            wait: true,
+            expire: true,
+            in_order: true,
+            read_back: true,
+            strict: false,
+            ask: true,
+            margin_ms: 500,
+        }
+    }
+}
+
+/// What a run showed.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub breaches: BTreeSet<String>,
+    pub revision: u64,
+    pub accepted: usize,
+    pub conflicts: usize,
+    pub leads: BTreeMap<usize, BTreeSet<(u64, usize)>>,
+    /// Longest time without a valid lead after the first one, in milliseconds.
+    pub leadless: BTreeMap<usize, u64>,
+}
