Say why an item has no path of its own

Cause: explain answered that a batch item does not exist, although only some items of a segment keep their path. Change: the message says which items keep one.

--- a/crates/sesamewall-server/src/operator/records.rs
+++ b/crates/sesamewall-server/src/operator/records.rs
@@ -52,7 +52,7 @@
     let query = RecordQuery::Path { request: RequestId::from(id.as_str()) };
     let answer = service.records.query(&query).await;
     match (answer.records.is_empty(), answer.unreachable.first()) {
-        (true, None) => Err(Error::NotFound { kind: "request".to_owned(), id }.into()),
+        (true, None) => Err(Error::NotFound { kind: missing(&id).to_owned(), id }.into()),
         (true, Some(instance)) => Err(Error::PeerUnavailable {
             instance: instance.to_string(),
             detail: format!("it may hold the records of `{id}`; no other instance has any"),
@@ -89,3 +89,14 @@
     });
     end.unwrap_or_else(|| "no end is recorded: still running, or lost with its instance".to_owned())
 }
+
+/// Says what was not found. Only some items of a segment have a path of their own, so the item itself
+/// may well exist.
+fn missing(id: &str) -> &'static str {
+    match id.starts_with("batch_req_") {
+        true => {
+            "a path of its own (kept for the first item of a segment and for failures) for item"
+        }
+        false => "request",
+    }
+}
