--- a/crates/sesamewall-adapters/src/lib.rs
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod data_folder;
 mod generated;
-mod http_client;
+pub mod http_client;
 mod http_control;
 mod http_instances;
 mod http_store;
--- /dev/null
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -0,0 +1,298 @@
+//! One attempt of a request at one target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use sesamewall_fleet::Chosen;
+use sesamewall_platform::EXPECT_TARGET;
+use sesamewall_platform::NOT_RUN;
+use sesamewall_platform::REQUEST_ID;
+use sesamewall_platform::SEAL;
+use sesamewall_protocol::TargetName;
+
+use crate::Node;
+use crate::target_pool::Link;
+
+/// Connections that have been idle for longer are not used for requests that may run only once: the
+/// target may be closing them.
+const SURE_IDLE: Duration = Duration::from_millis(500);
+
+/// Longest idle time of a kept connection for other requests.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
+/// How an attempt failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum AttemptError {
+    /// There was no connection; nothing was sent.
+    #[display("not sent: {_0}")]
+    NotSent(String),
+    /// The target said that it did not run the request.
+    #[display("not run, status {_0}")]
+    NotRun(u16),
+    /// Another target has the address.
+    #[display("another target has the address")]
+    Misdirected,
+    /// The answer belongs to another request.
+    #[display("the answer belongs to another request")]
+    Mismatch,
+    /// The connection ended before the answer was whole.
+    #[display("connection lost: {_0}")]
+    Lost(String),
+    /// No answer in time.
+    #[display("silent for {} ms", _0.as_millis())]
+    Silent(Duration),
+}
+
+impl AttemptError {
+    /// Tells whether the target surely did not run the request.
+    pub fn not_run(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::NotRun(_) | Self::Misdirected)
+    }
+
+    /// Returns a short name for counters.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not-sent",
+            Self::NotRun(_) => "not-run",
+            Self::Misdirected => "misdirected",
+            Self::Mismatch => "mismatch",
+            Self::Lost(_) => "lost",
+            Self::Silent(_) => "silent",
+        }
+    }
+}
+
+/// What is sent to a target.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// The request may run more than once.
+    pub repeatable: bool,
+    /// It is a batch item.
+    pub batch: bool,
+}
+
+/// Counts a request at a target until it is dropped.
+pub struct Held {
+    node: Arc<Node>,
+    key: u32,
+    batch: bool,
+}
+
+impl Held {
+    /// Counts a request that is about to be sent.
+    pub fn new(node: &Arc<Node>, key: u32, batch: bool) -> Self {
+        let now = node.now();
+        node.state().peers.start(key, batch, now);
+        node.changed.notify_one();
+        Self { node: node.clone(), key, batch }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.node.state().peers.end(self.key, self.batch);
+        self.node.changed.notify_one();
+        if self.batch {
+            self.node.heard.notify_one();
+        }
+    }
+}
+
+/// An answer of a target whose body is being read.
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The target.
+    pub target: TargetName,
+    body: Incoming,
+    link: Option<Link>,
+    _held: Held,
+}
+
+impl Answer {
+    /// Returns the next piece of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Lost` if the connection ends before the body does, `Silent` after `limit`.
+    pub async fn piece(&mut self, limit: Duration) -> Result<Option<Bytes>, AttemptError> {
+        loop {
+            let frame = tokio::time::timeout(limit, self.body.frame())
+                .await
+                .map_err(|_| AttemptError::Silent(limit))?;
+            match frame {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(AttemptError::Lost(chain(&error))),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) if data.is_empty() => {}
+                    Ok(data) => return Ok(Some(data)),
+                    Err(_trailers) => {}
+                },
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// As for `piece`.
+    pub async fn collect(&mut self, limit: Duration) -> Result<Bytes, AttemptError> {
+        let mut all = Vec::new();
+        while let Some(piece) = self.piece(limit).await? {
+            all.extend_from_slice(&piece);
+        }
+        Ok(all.into())
+    }
+
+    /// Ends the exchange after the whole body was read, and keeps the connection.
+    pub fn finish(mut self, node: &Node) {
+        node.state().targets.on_success(&self.target);
+        let closing = self
+            .headers
+            .get(http::header::CONNECTION)
+            .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        if let Some(link) = self.link.take()
+            && !closing
+        {
+            node.pool.put(link, keep_alive(&self.headers));
+        }
+    }
+}
+
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+pub(crate) fn chain(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
+
+/// Sends a request and returns the head of its answer.
+///
+/// # Errors
+///
+/// Returns how the attempt failed. After `Lost`, `Silent` and `Mismatch` the target may have run it.
+pub async fn attempt(
+    node: &Arc<Node>,
+    chosen: &Chosen,
+    outgoing: &Outgoing,
+    limit: Duration,
+) -> Result<Answer, AttemptError> {
+    let held = Held::new(node, chosen.key, outgoing.batch);
+    attempt_held(node, chosen, outgoing, limit, held).await
+}
+
+/// Sends a request that is already counted at its target.
+///
+/// # Errors
+///
+/// As for `attempt`.
+pub async fn attempt_held(
+    node: &Arc<Node>,
+    chosen: &Chosen,
+    outgoing: &Outgoing,
+    limit: Duration,
+    held: Held,
+) -> Result<Answer, AttemptError> {
+    let result = exchange(node, chosen, outgoing, limit, held).await;
+    let label = result.as_ref().map_or_else(AttemptError::label, |_| "answered");
+    node.metrics.attempts.with_label_values(&[label]).inc();
+    if let Err(error) = &result {
+        let now = node.now();
+        let mut state = node.state();
+        match error {
+            AttemptError::NotRun(_) => {
+                state.targets.on_refusal(&chosen.name, REFUSAL_PAUSE, now);
+            }
+            AttemptError::Misdirected => state.targets.on_misdirected(&chosen.name),
+            AttemptError::Mismatch => {}
+            _ => state.targets.on_failure(&chosen.name, now),
+        }
+    }
+    result
+}
+
+/// Time for which a target that refused a request gets no other one: about the time in which one of
+/// its slots gets free.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+
+async fn exchange(
+    node: &Arc<Node>,
+    chosen: &Chosen,
+    outgoing: &Outgoing,
+    limit: Duration,
+    held: Held,
+) -> Result<Answer, AttemptError> {
+    let max_idle = if outgoing.repeatable { MAX_IDLE } else { SURE_IDLE };
+    let mut link = match node.pool.take(chosen.address, max_idle) {
+        Some(link) => link,
+        None => {
+            node.metrics.connections.inc();
+            node.pool.open(chosen.address).await.map_err(AttemptError::NotSent)?
+        }
+    };
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.uri.clone();
+    *request.headers_mut() = outgoing.headers.clone();
+    let expected = HeaderValue::from_str(chosen.name.as_str())
+        .map_err(|_| AttemptError::NotSent("the target's name is no header value".to_owned()))?;
+    request.headers_mut().insert(EXPECT_TARGET, expected);
+    let sent = tokio::time::timeout(limit, link.sender().send_request(request)).await;
+    let response = match sent {
+        Err(_) => return Err(AttemptError::Silent(limit)),
+        // Hyper reports a request as cancelled only if it has not written any of it.
+        Ok(Err(error)) if error.is_canceled() => return Err(AttemptError::NotSent(chain(&error))),
+        Ok(Err(error)) => return Err(AttemptError::Lost(chain(&error))),
+        Ok(Ok(response)) => response,
+    };
+    let (head, body) = response.into_parts();
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptError::Misdirected);
+    }
+    let same = head.headers.get(REQUEST_ID) == outgoing.headers.get(REQUEST_ID);
+    if head.headers.contains_key(NOT_RUN) && (same || !head.headers.contains_key(REQUEST_ID)) {
+        return Err(AttemptError::NotRun(head.status.as_u16()));
+    }
+    if !same || (head.status.is_success() && !head.headers.contains_key(SEAL)) {
+        return Err(AttemptError::Mismatch);
+    }
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        target: chosen.name.clone(),
+        body,
+        link: Some(link),
+        _held: held,
+    })
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/call.rs
@@ -0,0 +1,201 @@
+//! A caller's request, read and checked, with all that its attempts need.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Uri;
+use http::header;
+use sesamewall_fleet::AccountSpec;
+use sesamewall_fleet::Ask;
+use sesamewall_fleet::Catalog;
+use sesamewall_fleet::Chosen;
+use sesamewall_fleet::NoPlace;
+use sesamewall_fleet::PlaceSettings;
+use sesamewall_fleet::RouteKind;
+use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::place;
+use sesamewall_platform::ACCOUNT;
+use sesamewall_platform::DEADLINE_MS;
+use sesamewall_platform::EXPECT_TARGET;
+use sesamewall_platform::LAST_EVENT_ID;
+use sesamewall_platform::REQUEST_ID;
+use sesamewall_platform::prompt_prefix;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Node;
+use crate::attempt::Outgoing;
+use crate::reply::strip_connection_headers;
+
+/// Time that a target gets less than is left, for the way of its answer.
+const RETURN_TIME: Duration = Duration::from_millis(10);
+
+/// A request with its route and account.
+pub struct Call {
+    /// The caller's identifier of this attempt.
+    pub id: HeaderValue,
+    /// The route.
+    pub route: Arc<RouteSpec>,
+    /// The account; `None` on public routes.
+    pub account: Option<Arc<AccountSpec>>,
+    /// Version of the configuration that route and account come from.
+    pub version: u64,
+    /// The service chosen for it.
+    pub service: Arc<str>,
+    /// Arrival of the request's head.
+    pub arrived: Time,
+    /// Time by which the answer has to end.
+    pub deadline: Time,
+    /// Hash by which a resent request is recognised.
+    pub hash: u64,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    prefix: Option<u64>,
+    regions: Option<HashSet<Arc<str>>>,
+}
+
+impl Call {
+    /// Builds a call. `headers` are the caller's.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        route: Arc<RouteSpec>,
+        account: Option<Arc<AccountSpec>>,
+        version: u64,
+        method: Method,
+        uri: Uri,
+        mut headers: HeaderMap,
+        body: Bytes,
+        arrived: Time,
+        draw: u64,
+    ) -> Option<Self> {
+        let service = route.service(draw)?.clone();
+        let id = headers.get(REQUEST_ID).cloned().unwrap_or(HeaderValue::from_static(""));
+        let given = headers
+            .get(DEADLINE_MS)
+            .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
+            .map(|millis| Duration::from_secs_f64(millis.clamp(0.0, 86_400_000.0) / 1000.0));
+        let patience = match (given, route.timeout.is_zero()) {
+            (Some(given), true) => given,
+            (Some(given), false) => given.min(route.timeout),
+            (None, true) => DEFAULT_TIMEOUT,
+            (None, false) => route.timeout,
+        };
+        strip_connection_headers(&mut headers);
+        for name in [header::AUTHORIZATION, header::CONTENT_LENGTH, header::EXPECT] {
+            headers.remove(name);
+        }
+        headers.remove(EXPECT_TARGET);
+        headers.remove(ACCOUNT);
+        if let Some(account) = &account {
+            headers.insert(ACCOUNT, HeaderValue::from_str(account.name.as_str()).ok()?);
+        }
+        let mut hash = Xxh3::new();
+        hash.update(uri.path().as_bytes());
+        hash.update(account.as_ref().map_or("", |account| account.name.as_str()).as_bytes());
+        hash.update(&body);
+        let prefix = prompt_prefix(&headers).map(|parts| xxh3_64(parts.as_bytes()));
+        let regions = Catalog::regions(&route, account.as_deref());
+        Some(Self {
+            id,
+            service,
+            version,
+            arrived,
+            deadline: arrived + patience,
+            hash: hash.digest(),
+            method,
+            uri,
+            headers,
+            body,
+            prefix,
+            regions,
+            route,
+            account,
+        })
+    }
+
+    /// Tells whether the answer is a stream that may go on elsewhere.
+    pub fn resumable(&self) -> bool {
+        self.route.kind == RouteKind::Stream { resumable: true }
+    }
+
+    /// Tells whether the answer is a stream.
+    pub fn is_stream(&self) -> bool {
+        matches!(self.route.kind, RouteKind::Stream { .. })
+    }
+
+    /// Returns the id after which the caller asked the stream to go on.
+    pub fn asked_after(&self) -> Option<u64> {
+        self.headers.get(LAST_EVENT_ID)?.to_str().ok()?.trim().parse().ok()
+    }
+
+    /// Returns the identifier as text.
+    pub fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("?")
+    }
+
+    /// Returns what the next attempt sends. `after` is the last event that was passed on.
+    pub fn outgoing(&self, after: Option<u64>, now: Time) -> Outgoing {
+        let mut headers = self.headers.clone();
+        let left = self.deadline.since(now).saturating_sub(RETURN_TIME);
+        headers.insert(DEADLINE_MS, HeaderValue::from(left.as_millis() as u64));
+        if let Some(after) = after {
+            headers.insert(LAST_EVENT_ID, HeaderValue::from(after));
+        }
+        Outgoing {
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers,
+            body: self.body.clone(),
+            repeatable: self.route.kind.may_repeat(),
+            batch: false,
+        }
+    }
+
+    /// Chooses a target that is not in `tried`.
+    pub fn choose(&self, node: &Node, tried: &[TargetName]) -> Result<Chosen, NoPlace> {
+        let ask = Ask {
+            service: &self.service,
+            regions: self.regions.as_ref(),
+            domain: &node.machine.domain,
+            prefix: self.prefix,
+            exclude: tried,
+            leave_free: None,
+        };
+        choose(node, &ask)
+    }
+}
+
+/// Time limit of requests without any. It is the platform's usual timeout of batch items.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Chooses a target from what the instance knows now.
+pub fn choose(node: &Node, ask: &Ask<'_>) -> Result<Chosen, NoPlace> {
+    let now = node.now();
+    let state = node.state();
+    let catalog = state.catalog.as_deref();
+    // Starts count up to the rate itself; the platform's factor on it is left for counts under way.
+    let rate = catalog.and_then(|catalog| catalog.service(ask.service));
+    let rate = rate.map_or(0.0, |service| service.cold_rate);
+    let part = state.fleet_part(now);
+    let settings = PlaceSettings::default();
+    place(
+        &settings,
+        ask,
+        &state.targets,
+        &state.peers,
+        &node.machine.regions,
+        rate,
+        part,
+        now,
+        rand::random(),
+    )
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/item_call.rs
@@ -0,0 +1,165 @@
+//! One attempt of a batch item at a target.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use sesamewall_fleet::Catalog;
+use sesamewall_fleet::Chosen;
+use sesamewall_fleet::EventSplitter;
+use sesamewall_fleet::ItemEnd;
+use sesamewall_fleet::ItemProgress;
+use sesamewall_fleet::ItemSpec;
+use sesamewall_fleet::JobSpec;
+use sesamewall_fleet::RouteSpec;
+use sesamewall_platform::ACCOUNT;
+use sesamewall_platform::LAST_EVENT_ID;
+use sesamewall_platform::REQUEST_ID;
+use sesamewall_platform::prompt_prefix;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Node;
+use crate::attempt::Held;
+use crate::attempt::Outgoing;
+use crate::attempt::attempt_held;
+
+/// Longest silence of a target before the first event and between events of an item.
+const SILENCE: Duration = Duration::from_millis(2000);
+
+/// An item with its route in the present configuration.
+pub struct ItemCall {
+    item: Arc<ItemSpec>,
+    route: Arc<RouteSpec>,
+    service: Arc<str>,
+    regions: Option<HashSet<Arc<str>>>,
+    prefix: Option<u64>,
+    headers: HeaderMap,
+    uri: Uri,
+}
+
+impl ItemCall {
+    /// Looks up the item's route. Returns `None` if the route is gone or the item is no request.
+    pub fn new(catalog: &Catalog, job: &JobSpec, item: Arc<ItemSpec>) -> Option<Self> {
+        let uri: Uri = item.path.parse().ok()?;
+        let route = catalog.route(&job.host, uri.path())?.clone();
+        let service = route.service(xxh3_64(item.id.as_str().as_bytes()))?.clone();
+        let account = job.account.as_ref().and_then(|name| catalog.account(name));
+        let regions = Catalog::regions(&route, account.map(|account| &**account));
+        let mut headers = HeaderMap::new();
+        for (name, value) in &item.headers {
+            let (Ok(name), Ok(value)) =
+                (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_str(value))
+            else {
+                continue;
+            };
+            headers.append(name, value);
+        }
+        headers.insert(header::HOST, HeaderValue::from_str(&job.host).ok()?);
+        headers.insert(REQUEST_ID, HeaderValue::from_str(item.id.as_str()).ok()?);
+        if let Some(name) = &job.account {
+            headers.insert(ACCOUNT, HeaderValue::from_str(name.as_str()).ok()?);
+        }
+        let prefix = prompt_prefix(&headers).map(|parts| xxh3_64(parts.as_bytes()));
+        Some(Self { item, route, service, regions, prefix, headers, uri })
+    }
+
+    /// Returns the item.
+    pub fn item(&self) -> &ItemSpec {
+        &self.item
+    }
+
+    /// Returns the item for another attempt.
+    pub fn into_item(self) -> Arc<ItemSpec> {
+        self.item
+    }
+
+    /// Returns the service.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// Returns the regions in which the item may run.
+    pub fn regions(&self) -> Option<&HashSet<Arc<str>>> {
+        self.regions.as_ref()
+    }
+
+    /// Returns the hash of the shared parts of the prompt.
+    pub fn prefix(&self) -> Option<u64> {
+        self.prefix
+    }
+
+    /// Returns the failed runs after which the item is given up.
+    pub fn attempts(&self) -> u32 {
+        self.route.attempts
+    }
+
+    /// Runs the item and collects its events.
+    pub async fn run(
+        &self,
+        node: &Arc<Node>,
+        chosen: &Chosen,
+        progress: &mut ItemProgress,
+        held: Held,
+    ) -> ItemEnd {
+        let mut headers = self.headers.clone();
+        if let Some(after) = progress.resume_after() {
+            headers.insert(LAST_EVENT_ID, HeaderValue::from(after));
+        }
+        let outgoing = Outgoing {
+            method: Method::POST,
+            uri: self.uri.clone(),
+            headers,
+            body: Bytes::from(self.item.body.clone()),
+            repeatable: true,
+            batch: true,
+        };
+        let mut answer = match attempt_held(node, chosen, &outgoing, SILENCE, held).await {
+            Ok(answer) => answer,
+            Err(error) if error.not_run() => return ItemEnd::NotRun,
+            Err(_) => return ItemEnd::Broken,
+        };
+        match answer.status {
+            StatusCode::OK => {}
+            StatusCode::UNPROCESSABLE_ENTITY => return ItemEnd::Impossible,
+            _ => {
+                if answer.collect(SILENCE).await.is_ok() {
+                    answer.finish(node);
+                }
+                return ItemEnd::Failed;
+            }
+        }
+        let mut splitter = EventSplitter::default();
+        loop {
+            match answer.piece(SILENCE).await {
+                Ok(Some(piece)) => {
+                    if splitter.push(&piece).is_err() {
+                        return ItemEnd::Broken;
+                    }
+                    while let Some(event) = splitter.next_event() {
+                        if !progress.on_event(&event) {
+                            return ItemEnd::Broken;
+                        }
+                    }
+                }
+                Ok(None) if splitter.has_rest() => return ItemEnd::Broken,
+                Ok(None) => {
+                    answer.finish(node);
+                    return ItemEnd::Whole;
+                }
+                Err(_) => {
+                    let now = node.now();
+                    node.state().targets.on_failure(&chosen.name, now);
+                    return ItemEnd::Broken;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -0,0 +1,26 @@
+//! An instance on the users' platform: sockets, timers and logs around the decisions of
+//! `sesamewall-fleet`.
+
+mod attempt;
+mod beacons;
+mod call;
+mod item_call;
+mod job_api;
+mod job_keys;
+mod job_store;
+mod lease;
+mod logs;
+mod metrics;
+mod node;
+mod online;
+mod relay;
+mod reply;
+mod run;
+mod sync;
+mod target_pool;
+mod worker;
+
+pub use metrics::Metrics;
+pub use node::Node;
+pub use node::State;
+pub use run::run;
--- /dev/null
+++ b/crates/sesamewall-edge/src/logs.rs
@@ -0,0 +1,23 @@
+//! The log of a process: JSON lines on standard output, bounded and never blocking.
+
+use sesamewall_platform::Machine;
+use slog::Drain;
+use slog::Logger;
+use slog::o;
+
+/// Lines that wait for the writer. Further ones are dropped, and their number is logged.
+const QUEUED_LINES: usize = 1024;
+
+/// Returns the log of the process on `machine`.
+pub fn logger(machine: &Machine) -> Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(QUEUED_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(
+        drain,
+        o!("instance" => machine.instance.to_string(), "domain" => machine.domain.to_string()),
+    )
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/metrics.rs
@@ -0,0 +1,89 @@
+//! Counters and histograms of a process.
+
+use prometheus::Encoder;
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Bounds of latency buckets in seconds, around an objective of some hundred milliseconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0];
+
+/// Counters and histograms.
+pub struct Metrics {
+    registry: Registry,
+    /// Ended requests by route and status.
+    pub requests: IntCounterVec,
+    /// Refusals by result code.
+    pub refusals: IntCounterVec,
+    /// Ends of attempts at targets.
+    pub attempts: IntCounterVec,
+    /// Time to the first byte of an answer, by route.
+    pub first_byte: HistogramVec,
+    /// Time of store calls.
+    pub store_seconds: Histogram,
+    /// Times at which the store was lost.
+    pub store_losses: IntCounter,
+    /// New connections to targets.
+    pub connections: IntCounter,
+    /// Beacons heard.
+    pub beacons: IntCounter,
+    /// Batch items by end of their attempts.
+    pub items: IntCounterVec,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let vec = IntCounterVec::new(Opts::new(name, help), labels)
+                .expect("names and labels are constants of valid form");
+            registry.register(Box::new(vec.clone())).expect("each name is registered once");
+            vec
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("names are constants of valid form");
+            registry.register(Box::new(counter.clone())).expect("each name is registered once");
+            counter
+        };
+        let latency = |name: &str, help: &str| {
+            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
+        };
+        let first_byte = HistogramVec::new(
+            latency("sesamewall_first_byte_seconds", "Time to the first byte."),
+            &["route"],
+        )
+        .expect("names and labels are constants of valid form");
+        registry.register(Box::new(first_byte.clone())).expect("each name is registered once");
+        let store_seconds =
+            Histogram::with_opts(latency("sesamewall_store_seconds", "Time of store calls."))
+                .expect("names are constants of valid form");
+        registry.register(Box::new(store_seconds.clone())).expect("each name is registered once");
+        Self {
+            requests: counters("sesamewall_requests", "Ended requests.", &["route", "status"]),
+            refusals: counters("sesamewall_refusals", "Refusals by code.", &["code"]),
+            attempts: counters("sesamewall_attempts", "Attempts at targets.", &["end"]),
+            first_byte,
+            store_seconds,
+            store_losses: counter("sesamewall_store_losses", "Times the store was lost."),
+            connections: counter("sesamewall_connections", "New connections to targets."),
+            beacons: counter("sesamewall_beacons", "Beacons heard."),
+            items: counters("sesamewall_items", "Attempts of batch items.", &["end"]),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Returns all values as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding into memory fails only for a family without values, which is left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/node.rs
@@ -0,0 +1,161 @@
+//! What all parts of a process share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rustix::time::ClockId;
+use sesamewall_fleet::AccountRates;
+use sesamewall_fleet::Beacon;
+use sesamewall_fleet::Catalog;
+use sesamewall_fleet::PeerSettings;
+use sesamewall_fleet::Peers;
+use sesamewall_fleet::RateSettings;
+use sesamewall_fleet::Suspects;
+use sesamewall_fleet::TargetTable;
+use sesamewall_platform::Machine;
+use sesamewall_ports::LeaseStore;
+use sesamewall_protocol::Time;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::Metrics;
+use crate::target_pool::TargetPool;
+
+/// The state that decisions read and change.
+pub struct State {
+    /// Configuration in force, once one is known.
+    pub catalog: Option<Arc<Catalog>>,
+    /// Known targets.
+    pub targets: TargetTable,
+    /// Counts of all instances.
+    pub peers: Peers,
+    /// Rates of client accounts.
+    pub rates: AccountRates,
+    /// Requests that were running when targets crashed.
+    pub suspects: Suspects,
+    /// Store revision up to which the operators' keys are known.
+    pub notices: u64,
+    /// Store revision up to which the targets' entries are known.
+    pub entries: u64,
+}
+
+impl State {
+    /// Returns the part of the fronts that is heard, for rates.
+    pub fn front_part(&self, now: Time) -> f64 {
+        self.peers.heard_part(now, |beacon: &Beacon| beacon.front)
+    }
+
+    /// Returns the part of all instances that is heard, for starts at cold targets.
+    pub fn fleet_part(&self, now: Time) -> f64 {
+        self.peers.heard_part(now, |_| true)
+    }
+}
+
+/// What all parts of a process share.
+pub struct Node {
+    /// The machine.
+    pub machine: Machine,
+    /// Random number of this start.
+    pub boot: u64,
+    /// Log of the process.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The platform's store.
+    pub store: Arc<dyn LeaseStore>,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// The process stops soon.
+    pub draining: AtomicBool,
+    /// Wakes the sender of beacons after a change.
+    pub changed: Notify,
+    /// Wakes the worker after news from other instances.
+    pub heard: Notify,
+    /// Wakes the followers of the store when another instance knows more.
+    pub behind: Notify,
+    state: Mutex<State>,
+    store_lost: AtomicBool,
+    store_contact: AtomicU64,
+}
+
+impl Node {
+    /// Creates the shared part of a process.
+    pub fn new(machine: Machine, store: Arc<dyn LeaseStore>, log: Logger) -> Self {
+        Self {
+            machine,
+            boot: rand::random(),
+            log,
+            metrics: Metrics::default(),
+            store,
+            pool: TargetPool::default(),
+            draining: AtomicBool::new(false),
+            changed: Notify::new(),
+            heard: Notify::new(),
+            behind: Notify::new(),
+            state: Mutex::new(State {
+                catalog: None,
+                targets: TargetTable::default(),
+                peers: Peers::new(PeerSettings::default()),
+                rates: AccountRates::new(RateSettings::default()),
+                suspects: Suspects::default(),
+                notices: 0,
+                entries: 0,
+            }),
+            store_lost: AtomicBool::new(false),
+            store_contact: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the time since the machine's start. It counts the time in which the machine was
+    /// suspended, since leases end during that time too.
+    pub fn now(&self) -> Time {
+        let time = rustix::time::clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let micros = u64::try_from(time.tv_nsec / 1000).unwrap_or_default();
+        Time::from_micros(seconds * 1_000_000 + micros)
+    }
+
+    /// Locks the state. The lock is never held over an await.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.state().catalog.clone()
+    }
+
+    /// Tells whether the process stops soon.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Notes the end of a call to the store.
+    pub fn on_store(&self, reachable: bool, detail: &dyn std::fmt::Display) {
+        let now = self.now();
+        let lost = self.store_lost.swap(!reachable, Ordering::Relaxed);
+        if reachable {
+            self.store_contact.store(now.as_micros(), Ordering::Relaxed);
+        }
+        match (lost, reachable) {
+            (false, false) => {
+                slog::warn!(self.log, "store lost"; "detail" => %detail);
+                self.metrics.store_losses.inc();
+            }
+            (true, true) => slog::info!(self.log, "store regained"),
+            _ => {}
+        }
+        self.state().targets.on_store(reachable, now);
+    }
+
+    /// Returns the time since the store last answered.
+    pub fn store_silence(&self) -> Duration {
+        self.now().since(Time::from_micros(self.store_contact.load(Ordering::Relaxed)))
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/relay.rs
@@ -0,0 +1,207 @@
+//! Passes a stream on to its caller by whole events, and goes on at another target when one stops.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use sesamewall_fleet::EventSplitter;
+use sesamewall_protocol::TargetName;
+use slog::info;
+
+use crate::Node;
+use crate::attempt::Answer;
+use crate::attempt::AttemptError;
+use crate::attempt::attempt;
+use crate::call::Call;
+use crate::reply::ReplyBody;
+
+/// Longest silence between events before a stream that may is continued elsewhere. Usual pauses are
+/// some tens of milliseconds; callers give up after two seconds.
+const GAP_SILENCE: Duration = Duration::from_millis(700);
+
+/// A stream on its way to the caller.
+pub struct Relay {
+    node: Arc<Node>,
+    call: Arc<Call>,
+    answer: Option<Answer>,
+    splitter: EventSplitter,
+    last: Option<u64>,
+    events: u64,
+    tried: Vec<TargetName>,
+    runs: u32,
+    ended: bool,
+}
+
+impl Relay {
+    /// Returns the body that passes `answer` on.
+    pub fn body(
+        node: Arc<Node>,
+        call: Arc<Call>,
+        answer: Answer,
+        tried: Vec<TargetName>,
+        runs: u32,
+    ) -> ReplyBody {
+        let last = call.asked_after();
+        let relay = Self {
+            node,
+            call,
+            answer: Some(answer),
+            splitter: EventSplitter::default(),
+            last,
+            events: 0,
+            tried,
+            runs,
+            ended: false,
+        };
+        let pieces = stream::unfold(relay, |mut relay| async move {
+            let piece = relay.next().await?;
+            Some((piece.map(Frame::data), relay))
+        });
+        StreamBody::new(pieces).boxed_unsync()
+    }
+
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            match self.whole_events() {
+                Ok(events) if !events.is_empty() => return Some(Ok(events.into())),
+                Ok(_) => {}
+                Err(error) => {
+                    if let Some(end) = self.broken(error).await {
+                        return Some(end);
+                    }
+                    continue;
+                }
+            }
+            let Some(answer) = &mut self.answer else { return self.end("no target") };
+            let left = self.call.deadline.since(self.node.now());
+            if left.is_zero() {
+                return self.end("timeout");
+            }
+            let limit = if self.call.resumable() { left.min(GAP_SILENCE) } else { left };
+            match answer.piece(limit).await {
+                Ok(Some(piece)) if self.splitter.push(&piece).is_ok() => {}
+                Ok(Some(_)) => return self.end("event too large"),
+                Ok(None) => return self.complete(),
+                Err(error) => {
+                    if let Some(end) = self.broken(error).await {
+                        return Some(end);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the whole events at hand. A stream that went on elsewhere must go on right after the
+    /// last event that was passed on.
+    fn whole_events(&mut self) -> Result<Vec<u8>, AttemptError> {
+        let mut events = Vec::new();
+        while let Some(event) = self.splitter.next_event() {
+            let follows = match (self.last, event.id) {
+                (Some(last), Some(id)) => id == last + 1,
+                _ => true,
+            };
+            if !follows {
+                return match events.is_empty() {
+                    true => Err(AttemptError::Lost("events out of order".to_owned())),
+                    false => Ok(events),
+                };
+            }
+            self.last = event.id.or(self.last);
+            self.events += 1;
+            events.extend_from_slice(&event.bytes);
+        }
+        Ok(events)
+    }
+
+    fn complete(&mut self) -> Option<io::Result<Bytes>> {
+        self.ended = true;
+        if let Some(answer) = self.answer.take() {
+            answer.finish(&self.node);
+        }
+        self.node.state().suspects.on_success(self.call.hash);
+        self.log("complete");
+        None
+    }
+
+    /// Ends the stream so that the caller sees that it is not complete.
+    fn end(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+        self.ended = true;
+        self.answer = None;
+        self.log(reason);
+        Some(Err(io::Error::other(reason.to_owned())))
+    }
+
+    /// Goes on at another target. Returns the end of the stream if that is not possible.
+    async fn broken(&mut self, error: AttemptError) -> Option<io::Result<Bytes>> {
+        let stopped = self.answer.take().map(|answer| answer.target.clone());
+        self.splitter.clear();
+        let now = self.node.now();
+        {
+            let mut state = self.node.state();
+            if let Some(target) = &stopped {
+                state.targets.on_failure(target, now);
+            }
+            if matches!(error, AttemptError::Lost(_)) {
+                state.suspects.on_crash(self.call.hash, now);
+            }
+        }
+        self.resume(error).await
+    }
+
+    async fn resume(&mut self, mut error: AttemptError) -> Option<io::Result<Bytes>> {
+        loop {
+            let now = self.node.now();
+            let poison = self.node.state().suspects.refused(self.call.hash);
+            let allowed = self.call.resumable() && self.runs < self.call.route.attempts;
+            if !allowed || poison || now >= self.call.deadline {
+                return self.end(&format!("broken off: {error}"));
+            }
+            let chosen = match self.call.choose(&self.node, &self.tried) {
+                Ok(chosen) => chosen,
+                Err(reason) => return self.end(&format!("broken off: {error}; {reason}")),
+            };
+            let left = self.call.deadline.since(now).min(GAP_SILENCE);
+            let outgoing = self.call.outgoing(self.last, now);
+            let result = attempt(&self.node, &chosen, &outgoing, left).await;
+            info!(self.node.log, "stream goes on elsewhere"; "request" => self.call.id_text(),
+            "after" => self.last, "cause" => %error, "target" => %chosen.name,
+            "end" => match &result {
+                Ok(answer) => format!("status {}", answer.status.as_u16()),
+                Err(error) => error.to_string(),
+            });
+            self.tried.push(chosen.name.clone());
+            match result {
+                Ok(answer) if answer.status.is_success() => {
+                    self.runs += 1;
+                    self.answer = Some(answer);
+                    return None;
+                }
+                Ok(answer) => {
+                    self.runs += 1;
+                    error = AttemptError::Lost(format!("status {}", answer.status.as_u16()));
+                }
+                Err(failed) => {
+                    if !failed.not_run() {
+                        self.runs += 1;
+                    }
+                    error = failed;
+                }
+            }
+        }
+    }
+
+    fn log(&self, end: &str) {
+        info!(self.node.log, "stream ended"; "request" => self.call.id_text(),
+            "route" => &*self.call.route.name, "events" => self.events, "last" => self.last,
+            "runs" => self.runs, "end" => end,
+            "ms" => self.node.now().since(self.call.arrived).as_millis() as u64);
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/reply.rs
@@ -0,0 +1,88 @@
+//! Answers to callers.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::combinators::UnsyncBoxBody;
+use sesamewall_platform::REQUEST_ID;
+use sesamewall_protocol::Error;
+
+/// Body of an answer.
+pub type ReplyBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// An answer.
+pub type Reply = Response<ReplyBody>;
+
+/// Returns a body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns an answer with JSON bytes.
+pub fn json(status: StatusCode, bytes: Vec<u8>) -> Reply {
+    let mut reply = Response::new(full(bytes));
+    *reply.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+/// Returns an answer without a body.
+pub fn empty(status: StatusCode) -> Reply {
+    let mut reply = Response::new(full(Bytes::new()));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Returns the answer to a request that failed with one of the system's own errors.
+pub fn failure(error: &Error, retry: Option<Duration>, request: Option<&HeaderValue>) -> Reply {
+    let status = StatusCode::from_u16(error.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let body = serde_json::json!({
+        "error": { "code": error.code(), "message": error.to_string(), "help": error.help() }
+    });
+    let mut reply = json(status, body.to_string().into_bytes());
+    let seconds = retry.map(|retry| format!("{:.3}", retry.as_secs_f64()));
+    if let Some(value) = seconds.and_then(|text| HeaderValue::from_str(&text).ok()) {
+        reply.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    if let Some(id) = request {
+        reply.headers_mut().insert(REQUEST_ID, id.clone());
+    }
+    reply
+}
+
+/// Removes the headers that concern one connection.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [
+        header::CONNECTION,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/run.rs
@@ -0,0 +1,269 @@
+//! Starts a process on the platform and ends it in order.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Request;
+use http::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use sesamewall_platform::Machine;
+use sesamewall_platform::READY_PATH;
+use sesamewall_platform::StoreClient;
+use sesamewall_protocol::Error;
+use sesamewall_protocol::Result;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::Node;
+use crate::beacons;
+use crate::beacons::Directory;
+use crate::job_api::JobApi;
+use crate::job_keys::JOB_PREFIX;
+use crate::lease;
+use crate::lease::ProcessLease;
+use crate::logs;
+use crate::online::Online;
+use crate::reply::Reply;
+use crate::reply::empty;
+use crate::reply::full;
+use crate::sync;
+use crate::worker::JobFollower;
+use crate::worker::Worker;
+
+/// Port of the metrics, the same on all machines.
+const METRICS_PORT: u16 = 9464;
+
+/// Time after SIGTERM in which the load balancer takes the instance out: two misses, a second apart.
+const BALANCER_TIME: Duration = Duration::from_millis(2600);
+
+/// Time before SIGKILL by which a process is gone.
+const END_MARGIN: Duration = Duration::from_millis(700);
+
+/// Idle connections of callers are kept for somewhat longer than callers use them.
+const IDLE_FACTOR: f64 = 1.1;
+
+/// Bytes of a caller's read buffer, above the largest usual headers.
+const READ_BUFFER: usize = 32 << 10;
+
+/// Runs the process that the platform's settings file describes, until SIGTERM.
+///
+/// # Errors
+///
+/// Returns `Error::SettingsInvalid` if the file or an address in it cannot be used.
+pub async fn run() -> Result<()> {
+    let path = Machine::path()?;
+    let machine = Machine::load(&path)?;
+    let log = logs::logger(&machine);
+    info!(log, "process started"; "version" => env!("CARGO_PKG_VERSION"),
+        "first_start" => machine.first_start, "worker" => machine.worker);
+    let store = Arc::new(StoreClient::new(machine.store));
+    let node = Arc::new(Node::new(machine, store, log));
+    let socket = bind_beacons(&node).await?;
+    let directory = Arc::new(Directory::default());
+    directory.add_seeds(&node.machine.seeds);
+    let lease = Arc::new(ProcessLease::default());
+    beacons::spawn(&node, &directory, socket);
+    sync::spawn(&node);
+    tokio::spawn(lease::keep(node.clone(), lease.clone(), directory.clone()));
+    serve_side(&node, node.machine.ready).await?;
+    let metrics = Some(SocketAddr::new(node.machine.ip, METRICS_PORT));
+    serve_side(&node, metrics).await?;
+    let worker = node.machine.worker.then(|| Worker::new(node.clone(), lease.clone()));
+    if let Some(worker) = &worker {
+        let follower = JobFollower(worker.clone());
+        tokio::spawn(sync::follow(node.clone(), JOB_PREFIX, Duration::from_millis(50), follower));
+        tokio::spawn(worker.clone().run());
+    }
+    let callers = match node.machine.callers {
+        Some(address) => Some(bind("listen.front", address).await?),
+        None => None,
+    };
+    let mut term = signals(SignalKind::terminate())?;
+    let mut hangup = signals(SignalKind::hangup())?;
+    let reload = node.clone();
+    tokio::spawn(async move {
+        while hangup.recv().await.is_some() {
+            reload_settings(&reload);
+        }
+    });
+    let stop = async move {
+        term.recv().await;
+    };
+    match callers {
+        Some(listener) => serve_callers(&node, listener, stop).await,
+        None => stop.await,
+    }
+    let grace = node.machine.bounds.grace.saturating_sub(END_MARGIN);
+    node.draining.store(true, Ordering::Relaxed);
+    node.changed.notify_one();
+    if let Some(worker) = worker {
+        info!(node.log, "worker drains"; "items" => worker.running());
+        let emptied = async {
+            while worker.running() > 0 {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let _ = tokio::time::timeout(grace, emptied).await;
+    }
+    lease.end(&node).await;
+    info!(node.log, "process stopped");
+    // The log's writer gets a moment for the last lines.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    Ok(())
+}
+
+fn invalid(key: &str, detail: String) -> Error {
+    Error::SettingsInvalid { file: "settings".to_owned(), line: 0, key: key.to_owned(), detail }
+}
+
+fn signals(kind: SignalKind) -> Result<tokio::signal::unix::Signal> {
+    signal(kind).map_err(|error| invalid("signal", error.to_string()))
+}
+
+async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| invalid(key, format!("cannot listen on {address}: {error}")))
+}
+
+async fn bind_beacons(node: &Node) -> Result<UdpSocket> {
+    let ip: IpAddr = node.machine.ip;
+    let address = SocketAddr::new(ip, node.machine.peer_port);
+    let bound = UdpSocket::bind(address).await;
+    bound.map_err(|error| invalid("portRange", format!("cannot listen on {address}: {error}")))
+}
+
+/// Reads the settings file again. Addresses and names hold for the life of a process.
+fn reload_settings(node: &Node) {
+    let result = Machine::path().and_then(|path| Machine::load(&path));
+    match result {
+        Ok(machine) if machine == node.machine => info!(node.log, "settings unchanged"),
+        Ok(_) => info!(node.log, "settings changed; they hold from the next start"),
+        Err(error) => warn!(node.log, "settings refused"; "error" => %error),
+    }
+}
+
+/// Serves readiness and metrics.
+async fn serve_side(node: &Arc<Node>, address: Option<SocketAddr>) -> Result<()> {
+    let Some(address) = address else { return Ok(()) };
+    let listener = bind("listen", address).await?;
+    let node = node.clone();
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let node = node.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let reply = side_reply(&node, request.uri().path());
+                async move { Ok::<Reply, std::convert::Infallible>(reply) }
+            });
+            tokio::spawn(async move {
+                // A broken connection of the load balancer needs no answer.
+                let _ = http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .header_read_timeout(Duration::from_secs(30))
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    Ok(())
+}
+
+fn side_reply(node: &Node, path: &str) -> Reply {
+    match path {
+        READY_PATH => empty(match is_ready(node) {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        }),
+        "/metrics" => {
+            let mut reply = empty(StatusCode::OK);
+            *reply.body_mut() = full(node.metrics.text());
+            reply
+        }
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn is_ready(node: &Node) -> bool {
+    let state = node.state();
+    !node.is_draining() && state.catalog.is_some() && !state.targets.is_empty()
+}
+
+/// Accepts callers until `stop`, then lets the load balancer notice and ends the connections.
+async fn serve_callers(
+    node: &Arc<Node>,
+    listener: TcpListener,
+    stop: impl std::future::Future<Output = ()>,
+) {
+    let jobs = Arc::new(JobApi::new(node.clone()));
+    let online = Arc::new(Online::new(node.clone(), jobs));
+    let graceful = GracefulShutdown::new();
+    let mut stop = std::pin::pin!(stop);
+    let mut ended: Option<tokio::time::Instant> = None;
+    loop {
+        let until = ended.map(|at| at + BALANCER_TIME);
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    let online = online.clone();
+                    let service = service_fn(move |request| {
+                        let online = online.clone();
+                        async move { Ok::<_, std::convert::Infallible>(online.serve(request).await) }
+                    });
+                    let idle = node.catalog().map_or(Duration::from_secs(30), |catalog| {
+                        catalog.limits.idle_time.mul_f64(IDLE_FACTOR)
+                    });
+                    let connection = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .header_read_timeout(idle)
+                        .max_buf_size(READ_BUFFER)
+                        .serve_connection(TokioIo::new(stream), service);
+                    let watched = graceful.watch(connection);
+                    tokio::spawn(async move {
+                        // The caller broke the connection, or a stream ended incomplete: both are
+                        // logged where they are decided.
+                        let _ = watched.await;
+                    });
+                }
+                Err(error) => {
+                    warn!(node.log, "connection not accepted"; "error" => %error);
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            },
+            () = &mut stop, if ended.is_none() => {
+                ended = Some(tokio::time::Instant::now());
+                node.draining.store(true, Ordering::Relaxed);
+                node.changed.notify_one();
+                info!(node.log, "instance drains");
+            }
+            () = sleep_until(until), if until.is_some() => break,
+        }
+    }
+    drop(listener);
+    let left = node.machine.bounds.grace.saturating_sub(BALANCER_TIME + END_MARGIN);
+    if tokio::time::timeout(left, graceful.shutdown()).await.is_err() {
+        warn!(node.log, "connections left at the end of the grace period");
+    }
+}
+
+async fn sleep_until(until: Option<tokio::time::Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/target_pool.rs
@@ -0,0 +1,132 @@
+//! Connections to targets, kept for further requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Longest wait for a new connection. Targets accept within milliseconds; a machine without power
+/// never does.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which a connection is kept without a `Keep-Alive` header.
+const USUAL_IDLE: Duration = Duration::from_secs(3);
+
+/// Most idle connections kept for one address: the usual slots of a target.
+const MAX_IDLE: usize = 8;
+
+/// Bytes of a connection's read buffer, above the largest usual header.
+const READ_BUFFER: usize = 16 << 10;
+
+/// A connection to a target. Dropping it closes it, and the target drops the request on it.
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    address: SocketAddr,
+    /// It has carried a request before.
+    pub reused: bool,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Link {
+    /// Returns the sending half.
+    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        &mut self.sender
+    }
+}
+
+struct Idle {
+    link: Link,
+    since: Instant,
+    until: Instant,
+}
+
+/// Idle connections by address.
+#[derive(Default)]
+pub struct TargetPool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl TargetPool {
+    /// Returns a kept connection that has been idle for at most `max_idle`, the youngest first.
+    pub fn take(&self, address: SocketAddr, max_idle: Duration) -> Option<Link> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let list = idle.get_mut(&address)?;
+        while let Some(Idle { mut link, since, until }) = list.pop() {
+            let ready = matches!(link.sender.ready().now_or_never(), Some(Ok(())));
+            if ready && until > now && now - since <= max_idle {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason as text. Nothing was sent.
+    pub async fn open(&self, address: SocketAddr) -> Result<Link, String> {
+        let connect = TcpStream::connect(address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect)
+            .await
+            .map_err(|_| "no connection in time".to_owned())?
+            .map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| error.to_string())?;
+        let driver = tokio::spawn(async move {
+            // The error of the connection reaches the request on it; an idle one just ends.
+            let _ = connection.await;
+        });
+        Ok(Link { sender, driver, address, reused: false })
+    }
+
+    /// Keeps a connection whose answer has been read to its end. `keep` is the time that the target
+    /// announced.
+    pub fn put(&self, mut link: Link, keep: Option<Duration>) {
+        if link.sender.is_closed() {
+            return;
+        }
+        link.reused = true;
+        let now = Instant::now();
+        // The target closes at its own time; a margin keeps requests off closing connections.
+        let keep = keep.map_or(USUAL_IDLE, |keep| keep.mul_f64(0.8));
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let list = idle.entry(link.address).or_default();
+        list.push(Idle { link, since: now, until: now + keep });
+        if list.len() > MAX_IDLE {
+            list.remove(0);
+        }
+    }
+
+    /// Closes connections whose time is over.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for list in idle.values_mut() {
+            list.retain(|entry| entry.until > now && !entry.link.sender.is_closed());
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -0,0 +1,627 @@
+//! Claims batch jobs, runs their items and commits results.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sesamewall_fleet::Ask;
+use sesamewall_fleet::BatchRoom;
+use sesamewall_fleet::ItemEnd;
+use sesamewall_fleet::ItemProgress;
+use sesamewall_fleet::ItemResult;
+use sesamewall_fleet::ItemSettings;
+use sesamewall_fleet::ItemSpec;
+use sesamewall_fleet::JobSpec;
+use sesamewall_fleet::ResultList;
+use sesamewall_fleet::ResultState;
+use sesamewall_ports::StoreChange;
+use sesamewall_ports::StoreError;
+use sesamewall_ports::StoreWrite;
+use sesamewall_ports::StoredItem;
+use sesamewall_ports::Transaction;
+use sesamewall_protocol::ItemId;
+use sesamewall_protocol::JobId;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use slog::info;
+use slog::warn;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Node;
+use crate::call::choose;
+use crate::item_call::ItemCall;
+use crate::job_keys::JobKey;
+use crate::job_store;
+use crate::job_store::JobHead;
+use crate::job_store::Written;
+use crate::lease::ProcessLease;
+use crate::sync::Follow;
+
+/// Time between two looks at unclaimed jobs and waiting items when nothing else happens.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Time between two looks while items wait for room.
+const BUSY_TICK: Duration = Duration::from_millis(25);
+
+/// Wait before a worker claims a job that another one is expected to claim.
+const CLAIM_STEP: Duration = Duration::from_millis(400);
+
+/// Results that come within this time are committed together.
+const COMMIT_DELAY: Duration = Duration::from_millis(40);
+
+/// Most output bytes in one group of results.
+const GROUP_BYTES: usize = 400 << 10;
+
+/// Longest time for the commit of a group before the claim is checked again.
+const COMMIT_TIME: Duration = Duration::from_secs(20);
+
+/// A claim on a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Claim {
+    Free { since: Time },
+    Other,
+    Own { revision: u64, lease: u64 },
+    Pending,
+}
+
+struct Item {
+    spec: Arc<ItemSpec>,
+    progress: ItemProgress,
+}
+
+struct Running {
+    target: TargetName,
+    key: u32,
+    started: Time,
+    cancel: CancellationToken,
+}
+
+#[derive(Default)]
+struct Work {
+    spec: Option<Arc<JobSpec>>,
+    waiting: Vec<Item>,
+    running: BTreeMap<ItemId, Running>,
+    results: Vec<ItemResult>,
+    committed: HashSet<ItemId>,
+    groups: u64,
+    committing: bool,
+}
+
+struct Job {
+    head: Option<JobHead>,
+    learned: Time,
+    claim: Claim,
+    ended: bool,
+    complete: bool,
+    work: Work,
+}
+
+impl Job {
+    fn new(now: Time) -> Self {
+        Self {
+            head: None,
+            learned: now,
+            claim: Claim::Free { since: now },
+            ended: false,
+            complete: false,
+            work: Work::default(),
+        }
+    }
+
+    fn open(&self) -> bool {
+        self.head.is_some() && !self.ended && !self.complete
+    }
+
+    /// Stops all items and forgets the work.
+    fn stop(&mut self) {
+        for running in self.work.running.values() {
+            running.cancel.cancel();
+        }
+        self.work = Work::default();
+    }
+}
+
+/// The worker of a process.
+pub struct Worker {
+    node: Arc<Node>,
+    lease: Arc<ProcessLease>,
+    room: BatchRoom,
+    items: ItemSettings,
+    wake: Notify,
+    jobs: Mutex<BTreeMap<JobId, Job>>,
+}
+
+impl Worker {
+    /// Creates a worker.
+    pub fn new(node: Arc<Node>, lease: Arc<ProcessLease>) -> Arc<Self> {
+        Arc::new(Self {
+            node,
+            lease,
+            room: BatchRoom::default(),
+            items: ItemSettings::default(),
+            wake: Notify::new(),
+            jobs: Mutex::default(),
+        })
+    }
+
+    fn jobs(&self) -> MutexGuard<'_, BTreeMap<JobId, Job>> {
+        self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            let waiting = self.jobs().values().any(|job| !job.work.waiting.is_empty());
+            let tick = if waiting { BUSY_TICK } else { TICK };
+            tokio::select! {
+                () = self.wake.notified() => {}
+                () = self.node.heard.notified() => {}
+                () = tokio::time::sleep(tick) => {}
+            }
+            self.check_lease();
+            self.make_way();
+            self.claim();
+            self.start_items();
+        }
+    }
+
+    /// Returns the number of items that run, for the end of the process.
+    pub fn running(&self) -> usize {
+        self.jobs().values().map(|job| job.work.running.len() + job.work.results.len()).sum()
+    }
+
+    /// Gives up jobs whose claims ended with a lost lease.
+    fn check_lease(&self) {
+        let current = self.lease.number();
+        let now = self.node.now();
+        for (id, job) in self.jobs().iter_mut() {
+            match job.claim {
+                Claim::Own { lease, .. } if lease != current => {
+                    warn!(self.node.log, "job given up with its lease"; "job" => %id);
+                    job.stop();
+                    job.claim = Claim::Free { since: now };
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Cancels items at targets where online requests need their places.
+    fn make_way(&self) {
+        let now = self.node.now();
+        let leaving: Vec<(u32, u32)> = {
+            let state = self.node.state();
+            let own = &self.node.machine.instance;
+            state
+                .targets
+                .iter()
+                .map(|target| (target.key, self.room.leaving(own, target, &state.peers, now)))
+                .filter(|(_, count)| *count > 0)
+                .collect()
+        };
+        if leaving.is_empty() {
+            return;
+        }
+        let jobs = self.jobs();
+        for (key, count) in leaving {
+            let mut here: Vec<&Running> = jobs
+                .values()
+                .flat_map(|job| job.work.running.values())
+                .filter(|running| running.key == key && !running.cancel.is_cancelled())
+                .collect();
+            // The youngest has the least to read again when it goes on.
+            here.sort_by_key(|running| std::cmp::Reverse(running.started));
+            for running in here.into_iter().take(count as usize) {
+                running.cancel.cancel();
+            }
+        }
+    }
+
+    /// Claims unclaimed jobs. The worker with the highest hash of job and name goes first, so that
+    /// workers rarely race.
+    fn claim(self: &Arc<Self>) {
+        let now = self.node.now();
+        let Some(lease) = self.lease.valid(now) else { return };
+        if self.node.is_draining() {
+            return;
+        }
+        let own = self.node.machine.instance.clone();
+        let others: Vec<_> = {
+            let state = self.node.state();
+            let workers = state.peers.contacts(now).filter(|contact| contact.beacon.worker);
+            workers
+                .filter(|contact| !contact.beacon.draining)
+                .map(|contact| contact.beacon.instance.clone())
+                .collect()
+        };
+        for (id, job) in self.jobs().iter_mut() {
+            let Claim::Free { since } = job.claim else { continue };
+            if !job.open() {
+                continue;
+            }
+            let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), 0) ^ hash(id);
+            let mine = score(own.as_str()).wrapping_mul(MIX);
+            let ahead =
+                others.iter().filter(|name| score(name.as_str()).wrapping_mul(MIX) > mine).count();
+            if now.since(since) < CLAIM_STEP * ahead as u32 {
+                continue;
+            }
+            job.claim = Claim::Pending;
+            tokio::spawn(self.clone().claim_job(id.clone(), lease));
+        }
+    }
+
+    async fn claim_job(self: Arc<Self>, id: JobId, lease: u64) {
+        let key = JobKey::Claim.of(&id);
+        let value = Bytes::from(format!("{} {:x}", self.node.machine.instance, self.node.boot));
+        let transaction = Transaction {
+            expect: vec![(key.clone(), 0), (JobKey::End.of(&id), 0)],
+            writes: vec![StoreWrite { key, value, lease }],
+            removes: Vec::new(),
+        };
+        let until = self.node.now() + Duration::from_millis(1500);
+        let result = job_store::commit_once(&self.node, &transaction, until).await;
+        info!(self.node.log, "job claimed"; "job" => %id, "end" => format!("{result:?}"));
+        let now = self.node.now();
+        let claim = match result {
+            Ok(Written::Done(revision)) => Claim::Own { revision, lease },
+            Ok(Written::Refused) => Claim::Other,
+            Err(_) => Claim::Free { since: now },
+        };
+        let parts = {
+            let mut jobs = self.jobs();
+            let Some(job) = jobs.get_mut(&id) else { return };
+            if job.claim != Claim::Pending && !matches!(claim, Claim::Own { .. }) {
+                return;
+            }
+            job.claim = claim;
+            job.head.as_ref().map(|head| head.parts)
+        };
+        if let (Claim::Own { .. }, Some(parts)) = (claim, parts)
+            && let Err(error) = self.load(&id, parts, claim).await
+        {
+            warn!(self.node.log, "job cannot be loaded"; "job" => %id, "error" => %error);
+            self.release(&id, claim);
+        }
+    }
+
+    /// Forgets a claim that could not be used; the key stays until the lease ends or a retry.
+    fn release(&self, id: &JobId, claim: Claim) {
+        let mut jobs = self.jobs();
+        if let Some(job) = jobs.get_mut(id)
+            && job.claim == claim
+        {
+            job.stop();
+            job.claim = Claim::Free { since: self.node.now() };
+        }
+    }
+
+    async fn load(&self, id: &JobId, parts: usize, claim: Claim) -> Result<(), StoreError> {
+        let mut attempts = 0;
+        let (spec, results) = loop {
+            attempts += 1;
+            let mut results = ResultList::default();
+            let read = async {
+                let spec = job_store::spec(&self.node, id, parts).await?;
+                job_store::refresh(&self.node, id, &mut results).await?;
+                Ok::<_, StoreError>(spec)
+            };
+            match read.await {
+                Ok(spec) => break (spec, results),
+                Err(error) if attempts >= 20 => return Err(error),
+                Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
+            }
+        };
+        let Some(spec) = spec else {
+            warn!(self.node.log, "job without a specification"; "job" => %id);
+            return Ok(());
+        };
+        let mut jobs = self.jobs();
+        let Some(job) = jobs.get_mut(id) else { return Ok(()) };
+        if job.claim != claim || !job.open() {
+            return Ok(());
+        }
+        let committed = results.ended();
+        job.work = Work {
+            waiting: spec
+                .items
+                .iter()
+                .filter(|item| !committed.contains(&item.id))
+                .map(|item| Item {
+                    spec: Arc::new(item.clone()),
+                    progress: ItemProgress::default(),
+                })
+                .collect(),
+            groups: results.groups(),
+            committed,
+            spec: Some(Arc::new(spec)),
+            ..Work::default()
+        };
+        drop(jobs);
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    /// Starts waiting items, the oldest jobs first, as far as there is room.
+    fn start_items(self: &Arc<Self>) {
+        let now = self.node.now();
+        if self.lease.valid(now).is_none() || self.node.is_draining() {
+            return;
+        }
+        let Some(catalog) = self.node.catalog() else { return };
+        let mut jobs = self.jobs();
+        let mut order: Vec<_> = jobs
+            .iter()
+            .filter(|(_, job)| job.open() && !job.work.waiting.is_empty())
+            .map(|(id, job)| (job.learned, id.clone()))
+            .collect();
+        order.sort();
+        for (_, id) in order {
+            let Some(job) = jobs.get_mut(&id) else { continue };
+            let Claim::Own { .. } = job.claim else { continue };
+            let Some(spec) = job.work.spec.clone() else { continue };
+            let mut waiting = std::mem::take(&mut job.work.waiting);
+            waiting.retain_mut(|item| {
+                if item.progress.not_before() > now {
+                    return true;
+                }
+                let call = match ItemCall::new(&catalog, &spec, item.spec.clone()) {
+                    Some(call) => call,
+                    None => {
+                        info!(self.node.log, "item given up"; "job" => %id,
+                            "item" => %item.spec.id, "cause" => "its route is gone",
+                            "version" => catalog.version);
+                        job.work.results.push(ItemResult {
+                            id: item.spec.id.clone(),
+                            state: ResultState::GivenUp,
+                            output: Vec::new(),
+                        });
+                        return false;
+                    }
+                };
+                let ask = Ask {
+                    service: call.service(),
+                    regions: call.regions(),
+                    domain: &self.node.machine.domain,
+                    prefix: call.prefix(),
+                    exclude: &[],
+                    leave_free: Some(self.room.free()),
+                };
+                let Ok(chosen) = choose(&self.node, &ask) else { return true };
+                let cancel = CancellationToken::new();
+                job.work.running.insert(
+                    item.spec.id.clone(),
+                    Running {
+                        target: chosen.name.clone(),
+                        key: chosen.key,
+                        started: now,
+                        cancel: cancel.clone(),
+                    },
+                );
+                let progress = std::mem::take(&mut item.progress);
+                // The count is taken here, so that the next choice sees it.
+                let held = crate::attempt::Held::new(&self.node, chosen.key, true);
+                let task = self.clone().run_item(id.clone(), call, chosen, progress, held, cancel);
+                tokio::spawn(task);
+                false
+            });
+            job.work.waiting.extend(waiting);
+            self.commit_soon(&id, job);
+        }
+    }
+
+    async fn run_item(
+        self: Arc<Self>,
+        id: JobId,
+        call: ItemCall,
+        chosen: sesamewall_fleet::Chosen,
+        mut progress: ItemProgress,
+        held: crate::attempt::Held,
+        cancel: CancellationToken,
+    ) {
+        let before = progress.events();
+        let end = tokio::select! {
+            end = call.run(&self.node, &chosen, &mut progress, held) => end,
+            () = cancel.cancelled() => ItemEnd::MadeWay,
+        };
+        let now = self.node.now();
+        let label = format!("{end:?}");
+        self.node.metrics.items.with_label_values(&[&label]).inc();
+        info!(self.node.log, "item attempt"; "job" => %id, "item" => %call.item().id,
+            "target" => %chosen.name, "end" => label, "from" => before,
+            "events" => progress.events());
+        let mut jobs = self.jobs();
+        let Some(job) = jobs.get_mut(&id) else { return };
+        // The work may have been stopped, and begun anew, while this attempt ran.
+        let ours =
+            job.work.running.get(&call.item().id).is_some_and(|running| {
+                running.target == chosen.name && !running.cancel.is_cancelled()
+            });
+        let made_way = end == ItemEnd::MadeWay;
+        if !(ours || made_way && job.work.running.contains_key(&call.item().id)) {
+            return;
+        }
+        job.work.running.remove(&call.item().id);
+        match progress.on_end(&self.items, end, call.attempts(), now) {
+            Some(state) => {
+                let output = match state {
+                    ResultState::Completed => progress.into_output(),
+                    ResultState::GivenUp => Vec::new(),
+                };
+                let result = ItemResult { id: call.item().id.clone(), state, output };
+                job.work.results.push(result);
+                self.commit_soon(&id, job);
+            }
+            None => {
+                job.work.waiting.insert(0, Item { spec: call.into_item(), progress });
+            }
+        }
+        drop(jobs);
+        self.wake.notify_one();
+    }
+
+    /// Starts the commit of finished items unless one is under way.
+    fn commit_soon(self: &Arc<Self>, id: &JobId, job: &mut Job) {
+        if job.work.committing || job.work.results.is_empty() {
+            return;
+        }
+        job.work.committing = true;
+        tokio::spawn(self.clone().commit(id.clone()));
+    }
+
+    async fn commit(self: Arc<Self>, id: JobId) {
+        loop {
+            tokio::time::sleep(COMMIT_DELAY).await;
+            let (claim, group, results, complete) = {
+                let mut jobs = self.jobs();
+                let Some(job) = jobs.get_mut(&id) else { return };
+                let Claim::Own { revision, .. } = job.claim else { return };
+                let mut bytes = 0;
+                let fitting = job.work.results.iter().take_while(|result| {
+                    bytes += result.output.len();
+                    bytes <= GROUP_BYTES
+                });
+                let count = fitting.count().max(1).min(job.work.results.len());
+                if count == 0 {
+                    job.work.committing = false;
+                    return;
+                }
+                let results: Vec<_> = job.work.results[..count].to_vec();
+                let total = job.head.as_ref().map_or(usize::MAX, |head| head.total);
+                let complete = job.work.committed.len() + count >= total;
+                (revision, job.work.groups, results, complete)
+            };
+            let transaction = match job_store::append(&id, claim, group, &results, complete) {
+                Ok(transaction) => transaction,
+                Err(error) => {
+                    warn!(self.node.log, "results cannot be encoded"; "job" => %id,
+                        "error" => %error);
+                    return;
+                }
+            };
+            let until = self.node.now() + COMMIT_TIME;
+            let written = job_store::commit_once(&self.node, &transaction, until).await;
+            info!(self.node.log, "results committed"; "job" => %id, "group" => group,
+                "items" => results.len(), "complete" => complete,
+                "end" => format!("{written:?}"));
+            let mut jobs = self.jobs();
+            let Some(job) = jobs.get_mut(&id) else { return };
+            let Claim::Own { revision, .. } = job.claim else { return };
+            if revision != claim {
+                return;
+            }
+            match written {
+                Ok(Written::Done(_)) => {
+                    let done: HashSet<_> = results.into_iter().map(|result| result.id).collect();
+                    job.work.results.retain(|result| !done.contains(&result.id));
+                    job.work.committed.extend(done);
+                    job.work.groups += 1;
+                    if complete {
+                        job.complete = true;
+                        job.stop();
+                        return;
+                    }
+                }
+                Ok(Written::Refused) => {
+                    job.stop();
+                    job.claim = Claim::Other;
+                    return;
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn written(&self, jobs: &mut BTreeMap<JobId, Job>, item: &StoredItem) {
+        let Some((id, kind)) = JobKey::parse(&item.key) else { return };
+        let now = self.node.now();
+        let job = jobs.entry(id.clone()).or_insert_with(|| Job::new(now));
+        match kind {
+            JobKey::Head => job.head = job_store::decode_head(&self.node, &id, &item.value),
+            JobKey::End => {
+                if !job.ended {
+                    info!(self.node.log, "job stops"; "job" => %id, "revision" => item.revision);
+                }
+                job.ended = true;
+                job.stop();
+            }
+            JobKey::Complete => {
+                job.complete = true;
+                job.stop();
+            }
+            JobKey::Claim => match job.claim {
+                Claim::Own { revision, .. } if revision == item.revision => {}
+                Claim::Pending => {}
+                Claim::Own { .. } => {
+                    job.stop();
+                    job.claim = Claim::Other;
+                }
+                _ => job.claim = Claim::Other,
+            },
+        }
+    }
+}
+
+/// Spreads the hashes of names and jobs.
+const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
+
+fn hash(id: &JobId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes())
+}
+
+/// Takes over the keys of jobs.
+pub struct JobFollower(pub Arc<Worker>);
+
+impl Follow for JobFollower {
+    fn replace(&mut self, items: Vec<StoredItem>, _revision: u64) {
+        let now = self.0.node.now();
+        let mut jobs = self.0.jobs();
+        let claimed: HashSet<JobId> = items
+            .iter()
+            .filter_map(|item| JobKey::parse(&item.key))
+            .filter(|(_, kind)| *kind == JobKey::Claim)
+            .map(|(id, _)| id)
+            .collect();
+        for item in &items {
+            self.0.written(&mut jobs, item);
+        }
+        for (id, job) in jobs.iter_mut() {
+            match job.claim {
+                Claim::Other if !claimed.contains(id) => job.claim = Claim::Free { since: now },
+                _ => {}
+            }
+        }
+        drop(jobs);
+        self.0.wake.notify_one();
+    }
+
+    fn apply(&mut self, changes: Vec<StoreChange>, _revision: u64) {
+        let now = self.0.node.now();
+        let mut jobs = self.0.jobs();
+        for change in changes {
+            match change {
+                StoreChange::Written(item) => self.0.written(&mut jobs, &item),
+                StoreChange::Removed { key } => {
+                    let Some((id, JobKey::Claim)) = JobKey::parse(&key) else { continue };
+                    let Some(job) = jobs.get_mut(&id) else { continue };
+                    match job.claim {
+                        Claim::Pending => {}
+                        _ => {
+                            job.stop();
+                            job.claim = Claim::Free { since: now };
+                        }
+                    }
+                }
+            }
+        }
+        drop(jobs);
+        self.0.wake.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-fleet/src/event_stream.rs
@@ -0,0 +1,103 @@
+//! Splits a stream into whole server-sent events and reads their ids.
+
+/// An event larger than this is a fault of the target.
+const EVENT_LIMIT: usize = 4 << 20;
+
+/// A whole event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// All bytes, with the empty line at the end.
+    pub bytes: Vec<u8>,
+    /// The id, if the event has one.
+    pub id: Option<u64>,
+}
+
+impl StreamEvent {
+    /// Returns the data of the event: the values of its data fields, joined by line feeds.
+    pub fn data(&self) -> Vec<u8> {
+        let mut data = Vec::with_capacity(self.bytes.len());
+        let mut first = true;
+        for line in self.bytes.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let Some(value) = line.strip_prefix(b"data:") else { continue };
+            if !first {
+                data.push(b'\n');
+            }
+            first = false;
+            data.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+        }
+        data
+    }
+}
+
+/// The stream holds an event beyond the size limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
+#[display("an event is larger than the limit")]
+pub struct EventTooLarge;
+
+/// Collects pieces of a stream and returns whole events.
+#[derive(Clone, Debug, Default)]
+pub struct EventSplitter {
+    buffer: Vec<u8>,
+    scanned: usize,
+}
+
+impl EventSplitter {
+    /// Adds a piece of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns `EventTooLarge` if an event does not end within the limit.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), EventTooLarge> {
+        self.buffer.extend_from_slice(piece);
+        match self.buffer.len() {
+            len if len > EVENT_LIMIT => Err(EventTooLarge),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns the next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let from = self.scanned.saturating_sub(3);
+        let Some(end) = event_end(&self.buffer[from..]).map(|end| from + end) else {
+            self.scanned = self.buffer.len();
+            return None;
+        };
+        self.scanned = 0;
+        let rest = self.buffer.split_off(end);
+        let bytes = std::mem::replace(&mut self.buffer, rest);
+        let id = event_id(&bytes);
+        Some(StreamEvent { bytes, id })
+    }
+
+    /// Tells whether bytes of an event that has not ended are left.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Drops the bytes of an event that has not ended.
+    pub fn clear(&mut self) {
+        self.buffer.clear();
+        self.scanned = 0;
+    }
+}
+
+/// Returns the offset after the first empty line.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut offset = 0;
+    while let Some(found) = bytes[offset..].iter().position(|byte| *byte == b'\n') {
+        let next = offset + found + 1;
+        match bytes.get(next) {
+            Some(b'\n') => return Some(next + 1),
+            Some(b'\r') if bytes.get(next + 1) == Some(&b'\n') => return Some(next + 2),
+            _ => offset = next,
+        }
+    }
+    None
+}
+
+fn event_id(bytes: &[u8]) -> Option<u64> {
+    let line = bytes.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/sesamewall-fleet/src/job.rs
@@ -0,0 +1,154 @@
+//! Batch jobs: what was submitted, and the list of results that only grows.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::ItemId;
+use sesamewall_protocol::JobId;
+
+/// An item of a job.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ItemSpec {
+    /// Its identifier.
+    pub id: ItemId,
+    /// Path of the request.
+    pub path: String,
+    /// Headers of the request.
+    pub headers: Vec<(String, String)>,
+    /// Body of the request.
+    #[serde(with = "byte_text")]
+    pub body: Vec<u8>,
+}
+
+/// A job as it was accepted.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Its identifier.
+    pub id: JobId,
+    /// The account that submitted it; `None` on public routes.
+    pub account: Option<AccountName>,
+    /// Host of its route.
+    pub host: String,
+    /// Path of its submission, which selects the route.
+    pub path: String,
+    /// Its items.
+    pub items: Vec<ItemSpec>,
+}
+
+/// How an item ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum ResultState {
+    /// The output is whole.
+    Completed,
+    /// The item was given up.
+    GivenUp,
+}
+
+/// The result of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ItemResult {
+    /// The item.
+    pub id: ItemId,
+    /// How it ended.
+    pub state: ResultState,
+    /// The data of all events, joined by line feeds.
+    #[serde(with = "byte_text")]
+    pub output: Vec<u8>,
+}
+
+/// Results in the order of their positions, as far as they have been read.
+#[derive(Clone, Debug, Default)]
+pub struct ResultList {
+    results: Vec<Arc<ItemResult>>,
+    groups: u64,
+}
+
+impl ResultList {
+    /// Returns the number of groups that have been appended.
+    pub fn groups(&self) -> u64 {
+        self.groups
+    }
+
+    /// Returns the number of results.
+    pub fn len(&self) -> usize {
+        self.results.len()
+    }
+
+    /// Tells whether there is no result.
+    pub fn is_empty(&self) -> bool {
+        self.results.is_empty()
+    }
+
+    /// Appends group `number`. A group out of order is ignored: a reader that missed one reads again.
+    pub fn append(&mut self, number: u64, group: Vec<ItemResult>) -> bool {
+        if number != self.groups {
+            return false;
+        }
+        self.groups += 1;
+        self.results.extend(group.into_iter().map(Arc::new));
+        true
+    }
+
+    /// Returns the results from a position on: at least one if there is one, and at most
+    /// `max_bytes` of output beyond the first.
+    pub fn page(&self, after: usize, max_bytes: usize) -> &[Arc<ItemResult>] {
+        let rest = self.results.get(after..).unwrap_or_default();
+        let mut bytes = 0;
+        let fitting = rest.iter().take_while(|result| {
+            bytes += result.output.len() + result.id.as_str().len();
+            bytes <= max_bytes
+        });
+        let count = fitting.count().max(rest.len().min(1));
+        &rest[..count]
+    }
+
+    /// Returns the items that have a result.
+    pub fn ended(&self) -> HashSet<ItemId> {
+        self.results.iter().map(|result| result.id.clone()).collect()
+    }
+
+    /// Tells whether an item has a result.
+    pub fn has(&self, item: &str) -> bool {
+        self.results.iter().any(|result| result.id.as_str() == item)
+    }
+}
+
+/// Serializes bytes as one block instead of a list of numbers.
+mod byte_text {
+    use serde::Deserializer;
+    use serde::Serializer;
+    use serde::de::Visitor;
+
+    pub(super) fn serialize<S: Serializer>(bytes: &[u8], out: S) -> Result<S::Ok, S::Error> {
+        out.serialize_bytes(bytes)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        from.deserialize_byte_buf(Bytes)
+    }
+
+    struct Bytes;
+
+    impl Visitor<'_> for Bytes {
+        type Value = Vec<u8>;
+
+        fn expecting(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            out.write_str("bytes")
+        }
+
+        fn visit_bytes<E>(self, bytes: &[u8]) -> Result<Vec<u8>, E> {
+            Ok(bytes.to_vec())
+        }
+
+        fn visit_byte_buf<E>(self, bytes: Vec<u8>) -> Result<Vec<u8>, E> {
+            Ok(bytes)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -0,0 +1,51 @@
+//! Decisions of instances that share a fleet without a lead: placement, shared rates, cold starts,
+//! batch headroom and the lists of batch results. Time and randomness come in as arguments.
+
+mod account_rate;
+mod batch_room;
+mod beacon;
+mod catalog;
+mod event_stream;
+mod item_run;
+mod job;
+mod peers;
+mod placement;
+mod suspects;
+mod targets;
+
+pub use account_rate::AccountRates;
+pub use account_rate::RateSettings;
+pub use account_rate::Spending;
+pub use batch_room::BatchRoom;
+pub use batch_room::RoomSettings;
+pub use beacon::Beacon;
+pub use beacon::TargetCount;
+pub use catalog::AccountSpec;
+pub use catalog::Catalog;
+pub use catalog::Limits;
+pub use catalog::RouteKind;
+pub use catalog::RouteSpec;
+pub use catalog::ServiceSpec;
+pub use event_stream::EventSplitter;
+pub use event_stream::StreamEvent;
+pub use item_run::ItemEnd;
+pub use item_run::ItemProgress;
+pub use item_run::ItemSettings;
+pub use job::ItemResult;
+pub use job::ItemSpec;
+pub use job::JobSpec;
+pub use job::ResultList;
+pub use job::ResultState;
+pub use peers::Contact;
+pub use peers::PeerSettings;
+pub use peers::Peers;
+pub use placement::Ask;
+pub use placement::Chosen;
+pub use placement::NoPlace;
+pub use placement::PlaceSettings;
+pub use placement::place;
+pub use suspects::Suspects;
+pub use targets::TargetEntry;
+pub use targets::TargetState;
+pub use targets::TargetTable;
+pub use targets::target_key;
--- /dev/null
+++ b/crates/sesamewall-fleet/src/targets.rs
@@ -0,0 +1,228 @@
+//! The targets that an instance knows, and whether they may get new work.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time after the return of the store within which lapsed entries of live targets are back. It is
+/// the platform's promise.
+const LAPSE_GRACE: Duration = Duration::from_millis(2000);
+
+/// Time for which a target that could not be reached, or that fell silent, gets no new work. It is
+/// the usual time between two entries of a target.
+const AVOID_TIME: Duration = Duration::from_millis(1200);
+
+/// Longest time for which a target is avoided after failures in a row.
+const MAX_AVOID: Duration = Duration::from_millis(4800);
+
+/// Returns the number under which beacons name a target.
+pub fn target_key(name: &TargetName) -> u32 {
+    xxh3_64(name.as_str().as_bytes()) as u32
+}
+
+/// What a target says about itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetEntry {
+    /// Name of this start of the target.
+    pub name: TargetName,
+    /// The service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// It is about to leave.
+    pub draining: bool,
+    /// Unix milliseconds of its start, 0 if unknown. It only tells starts apart.
+    pub born: u64,
+}
+
+/// A known target.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// What it said last.
+    pub entry: TargetEntry,
+    /// The number under which beacons name it.
+    pub key: u32,
+    avoid_until: Time,
+    failures: u32,
+    misdirected: bool,
+    lapsed: Option<Time>,
+}
+
+impl TargetState {
+    /// Tells whether the target may get new work, evacuations aside.
+    pub fn usable(&self, now: Time) -> bool {
+        !self.entry.draining && !self.misdirected && self.avoid_until <= now
+    }
+
+    /// Tells whether the target has failed and has not answered since.
+    pub fn failed(&self) -> bool {
+        self.failures > 0
+    }
+}
+
+/// All known targets.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    targets: BTreeMap<TargetName, TargetState>,
+    evacuated: BTreeSet<DomainName>,
+    store_lost: Option<Time>,
+    store_back: Option<Time>,
+}
+
+impl TargetTable {
+    /// Returns the targets of a service.
+    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetState> {
+        self.targets.values().filter(move |target| &*target.entry.service == service)
+    }
+
+    /// Returns a target.
+    pub fn get(&self, name: &TargetName) -> Option<&TargetState> {
+        self.targets.get(name)
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetState> {
+        self.targets.values()
+    }
+
+    /// Tells whether any target is known.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    /// Tells whether a target may get new work now.
+    pub fn in_service(&self, target: &TargetState, now: Time) -> bool {
+        target.usable(now) && !self.evacuated.contains(&target.entry.domain)
+    }
+
+    /// Takes over an entry. A new start under the same name forgets the failures of the former one.
+    pub fn upsert(&mut self, entry: TargetEntry) {
+        let key = target_key(&entry.name);
+        let fresh = TargetState {
+            entry: entry.clone(),
+            key,
+            avoid_until: Time::ZERO,
+            failures: 0,
+            misdirected: false,
+            lapsed: None,
+        };
+        let known = self.targets.entry(entry.name.clone()).or_insert_with(|| fresh.clone());
+        match known.entry.born != entry.born || known.entry.address != entry.address {
+            true => *known = fresh,
+            false => {
+                known.entry = entry;
+                known.lapsed = None;
+            }
+        }
+    }
+
+    /// Removes a target whose entry is gone. Around an outage of the store entries lapse although
+    /// their targets live; these stay until the grace time after the outage is over.
+    pub fn remove(&mut self, name: &TargetName, now: Time) {
+        let outage = self.store_lost.is_some()
+            || self.store_back.is_some_and(|back| now.since(back) < LAPSE_GRACE);
+        match self.targets.get_mut(name) {
+            Some(target) if outage && !target.entry.draining => {
+                target.lapsed.get_or_insert(now);
+            }
+            _ => {
+                self.targets.remove(name);
+            }
+        }
+    }
+
+    /// Replaces the whole list after a complete read.
+    pub fn replace(&mut self, entries: Vec<TargetEntry>, now: Time) {
+        let listed: BTreeSet<_> = entries.iter().map(|entry| entry.name.clone()).collect();
+        for entry in entries {
+            self.upsert(entry);
+        }
+        let known: Vec<_> = self.targets.keys().cloned().collect();
+        for name in known.into_iter().filter(|name| !listed.contains(name)) {
+            self.remove(&name, now);
+        }
+    }
+
+    /// Notes that a call to the store failed or succeeded.
+    pub fn on_store(&mut self, reachable: bool, now: Time) {
+        match (reachable, self.store_lost) {
+            (false, None) => self.store_lost = Some(now),
+            (true, Some(_)) => {
+                self.store_lost = None;
+                self.store_back = Some(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Drops targets whose entries did not come back after an outage, and returns their names.
+    pub fn on_tick(&mut self, now: Time) -> Vec<TargetName> {
+        let over = self.store_lost.is_none()
+            && self.store_back.is_none_or(|back| now.since(back) >= LAPSE_GRACE);
+        if !over {
+            return Vec::new();
+        }
+        let gone: Vec<_> = self
+            .targets
+            .values()
+            .filter(|target| target.lapsed.is_some())
+            .map(|target| target.entry.name.clone())
+            .collect();
+        for name in &gone {
+            self.targets.remove(name);
+        }
+        gone
+    }
+
+    /// Takes failure domains out of service.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>) {
+        self.evacuated = domains;
+    }
+
+    /// Returns the failure domains that are out of service.
+    pub fn evacuated(&self) -> &BTreeSet<DomainName> {
+        &self.evacuated
+    }
+
+    /// Notes that a target could not be reached, fell silent or broke a connection.
+    pub fn on_failure(&mut self, name: &TargetName, now: Time) {
+        if let Some(target) = self.targets.get_mut(name) {
+            let time = (AVOID_TIME * (1 << target.failures.min(2))).min(MAX_AVOID);
+            target.failures += 1;
+            target.avoid_until = target.avoid_until.max(now + time);
+        }
+    }
+
+    /// Notes that a target refused a request for its load or because it leaves, and for how long it
+    /// gets no new work.
+    pub fn on_refusal(&mut self, name: &TargetName, pause: Duration, now: Time) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.avoid_until = target.avoid_until.max(now + pause);
+        }
+    }
+
+    /// Notes that another target answers at the address. Only a new entry brings it back.
+    pub fn on_misdirected(&mut self, name: &TargetName) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.misdirected = true;
+        }
+    }
+
+    /// Notes an answer.
+    pub fn on_success(&mut self, name: &TargetName) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.failures = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-ports/src/lease_store.rs
@@ -0,0 +1,119 @@
+//! The port towards a key-value store with transactions, leases and watches.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+
+use crate::StoreError;
+
+/// A stored item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredItem {
+    /// Full key.
+    pub key: String,
+    /// The value.
+    pub value: Bytes,
+    /// Revision of the last write of this key.
+    pub revision: u64,
+}
+
+/// One page of items in key order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The items.
+    pub items: Vec<StoredItem>,
+    /// There are further items after the last one.
+    pub more: bool,
+    /// Revision of the store at the read.
+    pub revision: u64,
+}
+
+/// A change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreChange {
+    /// An item was written.
+    Written(StoredItem),
+    /// A key was removed.
+    Removed {
+        /// Full key.
+        key: String,
+    },
+}
+
+/// What a watch returns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Watched {
+    /// Changes in order, and the revision to go on from.
+    Changes {
+        /// The changes; empty at the time limit.
+        changes: Vec<StoreChange>,
+        /// Revision up to which the watch has seen everything.
+        revision: u64,
+    },
+    /// The store no longer has the history after the revision.
+    HistoryGone,
+}
+
+/// A write of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreWrite {
+    /// Full key.
+    pub key: String,
+    /// The value.
+    pub value: Bytes,
+    /// Lease that the key ends with, 0 for none.
+    pub lease: u64,
+}
+
+/// A transaction: all or nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys with the revisions that they must have; 0 for a key that must not exist.
+    pub expect: Vec<(String, u64)>,
+    /// Writes.
+    pub writes: Vec<StoreWrite>,
+    /// Keys to remove.
+    pub removes: Vec<String>,
+}
+
+/// The end of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Committed {
+    /// Done at this revision.
+    Done(u64),
+    /// A condition did not hold. The existing items of the conditions.
+    Conflict(Vec<StoredItem>),
+    /// The lease of a write has ended.
+    LeaseGone,
+}
+
+/// A key-value store with transactions, leases and watches.
+#[async_trait]
+pub trait LeaseStore: Send + Sync {
+    /// Returns an item, or `None`.
+    async fn item(&self, key: &str) -> Result<Option<StoredItem>, StoreError>;
+
+    /// Returns a page of the items whose keys start with `prefix` and are greater than `after`.
+    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError>;
+
+    /// Waits at most `wait` for changes after `revision` of keys that start with `prefix`.
+    async fn changes(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError>;
+
+    /// Commits a transaction.
+    async fn commit(&self, transaction: &Transaction) -> Result<Committed, StoreError>;
+
+    /// Returns a new lease that ends `life` after the call unless it is renewed.
+    async fn new_lease(&self, life: Duration) -> Result<u64, StoreError>;
+
+    /// Renews a lease. Returns false if it has ended.
+    async fn renew(&self, lease: u64) -> Result<bool, StoreError>;
+
+    /// Ends a lease; its keys are removed.
+    async fn end_lease(&self, lease: u64) -> Result<(), StoreError>;
+}
--- a/crates/sesamewall-server/src/main_entry.rs
+++ b/crates/sesamewall-server/src/main_entry.rs
@@ -26,6 +26,12 @@
     /// one instance with an embedded store and embedded stand-in targets
     #[argh(switch)]
     dev: bool,
+    /// take settings and role from the users' platform
+    #[argh(switch)]
+    platform: bool,
+    /// check a settings file of the users' platform and end
+    #[argh(option)]
+    check_platform: Option<String>,
     /// address for callers, as IP:PORT
     #[argh(option)]
     caller_addr: Option<String>,
@@ -35,9 +41,9 @@
 }
 
 /// Runs the program with the process's arguments until SIGTERM or SIGINT.
-pub async fn main() -> ExitCode {
+pub fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    match run(args).await {
+    match runtime(&args).and_then(|runtime| runtime.block_on(run(args))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("sesamewalld: error {}: {error}", error.code());
@@ -47,12 +53,30 @@
     }
 }
 
+/// Builds the runtime. The platform's machines have a part of one core, so one thread does it all.
+fn runtime(args: &Args) -> Result<tokio::runtime::Runtime> {
+    let mut builder = match args.platform {
+        true => tokio::runtime::Builder::new_current_thread(),
+        false => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let failed = |error: std::io::Error| Error::Internal { detail: error.to_string() };
+    builder.enable_all().build().map_err(failed)
+}
+
 async fn run(args: Args) -> Result<()> {
     if let Some(file) = &args.check_config {
         Settings::load(file)?;
         println!("{file}: valid");
         return Ok(());
     }
+    if let Some(file) = &args.check_platform {
+        sesamewall_platform::Machine::load(std::path::Path::new(file))?;
+        println!("{file}: valid");
+        return Ok(());
+    }
+    if args.platform {
+        return sesamewall_edge::run().await;
+    }
     let settings = match &args.config {
         Some(file) => Settings::load(file)?,
         None if args.dev => dev::settings(),
--- a/src/bin/sesamewalld.rs
+++ b/src/bin/sesamewalld.rs
@@ -2,7 +2,6 @@
 
 use std::process::ExitCode;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    sesamewall_server::main().await
+fn main() -> ExitCode {
+    sesamewall_server::main()
 }
