--- a/crates/sesamewall-edge/src/beacons.rs
+++ b/crates/sesamewall-edge/src/beacons.rs
@@ -16,6 +16,7 @@
 use slog::warn;
 use tokio::net::UdpSocket;
 
+use crate::Metrics;
 use crate::Node;
 
 /// Longest time between two beacons.
@@ -27,6 +28,9 @@
 /// Largest datagram that is read.
 const DATAGRAM_BYTES: usize = 64 << 10;
 
+/// Time between two lines with the counters.
+const REPORT_INTERVAL: Duration = Duration::from_secs(15);
+
 /// Time between two looks at silent instances and old counts.
 const TICK: Duration = Duration::from_millis(500);
 
@@ -147,9 +151,19 @@
 
 async fn tick(node: Arc<Node>, directory: Arc<Directory>) {
     let mut heard = BTreeSet::new();
+    let mut reported = node.now();
     loop {
         tokio::time::sleep(TICK).await;
         let now = node.now();
+        if now.since(reported) >= REPORT_INTERVAL {
+            reported = now;
+            info!(node.log, "counters";
+                "store_calls" => Metrics::summary(&node.metrics.store_calls),
+                "requests" => Metrics::summary(&node.metrics.requests),
+                "refusals" => Metrics::summary(&node.metrics.refusals),
+                "attempts" => Metrics::summary(&node.metrics.attempts),
+                "items" => Metrics::summary(&node.metrics.items));
+        }
         let mut state = node.state();
         state.peers.set_registered(directory.names());
         state.peers.on_tick(now);
--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -73,9 +73,7 @@
     until: Time,
 ) -> Result<Written, StoreError> {
     loop {
-        let began = node.now();
         let result = node.store.commit(transaction).await;
-        node.metrics.store_seconds.observe(node.now().since(began).as_secs_f64());
         let error = match result {
             Ok(Committed::Done(revision)) => {
                 node.on_store(true, &"");
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod beacons;
 mod call;
+mod counted_store;
 mod item_call;
 mod job_api;
 mod job_keys;
--- a/crates/sesamewall-edge/src/metrics.rs
+++ b/crates/sesamewall-edge/src/metrics.rs
@@ -24,7 +24,9 @@
     pub attempts: IntCounterVec,
     /// Time to the first byte of an answer, by route.
     pub first_byte: HistogramVec,
-    /// Time of store calls.
+    /// Calls to the store by kind and end.
+    pub store_calls: IntCounterVec,
+    /// Time of store calls, without watches.
     pub store_seconds: Histogram,
     /// Times at which the store was lost.
     pub store_losses: IntCounter,
@@ -68,6 +70,7 @@
             refusals: counters("sesamewall_refusals", "Refusals by code.", &["code"]),
             attempts: counters("sesamewall_attempts", "Attempts at targets.", &["end"]),
             first_byte,
+            store_calls: counters("sesamewall_store_calls", "Store calls.", &["kind", "end"]),
             store_seconds,
             store_losses: counter("sesamewall_store_losses", "Times the store was lost."),
             connections: counter("sesamewall_connections", "New connections to targets."),
@@ -79,6 +82,17 @@
 }
 
 impl Metrics {
+    /// Returns the values of a counter by their labels, for the log.
+    pub fn summary(counter: &IntCounterVec) -> String {
+        let families = prometheus::core::Collector::collect(counter);
+        let metrics = families.iter().flat_map(|family| family.get_metric());
+        let parts = metrics.map(|metric| {
+            let labels: Vec<_> = metric.get_label().iter().map(|label| label.value()).collect();
+            format!("{}={}", labels.join("/"), metric.get_counter().get_value())
+        });
+        parts.collect::<Vec<_>>().join(" ")
+    }
+
     /// Returns all values as text.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::Metrics;
+use crate::counted_store::CountedStore;
 use crate::target_pool::TargetPool;
 
 /// The state that decisions read and change.
@@ -66,9 +67,9 @@
     /// Log of the process.
     pub log: Logger,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// The platform's store.
-    pub store: Arc<dyn LeaseStore>,
+    pub store: CountedStore,
     /// Connections to targets.
     pub pool: TargetPool,
     /// The process stops soon.
@@ -87,12 +88,13 @@
 impl Node {
     /// Creates the shared part of a process.
     pub fn new(machine: Machine, store: Arc<dyn LeaseStore>, log: Logger) -> Self {
+        let metrics = Arc::new(Metrics::default());
         Self {
             machine,
             boot: rand::random(),
             log,
-            metrics: Metrics::default(),
-            store,
+            store: CountedStore::new(store, metrics.clone()),
+            metrics,
             pool: TargetPool::default(),
             draining: AtomicBool::new(false),
             changed: Notify::new(),
