Read the store less often

Change: workers name their jobs' committed groups in beacons, fronts read only for news; beacons name the highest revision of the operators' keys; only the keeper of the lease tries a lost store; a copy of the job's head lies beside its results; results are committed at most every 0.4 s; watches of jobs and targets are 0.5 s and 0.6 s apart.

--- a/crates/sesamewall-edge/src/beacons.rs
+++ b/crates/sesamewall-edge/src/beacons.rs
@@ -84,9 +84,9 @@
         draining: node.is_draining(),
         config: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
         notices: state.notices,
-        entries: state.entries,
         targets: state.peers.own_counts(),
         accounts: state.rates.report(),
+        jobs: state.jobs.clone(),
         suspects: state.suspects.report(),
     }
 }
@@ -131,9 +131,9 @@
     let now = node.now();
     let mut state = node.state();
     let part = state.front_part(now);
-    let known = state.catalog.as_ref().map_or(0, |catalog| catalog.version);
-    let behind =
-        beacon.config > known || beacon.notices > state.notices || beacon.entries > state.entries;
+    let (version, notices) = state.named;
+    state.named = (version.max(beacon.config), notices.max(beacon.notices));
+    let behind = state.is_behind();
     let instance = beacon.instance.clone();
     let (boot, accounts) = (beacon.boot, beacon.accounts.clone());
     let suspects = beacon.suspects.clone();
--- a/crates/sesamewall-edge/src/counted_store.rs
+++ b/crates/sesamewall-edge/src/counted_store.rs
@@ -21,6 +21,21 @@
     metrics: Arc<Metrics>,
 }
 
+/// Counts a call whose caller stopped waiting: the store counts it too.
+struct Pending<'a> {
+    metrics: &'a Metrics,
+    kind: &'a str,
+    ended: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.metrics.store_calls.with_label_values(&[self.kind, "dropped"]).inc();
+        }
+    }
+}
+
 impl CountedStore {
     /// Puts counters in front of `inner`.
     pub fn new(inner: Arc<dyn LeaseStore>, metrics: Arc<Metrics>) -> Self {
@@ -33,7 +48,9 @@
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
         let began = Instant::now();
+        let mut pending = Pending { metrics: &self.metrics, kind, ended: false };
         let result = call.await;
+        pending.ended = true;
         let end = match &result {
             Ok(_) => "ok",
             Err(StoreError::Conflict) => "conflict",
--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -12,6 +12,7 @@
 use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::job_key;
 use sesamewall_platform::JobCall;
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::WAIT_MS;
@@ -49,6 +50,9 @@
 /// Longest wait for a result, as clients may ask for.
 const MAX_WAIT: Duration = Duration::from_millis(1000);
 
+/// Time between two looks at the word of a job's worker while a reader waits.
+const NEWS_INTERVAL: Duration = Duration::from_millis(150);
+
 struct View {
     head: JobHead,
     results: Mutex<ResultList>,
@@ -110,6 +114,14 @@
         let result = job_store::commit_once(&self.node, &transaction, until).await;
         info!(self.node.log, "job submitted"; "job" => %spec.id, "route" => &*route.name,
             "items" => spec.items.len(), "end" => format!("{result:?}"));
+        if let Ok(Written::Done(_)) = result {
+            let head = JobHead {
+                account: spec.account.clone(),
+                total: spec.items.len(),
+                parts: transaction.writes.len() - 2,
+            };
+            self.keep(&spec.id, head, ResultList::default());
+        }
         match result {
             // A refused condition means that the job was accepted before.
             Ok(Written::Done(_) | Written::Refused) => Ok(empty(StatusCode::ACCEPTED)),
@@ -152,16 +164,20 @@
             kept.used = self.node.now();
             return Ok(kept.view.clone());
         }
-        let head = job_store::head(&self.node, job).await.map_err(|error| store_failed(&error))?;
-        let head = head.ok_or_else(|| not_found(job))?;
-        let view = Arc::new(View { head, results: Mutex::default() });
+        let read = job_store::open(&self.node, job).await.map_err(|error| store_failed(&error))?;
+        let (head, results) = read.ok_or_else(|| not_found(job))?;
+        Ok(self.keep(job, head, results))
+    }
+
+    fn keep(&self, job: &JobId, head: JobHead, results: ResultList) -> Arc<View> {
+        let view = Arc::new(View { head, results: Mutex::new(results) });
         let mut views = self.views();
         if views.len() >= MAX_VIEWS {
             let oldest = views.iter().min_by_key(|(_, kept)| kept.used).map(|(job, _)| job.clone());
             oldest.and_then(|job| views.remove(&job));
         }
         let kept = Kept { view: view.clone(), used: self.node.now() };
-        Ok(views.entry(job.clone()).or_insert(kept).view.clone())
+        views.entry(job.clone()).or_insert(kept).view.clone()
     }
 
     fn views(&self) -> std::sync::MutexGuard<'_, HashMap<JobId, Kept>> {
@@ -176,9 +192,14 @@
         wait: Duration,
     ) -> Result<Reply, Error> {
         let until = self.node.now() + wait;
+        let key = job_key(job);
         loop {
             let mut results = view.results.lock().await;
-            if results.len() <= after && results.len() < view.head.total {
+            let now = self.node.now();
+            // The job's worker says in its beacons how much there is; the store is read for more.
+            let groups = self.node.state().peers.job_groups(key, now);
+            let news = groups.is_none_or(|groups| u64::from(groups) > results.groups());
+            if news && results.len() <= after && results.len() < view.head.total {
                 let read = job_store::refresh(&self.node, job, &mut results).await;
                 read.map_err(|error| store_failed(&error))?;
             }
@@ -188,7 +209,8 @@
                 return Ok(json(StatusCode::OK, encode_page(view.head.total, after, page)));
             }
             drop(results);
-            tokio::time::sleep(left).await;
+            let pause = if groups.is_some() { left.min(NEWS_INTERVAL) } else { left };
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/crates/sesamewall-edge/src/job_keys.rs
+++ b/crates/sesamewall-edge/src/job_keys.rs
@@ -52,11 +52,16 @@
     format!("sesamewall/spec/{job}/{part:02}")
 }
 
-/// Returns the start of the keys of a job's results.
+/// Returns the start of the keys that readers of a job read: a copy of its head, and its results.
 pub fn result_prefix(job: &JobId) -> String {
     format!("sesamewall/result/{job}/")
 }
 
+/// Returns the key of the head's copy, which comes before all results.
+pub fn read_head_key(job: &JobId) -> String {
+    format!("{}!head", result_prefix(job))
+}
+
 /// Returns the key of a group of results.
 pub fn result_key(job: &JobId, group: u64) -> String {
     format!("{}{group:06}", result_prefix(job))
--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -19,6 +19,7 @@
 use crate::Node;
 use crate::job_keys::JobKey;
 use crate::job_keys::part_key;
+use crate::job_keys::read_head_key;
 use crate::job_keys::result_key;
 use crate::job_keys::result_prefix;
 
@@ -96,6 +97,7 @@
             return Err(error);
         }
         tokio::time::sleep(REPEAT_PAUSE).await;
+        node.store_answers(until.since(node.now())).await;
     }
 }
 
@@ -115,7 +117,12 @@
     let head =
         JobHead { account: spec.account.clone(), total: spec.items.len(), parts: parts.len() };
     let key = JobKey::Head.of(&spec.id);
-    let mut writes = vec![StoreWrite { key: key.clone(), value: encode(&head)?, lease: 0 }];
+    let value = encode(&head)?;
+    let mut writes = vec![
+        StoreWrite { key: key.clone(), value: value.clone(), lease: 0 },
+        // The copy spares readers a call: one page has the head and the results.
+        StoreWrite { key: read_head_key(&spec.id), value, lease: 0 },
+    ];
     writes.extend(parts.into_iter().enumerate().map(|(part, value)| StoreWrite {
         key: part_key(&spec.id, part),
         value,
@@ -135,10 +142,12 @@
     Ok(result?.map(|item| item.value))
 }
 
-/// Reads the head of a job; `None` if there is no such job.
-pub async fn head(node: &Node, job: &JobId) -> Result<Option<JobHead>, StoreError> {
-    let key = JobKey::Head.of(job);
-    Ok(item(node, &key).await?.and_then(|bytes| decode(node, &key, &bytes)))
+/// Reads the head of a job and the results so far; `None` if there is no such job.
+pub async fn open(node: &Node, job: &JobId) -> Result<Option<(JobHead, ResultList)>, StoreError> {
+    let mut list = ResultList::default();
+    let head = read_page(node, job, &mut list, None).await?.head;
+    let Some(head) = head else { return Ok(None) };
+    Ok(Some((head, list)))
 }
 
 /// Decodes a head that a watch returned.
@@ -156,26 +165,50 @@
     Ok(decode(node, job.as_str(), &bytes))
 }
 
+/// What a page of a job's results says besides the results.
+struct ReadPage {
+    head: Option<JobHead>,
+    more: bool,
+}
+
+async fn read_page(
+    node: &Node,
+    job: &JobId,
+    list: &mut ResultList,
+    after: Option<&str>,
+) -> Result<ReadPage, StoreError> {
+    let result = node.store.page(&result_prefix(job), after).await;
+    match &result {
+        Ok(_) => node.on_store(true, &""),
+        Err(StoreError::RateLimited) => {}
+        Err(error) => node.on_store(false, error),
+    }
+    let page = result?;
+    let head_key = read_head_key(job);
+    let mut read = ReadPage { head: None, more: page.more };
+    for item in &page.items {
+        if item.key == head_key {
+            read.head = decode(node, &item.key, &item.value);
+            continue;
+        }
+        let number = item.key.rsplit('/').next().and_then(|text| text.parse().ok());
+        let group: Option<Vec<ItemResult>> = decode(node, &item.key, &item.value);
+        if let (Some(number), Some(group)) = (number, group) {
+            list.append(number, group);
+        }
+    }
+    Ok(read)
+}
+
 /// Reads the results that `list` does not have yet.
 pub async fn refresh(node: &Node, job: &JobId, list: &mut ResultList) -> Result<(), StoreError> {
-    let prefix = result_prefix(job);
     loop {
-        let after = list.groups().checked_sub(1).map(|group| result_key(job, group));
-        let result = node.store.page(&prefix, after.as_deref()).await;
-        match &result {
-            Ok(_) => node.on_store(true, &""),
-            Err(StoreError::RateLimited) => {}
-            Err(error) => node.on_store(false, error),
-        }
-        let page = result?;
         let before = list.groups();
-        for item in &page.items {
-            let number = item.key.rsplit('/').next().and_then(|text| text.parse().ok());
-            let group: Option<Vec<ItemResult>> = decode(node, &item.key, &item.value);
-            if let (Some(number), Some(group)) = (number, group) {
-                list.append(number, group);
-            }
-        }
+        let after = match before.checked_sub(1) {
+            Some(group) => result_key(job, group),
+            None => read_head_key(job),
+        };
+        let page = read_page(node, job, list, Some(&after)).await?;
         if !page.more || list.groups() == before {
             return Ok(());
         }
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -5,7 +5,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -40,13 +39,21 @@
     pub rates: AccountRates,
     /// Requests that were running when targets crashed.
     pub suspects: Suspects,
-    /// Store revision up to which the operators' keys are known.
+    /// Jobs that the own worker runs, with the groups of results that it has committed.
+    pub jobs: Vec<(u32, u32)>,
+    /// Highest store revision of an operators' key that was read.
     pub notices: u64,
-    /// Store revision up to which the targets' entries are known.
-    pub entries: u64,
+    /// Highest version and revision that another instance has named.
+    pub named: (u64, u64),
 }
 
 impl State {
+    /// Tells whether another instance has read more of the operators' keys.
+    pub fn is_behind(&self) -> bool {
+        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        self.named.0 > version || self.named.1 > self.notices
+    }
+
     /// Returns the part of the fronts that is heard, for rates.
     pub fn front_part(&self, now: Time) -> f64 {
         self.peers.heard_part(now, |beacon: &Beacon| beacon.front)
@@ -82,7 +89,7 @@
     pub behind: Notify,
     state: Mutex<State>,
     store_lost: AtomicBool,
-    store_contact: AtomicU64,
+    regained: Notify,
 }
 
 impl Node {
@@ -106,11 +113,12 @@
                 peers: Peers::new(PeerSettings::default()),
                 rates: AccountRates::new(RateSettings::default()),
                 suspects: Suspects::default(),
+                jobs: Vec::new(),
                 notices: 0,
-                entries: 0,
+                named: (0, 0),
             }),
             store_lost: AtomicBool::new(false),
-            store_contact: AtomicU64::new(0),
+            regained: Notify::new(),
         }
     }
 
@@ -143,7 +151,7 @@
         let now = self.now();
         let lost = self.store_lost.swap(!reachable, Ordering::Relaxed);
         if reachable {
-            self.store_contact.store(now.as_micros(), Ordering::Relaxed);
+            self.regained.notify_waiters();
         }
         match (lost, reachable) {
             (false, false) => {
@@ -156,8 +164,18 @@
         self.state().targets.on_store(reachable, now);
     }
 
-    /// Returns the time since the store last answered.
-    pub fn store_silence(&self) -> Duration {
-        self.now().since(Time::from_micros(self.store_contact.load(Ordering::Relaxed)))
+    /// Tells whether the last call to the store failed.
+    pub fn is_store_lost(&self) -> bool {
+        self.store_lost.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the store answers again, at most `limit`. Only the keeper of the lease tries it
+    /// meanwhile: each call is paid for, also one that is refused.
+    pub async fn store_answers(&self, limit: Duration) {
+        let regained = self.regained.notified();
+        if self.is_store_lost() {
+            // The result is the same: after the limit the caller tries for itself.
+            let _ = tokio::time::timeout(limit, regained).await;
+        }
     }
 }
--- a/crates/sesamewall-edge/src/run.rs
+++ b/crates/sesamewall-edge/src/run.rs
@@ -51,6 +51,9 @@
 /// Time before SIGKILL by which a process is gone.
 const END_MARGIN: Duration = Duration::from_millis(700);
 
+/// Shortest time between two watches of the jobs: each watch is paid for, and a job has many seconds.
+const JOB_PACE: Duration = Duration::from_millis(500);
+
 /// Idle connections of callers are kept for somewhat longer than callers use them.
 const IDLE_FACTOR: f64 = 1.1;
 
@@ -83,7 +86,7 @@
     let worker = node.machine.worker.then(|| Worker::new(node.clone(), lease.clone()));
     if let Some(worker) = &worker {
         let follower = JobFollower(worker.clone());
-        tokio::spawn(sync::follow(node.clone(), JOB_PREFIX, Duration::from_millis(50), follower));
+        tokio::spawn(sync::follow(node.clone(), JOB_PREFIX, JOB_PACE, follower));
         tokio::spawn(worker.clone().run());
     }
     let callers = match node.machine.callers {
--- a/crates/sesamewall-edge/src/sync.rs
+++ b/crates/sesamewall-edge/src/sync.rs
@@ -1,6 +1,5 @@
 //! Follows the operators' keys and the targets' entries in the store.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,9 +30,15 @@
 /// instance knows more.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// Time within which a watch brings the news that another instance has named.
+const NEWS_TIME: Duration = Duration::from_millis(300);
+
 /// Shortest and longest pause after a failed call.
 const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Longest time for which a follower trusts that the keeper of the lease notices the store's return.
+const BLIND_PAUSE: Duration = Duration::from_secs(3);
+
 /// Handles what a follower reads.
 pub trait Follow: Send {
     /// Takes over a complete read.
@@ -75,9 +80,13 @@
             Some(at) => {
                 let watch = node.store.changes(prefix, at, WATCH_WAIT);
                 let behind = async {
-                    node.behind.notified().await;
-                    // The watch usually brings the news itself within this time.
-                    tokio::time::sleep(Duration::from_millis(150)).await;
+                    loop {
+                        node.behind.notified().await;
+                        tokio::time::sleep(NEWS_TIME).await;
+                        if node.state().is_behind() {
+                            return;
+                        }
+                    }
                 };
                 tokio::select! {
                     result = watch => result.map(|watched| match watched {
@@ -110,6 +119,7 @@
                     node.on_store(false, &error);
                 }
                 tokio::time::sleep(pause).await;
+                node.store_answers(BLIND_PAUSE).await;
                 pause = (pause * 2).min(longest);
             }
         }
@@ -120,14 +130,14 @@
 pub struct Operators {
     node: Arc<Node>,
     evacuated: BTreeSet<DomainName>,
-    /// Raw values, which peers without the store ask for.
-    raw: BTreeMap<String, Bytes>,
+    /// Highest revision of a key that was read.
+    revision: u64,
 }
 
 impl Operators {
     /// Creates the follower of the operators' keys.
     pub fn new(node: Arc<Node>) -> Self {
-        Self { node, evacuated: BTreeSet::new(), raw: BTreeMap::new() }
+        Self { node, evacuated: BTreeSet::new(), revision: 0 }
     }
 
     fn written(&mut self, item: &StoredItem) {
@@ -139,7 +149,7 @@
             Some(OperatorKey::Retirement(instance)) => self.retire(instance),
             None => {}
         }
-        self.raw.insert(item.key.clone(), item.value.clone());
+        self.revision = self.revision.max(item.revision);
     }
 
     /// Reports a worker machine as empty: nothing on its disk has to last.
@@ -185,7 +195,7 @@
                 "revision" => revision);
             state.targets.set_evacuated(self.evacuated.clone());
         }
-        state.notices = state.notices.max(revision);
+        state.notices = state.notices.max(self.revision);
         drop(state);
         self.node.changed.notify_one();
     }
@@ -194,7 +204,6 @@
 impl Follow for Operators {
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64) {
         self.evacuated.clear();
-        self.raw.clear();
         for item in &items {
             self.written(item);
         }
@@ -209,7 +218,6 @@
                     if let Some(OperatorKey::Evacuation(domain)) = operator_key(&key) {
                         self.evacuated.remove(&domain);
                     }
-                    self.raw.remove(&key);
                 }
             }
         }
@@ -247,11 +255,6 @@
     pub fn new(node: Arc<Node>) -> Self {
         Self { node }
     }
-
-    fn finish(&self, revision: u64) {
-        let mut state = self.node.state();
-        state.entries = state.entries.max(revision);
-    }
 }
 
 fn name_of(key: &str) -> sesamewall_protocol::TargetName {
@@ -272,7 +275,6 @@
         info!(self.node.log, "targets read"; "targets" => entries.len(), "revision" => revision);
         let now = self.node.now();
         self.node.state().targets.replace(entries, now);
-        self.finish(revision);
     }
 
     fn apply(&mut self, changes: Vec<StoreChange>, revision: u64) {
@@ -302,7 +304,6 @@
                 }
             }
         }
-        self.finish(revision);
     }
 }
 
@@ -310,7 +311,7 @@
 pub fn spawn(node: &Arc<Node>) {
     /// Shortest time between two watches of the targets: each change costs a call, and a change has
     /// two seconds to be in force.
-    const TARGET_PACE: Duration = Duration::from_millis(400);
+    const TARGET_PACE: Duration = Duration::from_millis(600);
     let operators = Operators::new(node.clone());
     tokio::spawn(follow(node.clone(), OPERATOR_PREFIX, Duration::ZERO, operators));
     let targets = Targets::new(node.clone());
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -19,6 +19,7 @@
 use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::ResultState;
+use sesamewall_fleet::job_key;
 use sesamewall_ports::StoreChange;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
@@ -54,7 +55,12 @@
 const CLAIM_STEP: Duration = Duration::from_millis(400);
 
 /// Results that come within this time are committed together.
-const COMMIT_DELAY: Duration = Duration::from_millis(40);
+/// Readers come about twice a second.
+const COMMIT_DELAY: Duration = Duration::from_millis(400);
+
+/// Time between two looks at whether all items of a job have ended, so that the last results do not
+/// wait.
+const COMMIT_STEP: Duration = Duration::from_millis(50);
 
 /// Most output bytes in one group of results.
 const GROUP_BYTES: usize = 400 << 10;
@@ -169,6 +175,24 @@
             self.make_way();
             self.claim();
             self.start_items();
+            self.report();
+        }
+    }
+
+    /// Tells the other instances which jobs this worker runs and how many groups of results it has
+    /// committed.
+    fn report(&self) {
+        let report: Vec<_> = self
+            .jobs()
+            .iter()
+            .filter(|(_, job)| job.open() && job.work.spec.is_some())
+            .map(|(id, job)| (job_key(id), job.work.groups as u32))
+            .collect();
+        let mut state = self.node.state();
+        if state.jobs != report {
+            state.jobs = report;
+            drop(state);
+            self.node.changed.notify_one();
         }
     }
 
@@ -478,7 +502,15 @@
 
     async fn commit(self: Arc<Self>, id: JobId) {
         loop {
-            tokio::time::sleep(COMMIT_DELAY).await;
+            let from = self.node.now();
+            while self.node.now().since(from) < COMMIT_DELAY {
+                tokio::time::sleep(COMMIT_STEP).await;
+                let jobs = self.jobs();
+                let Some(job) = jobs.get(&id) else { return };
+                if job.work.running.is_empty() && job.work.waiting.is_empty() {
+                    break;
+                }
+            }
             let (claim, group, results, complete) = {
                 let mut jobs = self.jobs();
                 let Some(job) = jobs.get_mut(&id) else { return };
@@ -523,6 +555,7 @@
                     job.work.results.retain(|result| !done.contains(&result.id));
                     job.work.committed.extend(done);
                     job.work.groups += 1;
+                    self.wake.notify_one();
                     if complete {
                         job.complete = true;
                         job.stop();
--- a/crates/sesamewall-fleet/src/beacon.rs
+++ b/crates/sesamewall-fleet/src/beacon.rs
@@ -41,14 +41,14 @@
     pub draining: bool,
     /// Version of the configuration in force at the sender.
     pub config: u64,
-    /// Store revision up to which the sender knows the operators' notices.
+    /// Highest store revision of an operators' key that the sender has read.
     pub notices: u64,
-    /// Store revision up to which the sender knows the targets.
-    pub entries: u64,
     /// Counts at targets, without those that are all zero.
     pub targets: Vec<TargetCount>,
     /// Spending of client accounts.
     pub accounts: Vec<Spending>,
+    /// Jobs that the sender runs, and the groups of results that it has committed.
+    pub jobs: Vec<(u32, u32)>,
     /// Hashes of requests that were running when targets crashed, with the number of crashes seen.
     pub suspects: Vec<(u64, u8)>,
 }
--- a/crates/sesamewall-fleet/src/job.rs
+++ b/crates/sesamewall-fleet/src/job.rs
@@ -8,6 +8,12 @@
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::JobId;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Returns the number under which beacons name a job.
+pub fn job_key(job: &JobId) -> u32 {
+    xxh3_64(job.as_str().as_bytes()) as u32
+}
 
 /// An item of a job.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -36,6 +36,7 @@
 pub use job::JobSpec;
 pub use job::ResultList;
 pub use job::ResultState;
+pub use job::job_key;
 pub use peers::Contact;
 pub use peers::PeerSettings;
 pub use peers::Peers;
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -17,13 +17,20 @@
 pub struct PeerSettings {
     /// Silence after which an instance is not in contact: several beacon intervals.
     pub contact_time: Duration,
+    /// Age up to which a worker's word about its jobs is trusted. A result that one reader has seen
+    /// has to be visible to all within a second.
+    pub hint_time: Duration,
     /// Silence after which the counts of an instance are forgotten.
     pub forget_time: Duration,
 }
 
 impl Default for PeerSettings {
     fn default() -> Self {
-        Self { contact_time: Duration::from_millis(700), forget_time: Duration::from_millis(1500) }
+        Self {
+            contact_time: Duration::from_millis(700),
+            hint_time: Duration::from_millis(500),
+            forget_time: Duration::from_millis(1500),
+        }
     }
 }
 
@@ -155,6 +162,18 @@
         self.heard.values().filter(move |known| now.since(known.heard) <= limit)
     }
 
+    /// Returns the groups of results that the worker of a job has committed, if one says that it runs
+    /// the job. Without an answer the store has to be read.
+    pub fn job_groups(&self, job: u32, now: Time) -> Option<u32> {
+        let fresh = self.settings.hint_time;
+        self.heard
+            .values()
+            .filter(|known| now.since(known.heard) <= fresh)
+            .flat_map(|known| known.beacon.jobs.iter())
+            .find(|(key, _)| *key == job)
+            .map(|(_, groups)| *groups)
+    }
+
     /// Returns the requests of all instances at a target.
     pub fn at_target(&self, key: u32) -> TargetCount {
         let own = self.own.get(&key).copied().unwrap_or_default();
