Start batch items that can still end in time first

Change: items rank by whether they can end before their job is due, then by the due time; those that cannot make way first. Run times are learned from items that ended whole.

--- a/crates/sesamewall-edge/src/item_call.rs
+++ b/crates/sesamewall-edge/src/item_call.rs
@@ -96,6 +96,11 @@
         self.prefix
     }
 
+    /// Returns the time from a job's submission within which its results are due.
+    pub fn due(&self) -> Duration {
+        self.route.due
+    }
+
     /// Returns the failed runs after which the item is given up.
     pub fn attempts(&self) -> u32 {
         self.route.attempts
--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -32,6 +32,7 @@
 use crate::job_store;
 use crate::job_store::JobHead;
 use crate::job_store::Written;
+use crate::node::wall_millis;
 use crate::reply::Reply;
 use crate::reply::empty;
 use crate::reply::full;
@@ -109,7 +110,9 @@
             path: head.uri.path().to_owned(),
             items,
         };
-        let transaction = job_store::accept(&spec).map_err(|error| store_failed(&error))?;
+        let accepted = wall_millis();
+        let transaction =
+            job_store::accept(&spec, accepted).map_err(|error| store_failed(&error))?;
         let until = self.node.now() + COMMIT_TIME;
         let result = job_store::commit_once(&self.node, &transaction, until).await;
         info!(self.node.log, "job submitted"; "job" => %spec.id, "route" => &*route.name,
@@ -119,6 +122,7 @@
                 account: spec.account.clone(),
                 total: spec.items.len(),
                 parts: transaction.writes.len() - 2,
+                accepted,
             };
             self.keep(&spec.id, head, ResultList::default());
         }
--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -40,6 +40,9 @@
     pub total: usize,
     /// Parts of its specification.
     pub parts: usize,
+    /// Unix milliseconds of its acceptance. The time of day may be wrong, so only the order of items
+    /// after a restart depends on it.
+    pub accepted: u64,
 }
 
 /// How a write under a condition ended.
@@ -106,7 +109,7 @@
 /// # Errors
 ///
 /// Returns `TooLarge` if the job does not fit into one transaction.
-pub fn accept(spec: &JobSpec) -> Result<Transaction, StoreError> {
+pub fn accept(spec: &JobSpec, accepted: u64) -> Result<Transaction, StoreError> {
     let bytes = encode(spec)?;
     let parts: Vec<Bytes> = (0..bytes.len().div_ceil(PART_BYTES))
         .map(|part| bytes.slice(part * PART_BYTES..bytes.len().min((part + 1) * PART_BYTES)))
@@ -114,8 +117,12 @@
     if parts.len() > 24 {
         return Err(StoreError::TooLarge);
     }
-    let head =
-        JobHead { account: spec.account.clone(), total: spec.items.len(), parts: parts.len() };
+    let head = JobHead {
+        account: spec.account.clone(),
+        total: spec.items.len(),
+        parts: parts.len(),
+        accepted,
+    };
     let key = JobKey::Head.of(&spec.id);
     let value = encode(&head)?;
     let mut writes = vec![
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use rustix::time::ClockId;
 use sesamewall_fleet::AccountRates;
@@ -65,6 +67,12 @@
     }
 }
 
+/// Returns the time of day in Unix milliseconds.
+pub fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// What all parts of a process share.
 pub struct Node {
     /// The machine.
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -11,11 +11,14 @@
 use bytes::Bytes;
 use sesamewall_fleet::Ask;
 use sesamewall_fleet::BatchRoom;
+use sesamewall_fleet::Catalog;
 use sesamewall_fleet::ItemEnd;
 use sesamewall_fleet::ItemProgress;
+use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemSettings;
 use sesamewall_fleet::ItemSpec;
+use sesamewall_fleet::ItemTimes;
 use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::ResultState;
@@ -36,6 +39,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Node;
+use crate::attempt::Held;
 use crate::call::choose;
 use crate::item_call::ItemCall;
 use crate::job_keys::JobKey;
@@ -43,6 +47,7 @@
 use crate::job_store::JobHead;
 use crate::job_store::Written;
 use crate::lease::ProcessLease;
+use crate::node::wall_millis;
 use crate::sync::Follow;
 
 /// Time between two looks at unclaimed jobs and waiting items when nothing else happens.
@@ -68,6 +73,12 @@
 /// Longest time for the commit of a group before the claim is checked again.
 const COMMIT_TIME: Duration = Duration::from_secs(20);
 
+/// Due time of a job whose route is not known yet.
+const USUAL_DUE: Duration = Duration::from_secs(18);
+
+/// Longest age of a job that the time of day may tell.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
 /// A claim on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Claim {
@@ -83,6 +94,8 @@
 }
 
 struct Running {
+    due: Time,
+    from: u64,
     target: TargetName,
     key: u32,
     started: Time,
@@ -102,7 +115,10 @@
 
 struct Job {
     head: Option<JobHead>,
+    /// When the job was accepted, by the own clock.
     learned: Time,
+    /// Time within which its results are due.
+    due: Duration,
     claim: Claim,
     ended: bool,
     complete: bool,
@@ -114,6 +130,7 @@
         Self {
             head: None,
             learned: now,
+            due: USUAL_DUE,
             claim: Claim::Free { since: now },
             ended: false,
             complete: false,
@@ -142,6 +159,7 @@
     items: ItemSettings,
     wake: Notify,
     jobs: Mutex<BTreeMap<JobId, Job>>,
+    times: Mutex<ItemTimes>,
 }
 
 impl Worker {
@@ -154,6 +172,7 @@
             items: ItemSettings::default(),
             wake: Notify::new(),
             jobs: Mutex::default(),
+            times: Mutex::default(),
         })
     }
 
@@ -161,6 +180,10 @@
         self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn times(&self) -> MutexGuard<'_, ItemTimes> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Runs until the process ends.
     pub async fn run(self: Arc<Self>) {
         loop {
@@ -233,6 +256,7 @@
         if leaving.is_empty() {
             return;
         }
+        let times = self.times().clone();
         let jobs = self.jobs();
         for (key, count) in leaving {
             let mut here: Vec<&Running> = jobs
@@ -240,8 +264,11 @@
                 .flat_map(|job| job.work.running.values())
                 .filter(|running| running.key == key && !running.cancel.is_cancelled())
                 .collect();
-            // The youngest has the least to read again when it goes on.
-            here.sort_by_key(|running| std::cmp::Reverse(running.started));
+            // Those that cannot end in time first, then those that are due last.
+            here.sort_by_key(|running| {
+                let left = times.left(running.from).saturating_sub(now.since(running.started));
+                std::cmp::Reverse(ItemRank::new(running.due, left, now))
+            });
             for running in here.into_iter().take(count as usize) {
                 running.cancel.cancel();
             }
@@ -380,74 +407,87 @@
             return;
         }
         let Some(catalog) = self.node.catalog() else { return };
+        let times = self.times().clone();
         let mut jobs = self.jobs();
-        let mut order: Vec<_> = jobs
-            .iter()
-            .filter(|(_, job)| job.open() && !job.work.waiting.is_empty())
-            .map(|(id, job)| (job.learned, id.clone()))
-            .collect();
+        let mut order: Vec<(ItemRank, JobId, ItemId)> = Vec::new();
+        for (id, job) in jobs.iter().filter(|(_, job)| job.open()) {
+            let due = job.learned + job.due;
+            let ready = job.work.waiting.iter().filter(|item| item.progress.not_before() <= now);
+            order.extend(ready.map(|item| {
+                let left = times.left(item.progress.events());
+                (ItemRank::new(due, left, now), id.clone(), item.spec.id.clone())
+            }));
+        }
         order.sort();
-        for (_, id) in order {
+        for (_, id, item) in order {
             let Some(job) = jobs.get_mut(&id) else { continue };
-            let Claim::Own { .. } = job.claim else { continue };
-            let Some(spec) = job.work.spec.clone() else { continue };
-            let mut waiting = std::mem::take(&mut job.work.waiting);
-            waiting.retain_mut(|item| {
-                if item.progress.not_before() > now {
-                    return true;
-                }
-                let call = match ItemCall::new(&catalog, &spec, item.spec.clone()) {
-                    Some(call) => call,
-                    None => {
-                        info!(self.node.log, "item given up"; "job" => %id,
-                            "item" => %item.spec.id, "cause" => "its route is gone",
-                            "version" => catalog.version);
-                        job.work.results.push(ItemResult {
-                            id: item.spec.id.clone(),
-                            state: ResultState::GivenUp,
-                            output: Vec::new(),
-                        });
-                        return false;
-                    }
-                };
-                let ask = Ask {
-                    service: call.service(),
-                    regions: call.regions(),
-                    domain: &self.node.machine.domain,
-                    prefix: call.prefix(),
-                    exclude: &[],
-                    leave_free: Some(self.room.free()),
-                };
-                let Ok(chosen) = choose(&self.node, &ask) else { return true };
-                let cancel = CancellationToken::new();
-                job.work.running.insert(
-                    item.spec.id.clone(),
-                    Running {
-                        target: chosen.name.clone(),
-                        key: chosen.key,
-                        started: now,
-                        cancel: cancel.clone(),
-                    },
-                );
-                let progress = std::mem::take(&mut item.progress);
-                // The count is taken here, so that the next choice sees it.
-                let held = crate::attempt::Held::new(&self.node, chosen.key, true);
-                let task = self.clone().run_item(id.clone(), call, chosen, progress, held, cancel);
-                tokio::spawn(task);
-                false
-            });
-            job.work.waiting.extend(waiting);
-            self.commit_soon(&id, job);
+            if !self.start_item(&catalog, &id, job, &item, now) {
+                break;
+            }
+        }
+        for (id, job) in jobs.iter_mut() {
+            self.commit_soon(id, job);
         }
     }
 
+    /// Starts an item. Returns false if there is no room.
+    fn start_item(
+        self: &Arc<Self>,
+        catalog: &Catalog,
+        id: &JobId,
+        job: &mut Job,
+        item: &ItemId,
+        now: Time,
+    ) -> bool {
+        let Claim::Own { .. } = job.claim else { return true };
+        let Some(spec) = job.work.spec.clone() else { return true };
+        let Some(index) = job.work.waiting.iter().position(|waiting| waiting.spec.id == *item)
+        else {
+            return true;
+        };
+        let Some(call) = ItemCall::new(catalog, &spec, job.work.waiting[index].spec.clone()) else {
+            info!(self.node.log, "item given up"; "job" => %id, "item" => %item,
+                "cause" => "its route is gone", "version" => catalog.version);
+            job.work.waiting.remove(index);
+            let state = ResultState::GivenUp;
+            job.work.results.push(ItemResult { id: item.clone(), state, output: Vec::new() });
+            return true;
+        };
+        job.due = call.due();
+        let ask = Ask {
+            service: call.service(),
+            regions: call.regions(),
+            domain: &self.node.machine.domain,
+            prefix: call.prefix(),
+            exclude: &[],
+            leave_free: Some(self.room.free()),
+        };
+        let Ok(chosen) = choose(&self.node, &ask) else { return false };
+        let progress = job.work.waiting.remove(index).progress;
+        let cancel = CancellationToken::new();
+        let running = Running {
+            due: job.learned + job.due,
+            from: progress.events(),
+            target: chosen.name.clone(),
+            key: chosen.key,
+            started: now,
+            cancel: cancel.clone(),
+        };
+        job.work.running.insert(item.clone(), running);
+        // The count is taken here, so that the next choice sees it.
+        let held = Held::new(&self.node, chosen.key, true);
+        let task = self.clone().run_item(id.clone(), call, chosen, progress, held, cancel);
+        tokio::spawn(task);
+        true
+    }
+
     async fn run_item(
         self: Arc<Self>,
         id: JobId,
         call: ItemCall,
         chosen: sesamewall_fleet::Chosen,
         mut progress: ItemProgress,
-        held: crate::attempt::Held,
+        held: Held,
         cancel: CancellationToken,
     ) {
         let before = progress.events();
@@ -472,7 +512,12 @@
         if !(ours || made_way && job.work.running.contains_key(&call.item().id)) {
             return;
         }
-        job.work.running.remove(&call.item().id);
+        if let Some(running) = job.work.running.remove(&call.item().id)
+            && end == ItemEnd::Whole
+            && before == 0
+        {
+            self.times().on_whole(now.since(running.started), progress.events());
+        }
         match progress.on_end(&self.items, end, call.attempts(), now) {
             Some(state) => {
                 let output = match state {
@@ -577,7 +622,12 @@
         let now = self.node.now();
         let job = jobs.entry(id.clone()).or_insert_with(|| Job::new(now));
         match kind {
-            JobKey::Head => job.head = job_store::decode_head(&self.node, &id, &item.value),
+            JobKey::Head => {
+                job.head = job_store::decode_head(&self.node, &id, &item.value);
+                let accepted = job.head.as_ref().map_or(u64::MAX, |head| head.accepted);
+                let age = Duration::from_millis(wall_millis().saturating_sub(accepted));
+                job.learned = now - age.min(MAX_AGE);
+            }
             JobKey::End => {
                 if !job.ended {
                     info!(self.node.log, "job stops"; "job" => %id, "revision" => item.revision);
--- /dev/null
+++ b/crates/sesamewall-fleet/src/item_order.rs
@@ -0,0 +1,62 @@
+//! The order in which waiting batch items start, and in which running ones make way.
+
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+
+/// Weight of the newest item in the mean run time.
+const MEAN_WEIGHT: f64 = 0.1;
+
+/// Usual run time of an item before any has ended.
+const FIRST_RUN_TIME: Duration = Duration::from_secs(5);
+
+/// Usual events of an item before any has ended.
+const FIRST_EVENTS: f64 = 190.0;
+
+/// Estimates run times from the items that have ended.
+#[derive(Clone, Debug)]
+pub struct ItemTimes {
+    seconds: f64,
+    events: f64,
+}
+
+impl Default for ItemTimes {
+    fn default() -> Self {
+        Self { seconds: FIRST_RUN_TIME.as_secs_f64(), events: FIRST_EVENTS }
+    }
+}
+
+impl ItemTimes {
+    /// Notes an attempt that ran without a break from `events` events ago to the end.
+    pub fn on_whole(&mut self, run: Duration, events: u64) {
+        self.seconds += MEAN_WEIGHT * (run.as_secs_f64() - self.seconds);
+        self.events += MEAN_WEIGHT * (events as f64 - self.events);
+    }
+
+    /// Returns the expected time to the end of an item that has made `events` events.
+    pub fn left(&self, events: u64) -> Duration {
+        let part = (1.0 - events as f64 / self.events.max(1.0)).clamp(0.05, 1.0);
+        Duration::from_secs_f64(self.seconds * part)
+    }
+}
+
+/// Rank of an item: lower starts first, higher makes way first. Items that can still end in time
+/// come by their due time; those that cannot come after all others, so that under overload some
+/// items end in time instead of all ending late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ItemRank {
+    late: bool,
+    due: Time,
+}
+
+impl ItemRank {
+    /// Ranks an item that needs `left` and is due at `due`.
+    pub fn new(due: Time, left: Duration, now: Time) -> Self {
+        Self { late: now + left > due, due }
+    }
+
+    /// Tells whether the item cannot end in time.
+    pub fn is_late(&self) -> bool {
+        self.late
+    }
+}
