Help instances that the store or some peers do not reach

Change: beacons name the instances that are heard directly; the lowest-named instance between two that do not hear each other passes beacons on. Calls to the store go through another instance while the store does not serve this one. Workers do not race for jobs that a beacon names as claimed.

--- a/crates/sesamewall-edge/src/beacons.rs
+++ b/crates/sesamewall-edge/src/beacons.rs
@@ -12,12 +12,15 @@
 use sesamewall_fleet::Beacon;
 use sesamewall_fleet::target_key;
 use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Time;
 use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Metrics;
 use crate::Node;
+use crate::State;
 
 /// Longest time between two beacons.
 const QUIET_INTERVAL: Duration = Duration::from_millis(200);
@@ -47,6 +50,11 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner).insert(name, address);
     }
 
+    /// Returns the address of an instance.
+    pub fn address(&self, name: &InstanceName) -> Option<IpAddr> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner).get(name).copied()
+    }
+
     /// Keeps only the listed instances.
     pub fn retain(&self, keep: impl Fn(&InstanceName) -> bool) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
@@ -76,12 +84,15 @@
     let state = node.state();
     Beacon {
         instance: node.machine.instance.clone(),
+        address: node.machine.ip,
         domain: node.machine.domain.clone(),
         boot: node.boot,
         sequence,
         front: node.machine.callers.is_some(),
         worker: node.machine.worker,
         draining: node.is_draining(),
+        store: !node.store.is_lost(),
+        heard: state.peers.direct_keys(node.now()),
         config: state.catalog.as_ref().map_or(0, |catalog| catalog.version),
         notices: state.notices,
         targets: state.peers.own_counts(),
@@ -121,12 +132,24 @@
         if beacon.instance == node.machine.instance {
             continue;
         }
-        directory.insert(beacon.instance.clone(), from.ip());
-        on_beacon(&node, beacon);
+        // A beacon that another instance passed on comes from that one's address.
+        let direct = beacon.address == from.ip();
+        directory.insert(beacon.instance.clone(), beacon.address);
+        let sender = beacon.instance.clone();
+        on_beacon(&node, beacon, direct);
+        if direct {
+            let own = &node.machine.instance;
+            let to = node.state().peers.pass_on_to(own, &sender, node.now());
+            for address in to.iter().filter_map(|name| directory.address(name)) {
+                let to = SocketAddr::new(address, node.machine.peer_port);
+                // As for the own beacons: a lost one is followed by the next.
+                let _ = socket.try_send_to(&buffer[..length], to);
+            }
+        }
     }
 }
 
-fn on_beacon(node: &Node, beacon: Beacon) {
+fn on_beacon(node: &Node, beacon: Beacon, direct: bool) {
     node.metrics.beacons.inc();
     let now = node.now();
     let mut state = node.state();
@@ -137,7 +160,7 @@
     let instance = beacon.instance.clone();
     let (boot, accounts) = (beacon.boot, beacon.accounts.clone());
     let suspects = beacon.suspects.clone();
-    if !state.peers.on_beacon(beacon, now) {
+    if !state.peers.on_beacon(beacon, direct, now) {
         return;
     }
     state.rates.on_report(&instance, boot, &accounts, part, now);
@@ -174,7 +197,9 @@
         state.peers.retain_own(|key| keys.contains(&key));
         let present: BTreeSet<_> =
             state.peers.contacts(now).map(|contact| contact.beacon.instance.clone()).collect();
+        let helpers = helpers(&state, &node, now);
         drop(state);
+        node.store.relay().set_helpers(helpers);
         for name in present.difference(&heard) {
             info!(node.log, "instance heard"; "peer" => %name);
         }
@@ -189,6 +214,25 @@
     }
 }
 
+/// Returns the instances that the store serves: those of the own failure domain first.
+fn helpers(state: &State, node: &Node, now: Time) -> Vec<IpAddr> {
+    let serving = state.peers.contacts(now).filter(|contact| contact.beacon.store);
+    let direct = serving.filter(|contact| contact.direct.is_some());
+    let mut ranked: Vec<_> = direct
+        .map(|contact| {
+            let far = contact.beacon.domain != node.machine.domain;
+            (far, target_draw(node, &contact.beacon.instance), contact.beacon.address)
+        })
+        .collect();
+    ranked.sort();
+    ranked.into_iter().map(|(_, _, address)| address).collect()
+}
+
+/// Spreads the instances that need help over those that can give it.
+fn target_draw(node: &Node, helper: &InstanceName) -> u64 {
+    xxh3_64_with_seed(helper.as_str().as_bytes(), node.boot)
+}
+
 /// Starts sending and receiving.
 pub fn spawn(node: &Arc<Node>, directory: &Arc<Directory>, socket: UdpSocket) {
     let socket = Arc::new(socket);
--- a/crates/sesamewall-edge/src/counted_store.rs
+++ b/crates/sesamewall-edge/src/counted_store.rs
@@ -2,6 +2,8 @@
 
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -14,13 +16,22 @@
 use sesamewall_ports::Watched;
 
 use crate::Metrics;
+use crate::store_relay::StoreCall;
+use crate::store_relay::StoreRelay;
+use crate::store_relay::StoreReply;
 
-/// The store with counters in front of it. Each call is paid for, a waiting watch too.
+/// The store with counters in front of it. Each call is paid for, a waiting watch too. While the store
+/// does not serve this instance, calls go through another one.
 pub struct CountedStore {
     inner: Arc<dyn LeaseStore>,
     metrics: Arc<Metrics>,
+    relay: StoreRelay,
+    lost: AtomicBool,
 }
 
+/// Longest wait of a watch through another instance.
+const RELAYED_WAIT: Duration = Duration::from_secs(2);
+
 /// Counts a call whose caller stopped waiting: the store counts it too.
 struct Pending<'a> {
     metrics: &'a Metrics,
@@ -38,8 +49,29 @@
 
 impl CountedStore {
     /// Puts counters in front of `inner`.
-    pub fn new(inner: Arc<dyn LeaseStore>, metrics: Arc<Metrics>) -> Self {
-        Self { inner, metrics }
+    pub fn new(inner: Arc<dyn LeaseStore>, metrics: Arc<Metrics>, port: u16) -> Self {
+        let relay = StoreRelay::new(port);
+        Self { inner, metrics, relay, lost: AtomicBool::new(false) }
+    }
+
+    /// Returns the store without the way through other instances.
+    pub fn direct(&self) -> &dyn LeaseStore {
+        &*self.inner
+    }
+
+    /// Returns the way through other instances.
+    pub fn relay(&self) -> &StoreRelay {
+        &self.relay
+    }
+
+    /// Tells whether the last direct call failed.
+    pub fn is_lost(&self) -> bool {
+        self.lost.load(Ordering::Relaxed)
+    }
+
+    /// Tells whether calls go through another instance now.
+    pub fn is_relayed(&self) -> bool {
+        self.is_lost() && self.relay.can_help()
     }
 
     async fn count<T>(
@@ -51,6 +83,11 @@
         let mut pending = Pending { metrics: &self.metrics, kind, ended: false };
         let result = call.await;
         pending.ended = true;
+        let failed = matches!(
+            result,
+            Err(StoreError::Unavailable | StoreError::Unclear | StoreError::RateLimited)
+        );
+        self.lost.store(failed, Ordering::Relaxed);
         let end = match &result {
             Ok(_) => "ok",
             Err(StoreError::Conflict) => "conflict",
@@ -66,14 +103,39 @@
         result
     }
 
+    async fn relayed(&self, kind: &str, call: StoreCall) -> Result<StoreReply, StoreError> {
+        let result = self.relay.call(&call).await;
+        let end = if result.is_ok() { "relayed" } else { "relay-failed" };
+        self.metrics.store_calls.with_label_values(&[kind, end]).inc();
+        result
+    }
+
+    /// Tries the store itself.
+    pub async fn probe(&self, lease: u64) -> Result<bool, StoreError> {
+        self.count("renew", self.inner.renew(lease)).await
+    }
+
     /// Returns an item, or `None`.
     pub async fn item(&self, key: &str) -> Result<Option<StoredItem>, StoreError> {
-        self.count("item", self.inner.item(key)).await
+        if !self.is_relayed() {
+            return self.count("item", self.inner.item(key)).await;
+        }
+        match self.relayed("item", StoreCall::Item(key.to_owned())).await? {
+            StoreReply::Item(item) => Ok(item),
+            _ => Err(StoreError::Unclear),
+        }
     }
 
     /// Returns a page of items.
     pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
-        self.count("page", self.inner.page(prefix, after)).await
+        if !self.is_relayed() {
+            return self.count("page", self.inner.page(prefix, after)).await;
+        }
+        let call = StoreCall::Page(prefix.to_owned(), after.map(str::to_owned));
+        match self.relayed("page", call).await? {
+            StoreReply::Page(page) => Ok(page),
+            _ => Err(StoreError::Unclear),
+        }
     }
 
     /// Waits for changes.
@@ -83,26 +145,55 @@
         revision: u64,
         wait: Duration,
     ) -> Result<Watched, StoreError> {
-        self.count("watch", self.inner.changes(prefix, revision, wait)).await
+        if !self.is_relayed() {
+            return self.count("watch", self.inner.changes(prefix, revision, wait)).await;
+        }
+        // A short wait: the direct way is cheaper as soon as it is back.
+        let wait = wait.min(RELAYED_WAIT).as_millis() as u64;
+        match self.relayed("watch", StoreCall::Changes(prefix.to_owned(), revision, wait)).await? {
+            StoreReply::Changes(watched) => Ok(watched),
+            _ => Err(StoreError::Unclear),
+        }
     }
 
     /// Commits a transaction.
     pub async fn commit(&self, transaction: &Transaction) -> Result<Committed, StoreError> {
-        self.count("commit", self.inner.commit(transaction)).await
+        if !self.is_relayed() {
+            return self.count("commit", self.inner.commit(transaction)).await;
+        }
+        match self.relayed("commit", StoreCall::Commit(transaction.clone())).await? {
+            StoreReply::Commit(end) => Ok(end),
+            _ => Err(StoreError::Unclear),
+        }
     }
 
     /// Begins a lease.
     pub async fn new_lease(&self, life: Duration) -> Result<u64, StoreError> {
-        self.count("new-lease", self.inner.new_lease(life)).await
+        if !self.is_relayed() {
+            return self.count("new-lease", self.inner.new_lease(life)).await;
+        }
+        match self.relayed("new-lease", StoreCall::NewLease(life.as_millis() as u64)).await? {
+            StoreReply::Lease(lease) => Ok(lease),
+            _ => Err(StoreError::Unclear),
+        }
     }
 
     /// Renews a lease.
     pub async fn renew(&self, lease: u64) -> Result<bool, StoreError> {
-        self.count("renew", self.inner.renew(lease)).await
+        if !self.is_relayed() {
+            return self.probe(lease).await;
+        }
+        match self.relayed("renew", StoreCall::Renew(lease)).await? {
+            StoreReply::Renewed(renewed) => Ok(renewed),
+            _ => Err(StoreError::Unclear),
+        }
     }
 
     /// Ends a lease.
     pub async fn end_lease(&self, lease: u64) -> Result<(), StoreError> {
-        self.count("end-lease", self.inner.end_lease(lease)).await
+        if !self.is_relayed() {
+            return self.count("end-lease", self.inner.end_lease(lease)).await;
+        }
+        self.relayed("end-lease", StoreCall::EndLease(lease)).await.map(drop)
     }
 }
--- a/crates/sesamewall-edge/src/lease.rs
+++ b/crates/sesamewall-edge/src/lease.rs
@@ -94,7 +94,12 @@
     async fn renew(&self, node: &Node) -> Result<(), StoreError> {
         let lease = self.number();
         let sent = node.now();
-        if node.store.renew(lease).await? {
+        // While other instances help out, the store itself is tried once a round.
+        let renewed = match node.store.probe(lease).await {
+            Err(_) if node.store.is_relayed() => node.store.renew(lease).await?,
+            direct => direct?,
+        };
+        if renewed {
             let mut current = self.lock();
             if current.lease == lease {
                 current.until = sent + LEASE_LIFE;
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod reply;
 mod run;
+mod store_relay;
 mod sync;
 mod target_pool;
 mod worker;
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -104,11 +104,12 @@
     /// Creates the shared part of a process.
     pub fn new(machine: Machine, store: Arc<dyn LeaseStore>, log: Logger) -> Self {
         let metrics = Arc::new(Metrics::default());
+        let port = machine.peer_port;
         Self {
             machine,
             boot: rand::random(),
             log,
-            store: CountedStore::new(store, metrics.clone()),
+            store: CountedStore::new(store, metrics.clone(), port),
             metrics,
             pool: TargetPool::default(),
             draining: AtomicBool::new(false),
@@ -181,7 +182,7 @@
     /// meanwhile: each call is paid for, also one that is refused.
     pub async fn store_answers(&self, limit: Duration) {
         let regained = self.regained.notified();
-        if self.is_store_lost() {
+        if self.is_store_lost() && !self.store.relay().can_help() {
             // The result is the same: after the limit the caller tries for itself.
             let _ = tokio::time::timeout(limit, regained).await;
         }
--- a/crates/sesamewall-edge/src/run.rs
+++ b/crates/sesamewall-edge/src/run.rs
@@ -8,6 +8,7 @@
 
 use http::Request;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -38,6 +39,8 @@
 use crate::reply::Reply;
 use crate::reply::empty;
 use crate::reply::full;
+use crate::store_relay;
+use crate::store_relay::RELAY_PATH;
 use crate::sync;
 use crate::worker::JobFollower;
 use crate::worker::Worker;
@@ -83,6 +86,8 @@
     serve_side(&node, node.machine.ready).await?;
     let metrics = Some(SocketAddr::new(node.machine.ip, METRICS_PORT));
     serve_side(&node, metrics).await?;
+    let inner = SocketAddr::new(node.machine.ip, node.machine.peer_port);
+    serve_side(&node, Some(inner)).await?;
     let worker = node.machine.worker.then(|| Worker::new(node.clone(), lease.clone()));
     if let Some(worker) = &worker {
         let follower = JobFollower(worker.clone());
@@ -157,7 +162,7 @@
     }
 }
 
-/// Serves readiness and metrics.
+/// Serves readiness, metrics, and the store for instances that it does not serve.
 async fn serve_side(node: &Arc<Node>, address: Option<SocketAddr>) -> Result<()> {
     let Some(address) = address else { return Ok(()) };
     let listener = bind("listen", address).await?;
@@ -170,8 +175,8 @@
             };
             let node = node.clone();
             let service = service_fn(move |request: Request<Incoming>| {
-                let reply = side_reply(&node, request.uri().path());
-                async move { Ok::<Reply, std::convert::Infallible>(reply) }
+                let node = node.clone();
+                async move { Ok::<Reply, std::convert::Infallible>(side_reply(&node, request).await) }
             });
             tokio::spawn(async move {
                 // A broken connection of the load balancer needs no answer.
@@ -186,8 +191,21 @@
     Ok(())
 }
 
-fn side_reply(node: &Node, path: &str) -> Reply {
-    match path {
+async fn side_reply(node: &Arc<Node>, request: Request<Incoming>) -> Reply {
+    match request.uri().path() {
+        RELAY_PATH => {
+            let body = request.into_body().collect().await.map(|body| body.to_bytes());
+            let reply = match &body {
+                Ok(body) => store_relay::serve(node, body).await,
+                Err(_) => None,
+            };
+            let mut answer = empty(StatusCode::BAD_REQUEST);
+            if let Some(bytes) = reply {
+                *answer.status_mut() = StatusCode::OK;
+                *answer.body_mut() = full(bytes);
+            }
+            answer
+        }
         READY_PATH => empty(match is_ready(node) {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -304,6 +304,10 @@
             if now.since(since) < CLAIM_STEP * ahead as u32 {
                 continue;
             }
+            // The claim of another worker may not have come with the watch yet.
+            if self.node.state().peers.job_groups(job_key(id), now).is_some() {
+                continue;
+            }
             job.claim = Claim::Pending;
             tokio::spawn(self.clone().claim_job(id.clone(), lease));
         }
--- a/crates/sesamewall-fleet/src/beacon.rs
+++ b/crates/sesamewall-fleet/src/beacon.rs
@@ -1,9 +1,12 @@
 //! The datagram with which instances tell each other their counts.
 
+use std::net::IpAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Spending;
 
@@ -27,6 +30,8 @@
 pub struct Beacon {
     /// The sender.
     pub instance: InstanceName,
+    /// Its address.
+    pub address: IpAddr,
     /// Its failure domain.
     pub domain: DomainName,
     /// Random number of the sender's start.
@@ -39,6 +44,10 @@
     pub worker: bool,
     /// The sender stops soon.
     pub draining: bool,
+    /// The store serves the sender.
+    pub store: bool,
+    /// Numbers of the instances that the sender hears directly.
+    pub heard: Vec<u32>,
     /// Version of the configuration in force at the sender.
     pub config: u64,
     /// Highest store revision of an operators' key that the sender has read.
@@ -53,6 +62,11 @@
     pub suspects: Vec<(u64, u8)>,
 }
 
+/// Returns the number under which beacons name an instance.
+pub fn instance_key(name: &InstanceName) -> u32 {
+    xxh3_64(name.as_str().as_bytes()) as u32
+}
+
 impl Beacon {
     /// Encodes the beacon for one datagram.
     pub fn encode(&self) -> Vec<u8> {
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 pub use batch_room::RoomSettings;
 pub use beacon::Beacon;
 pub use beacon::TargetCount;
+pub use beacon::instance_key;
 pub use catalog::AccountSpec;
 pub use catalog::Catalog;
 pub use catalog::Limits;
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -11,6 +11,7 @@
 
 use crate::Beacon;
 use crate::TargetCount;
+use crate::beacon::instance_key;
 
 /// Settings of the view of the other instances.
 #[derive(Clone, Debug)]
@@ -44,6 +45,8 @@
     pub beacon: Beacon,
     /// When it came.
     pub heard: Time,
+    /// When the last one came from the instance itself and not through another one.
+    pub direct: Option<Time>,
 }
 
 /// Counts of all instances.
@@ -52,6 +55,7 @@
     settings: PeerSettings,
     heard: BTreeMap<InstanceName, Contact>,
     registered: BTreeSet<InstanceName>,
+    last_direct: HashMap<InstanceName, Time>,
     own: HashMap<u32, TargetCount>,
     others: HashMap<u32, TargetCount>,
     starts: HashMap<u32, VecDeque<(Time, u32)>>,
@@ -63,9 +67,15 @@
         Self { settings, ..Self::default() }
     }
 
-    /// Takes over a beacon. Returns false for one that is older than the last one.
-    pub fn on_beacon(&mut self, beacon: Beacon, now: Time) -> bool {
+    /// Takes over a beacon, which came from the instance itself if `direct`. Returns false for one
+    /// that is older than the last one.
+    pub fn on_beacon(&mut self, beacon: Beacon, direct: bool, now: Time) -> bool {
         let name = beacon.instance.clone();
+        if let Some(known) = self.heard.get_mut(&name)
+            && direct
+        {
+            known.direct = Some(now);
+        }
         let former = self.heard.get(&name);
         let same_start = former.filter(|known| known.beacon.boot == beacon.boot);
         if same_start.is_some_and(|known| known.beacon.sequence >= beacon.sequence) {
@@ -95,7 +105,14 @@
                 self.starts.entry(count.key).or_default().push_back((now, news));
             }
         }
-        self.heard.insert(name, Contact { beacon, heard: now });
+        let direct_at = match direct {
+            true => Some(now),
+            false => self.last_direct.get(&name).copied(),
+        };
+        if let Some(at) = direct_at {
+            self.last_direct.insert(name.clone(), at);
+        }
+        self.heard.insert(name, Contact { beacon, heard: now, direct: direct_at });
         true
     }
 
@@ -156,6 +173,45 @@
         (heard + 1) as f64 / (heard + missing + 1) as f64
     }
 
+    /// Returns the numbers of the instances that are heard directly.
+    pub fn direct_keys(&self, now: Time) -> Vec<u32> {
+        let limit = self.settings.contact_time;
+        let fresh = |known: &&Contact| known.direct.is_some_and(|at| now.since(at) <= limit);
+        self.heard
+            .values()
+            .filter(fresh)
+            .map(|known| instance_key(&known.beacon.instance))
+            .collect()
+    }
+
+    /// Returns the instances to which the own one passes a beacon of `sender` on: those that hear the
+    /// own instance but not the sender, as far as no instance with a lower name can do it.
+    pub fn pass_on_to(
+        &self,
+        own: &InstanceName,
+        sender: &InstanceName,
+        now: Time,
+    ) -> Vec<InstanceName> {
+        let sender_key = instance_key(sender);
+        let hears = |contact: &Contact, key: u32| contact.beacon.heard.contains(&key);
+        let lacking = self.contacts(now).filter(|contact| {
+            contact.beacon.instance != *sender
+                && !hears(contact, sender_key)
+                && hears(contact, instance_key(own))
+        });
+        lacking
+            .filter(|contact| {
+                !self.contacts(now).any(|other| {
+                    other.beacon.instance < *own
+                        && other.beacon.instance != contact.beacon.instance
+                        && hears(other, sender_key)
+                        && hears(contact, instance_key(&other.beacon.instance))
+                })
+            })
+            .map(|contact| contact.beacon.instance.clone())
+            .collect()
+    }
+
     /// Returns the instances in contact.
     pub fn contacts(&self, now: Time) -> impl Iterator<Item = &Contact> {
         let limit = self.settings.contact_time;
--- a/crates/sesamewall-ports/src/lease_store.rs
+++ b/crates/sesamewall-ports/src/lease_store.rs
@@ -4,11 +4,14 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::StoreError;
 
 /// A stored item.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredItem {
     /// Full key.
     pub key: String,
@@ -20,6 +23,7 @@
 
 /// One page of items in key order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Page {
     /// The items.
     pub items: Vec<StoredItem>,
@@ -31,6 +35,7 @@
 
 /// A change seen by a watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StoreChange {
     /// An item was written.
     Written(StoredItem),
@@ -43,6 +48,7 @@
 
 /// What a watch returns.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Watched {
     /// Changes in order, and the revision to go on from.
     Changes {
@@ -57,6 +63,7 @@
 
 /// A write of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoreWrite {
     /// Full key.
     pub key: String,
@@ -68,6 +75,7 @@
 
 /// A transaction: all or nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Transaction {
     /// Keys with the revisions that they must have; 0 for a key that must not exist.
     pub expect: Vec<(String, u64)>,
@@ -79,6 +87,7 @@
 
 /// The end of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Committed {
     /// Done at this revision.
     Done(u64),
--- a/crates/sesamewall-ports/src/store.rs
+++ b/crates/sesamewall-ports/src/store.rs
@@ -25,7 +25,7 @@
 
 /// Failure of a store call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(derive_more::Display, derive_more::Error)]
+#[derive(derive_more::Display, derive_more::Error, serde::Serialize, serde::Deserialize)]
 pub enum StoreError {
     /// The condition of the write did not hold. Nothing was written.
     #[display("the stored version differs from the expected one")]
