Keep the work of a job over a lost lease

Workers threw away what they had, and a removal of the former claim that was seen late made a worker forget its new claim: 71 items ran twice.

Change: work goes on over a lost lease and ends when another worker claims the job; the former holder claims first; removals older than the own claim are ignored; a new lease begins at once.

--- a/crates/sesamewall-edge/src/lease.rs
+++ b/crates/sesamewall-edge/src/lease.rs
@@ -108,7 +108,7 @@
         }
         warn!(node.log, "lease lost"; "lease" => lease);
         self.set(0, Time::ZERO);
-        Ok(())
+        self.begin(node).await
     }
 }
 
--- a/crates/sesamewall-edge/src/sync.rs
+++ b/crates/sesamewall-edge/src/sync.rs
@@ -214,7 +214,7 @@
         for change in changes {
             match change {
                 StoreChange::Written(item) => self.written(&item),
-                StoreChange::Removed { key } => {
+                StoreChange::Removed { key, .. } => {
                     if let Some(OperatorKey::Evacuation(domain)) = operator_key(&key) {
                         self.evacuated.remove(&domain);
                     }
@@ -297,7 +297,7 @@
                         self.node.state().targets.remove(&name_of(&item.key), now);
                     }
                 },
-                StoreChange::Removed { key } => {
+                StoreChange::Removed { key, .. } => {
                     info!(self.node.log, "target entry gone"; "target" => %name_of(&key),
                         "revision" => revision);
                     self.node.state().targets.remove(&name_of(&key), now);
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -57,7 +57,11 @@
 const BUSY_TICK: Duration = Duration::from_millis(25);
 
 /// Wait before a worker claims a job that another one is expected to claim.
-const CLAIM_STEP: Duration = Duration::from_millis(400);
+/// It is above the time between two watches of the jobs.
+const CLAIM_STEP: Duration = Duration::from_millis(700);
+
+/// Time for which other workers leave a job whose claim has ended to its former holder.
+const FORMER_FIRST: Duration = Duration::from_millis(400);
 
 /// Results that come within this time are committed together.
 /// Readers come about twice a second.
@@ -224,15 +228,15 @@
         self.jobs().values().map(|job| job.work.running.len() + job.work.results.len()).sum()
     }
 
-    /// Gives up jobs whose claims ended with a lost lease.
+    /// Notes the jobs whose claims ended with a lost lease. Their work goes on: usually the same worker
+    /// claims them again, and if another one does, this one stops.
     fn check_lease(&self) {
         let current = self.lease.number();
         let now = self.node.now();
         for (id, job) in self.jobs().iter_mut() {
             match job.claim {
                 Claim::Own { lease, .. } if lease != current => {
-                    warn!(self.node.log, "job given up with its lease"; "job" => %id);
-                    job.stop();
+                    warn!(self.node.log, "claim lost with its lease"; "job" => %id);
                     job.claim = Claim::Free { since: now };
                 }
                 _ => {}
@@ -313,9 +317,14 @@
         }
     }
 
+    /// Returns the value of the own claims: the process and its start.
+    fn claim_value(&self) -> Bytes {
+        Bytes::from(format!("{} {:x}", self.node.machine.instance, self.node.boot))
+    }
+
     async fn claim_job(self: Arc<Self>, id: JobId, lease: u64) {
         let key = JobKey::Claim.of(&id);
-        let value = Bytes::from(format!("{} {:x}", self.node.machine.instance, self.node.boot));
+        let value = self.claim_value();
         let transaction = Transaction {
             expect: vec![(key.clone(), 0), (JobKey::End.of(&id), 0)],
             writes: vec![StoreWrite { key, value, lease }],
@@ -337,6 +346,9 @@
                 return;
             }
             job.claim = claim;
+            if claim == Claim::Other {
+                job.stop();
+            }
             job.head.as_ref().map(|head| head.parts)
         };
         if let (Claim::Own { .. }, Some(parts)) = (claim, parts)
@@ -542,7 +554,8 @@
 
     /// Starts the commit of finished items unless one is under way.
     fn commit_soon(self: &Arc<Self>, id: &JobId, job: &mut Job) {
-        if job.work.committing || job.work.results.is_empty() {
+        let claimed = matches!(job.claim, Claim::Own { .. }) && job.work.spec.is_some();
+        if !claimed || job.work.committing || job.work.results.is_empty() {
             return;
         }
         job.work.committing = true;
@@ -550,19 +563,27 @@
     }
 
     async fn commit(self: Arc<Self>, id: JobId) {
+        self.commit_groups(&id).await;
+        if let Some(job) = self.jobs().get_mut(&id) {
+            job.work.committing = false;
+        }
+    }
+
+    /// Commits groups of results until none is left or the claim is lost.
+    async fn commit_groups(&self, id: &JobId) {
         loop {
             let from = self.node.now();
             while self.node.now().since(from) < COMMIT_DELAY {
                 tokio::time::sleep(COMMIT_STEP).await;
                 let jobs = self.jobs();
-                let Some(job) = jobs.get(&id) else { return };
+                let Some(job) = jobs.get(id) else { return };
                 if job.work.running.is_empty() && job.work.waiting.is_empty() {
                     break;
                 }
             }
             let (claim, group, results, complete) = {
                 let mut jobs = self.jobs();
-                let Some(job) = jobs.get_mut(&id) else { return };
+                let Some(job) = jobs.get_mut(id) else { return };
                 let Claim::Own { revision, .. } = job.claim else { return };
                 let mut bytes = 0;
                 let fitting = job.work.results.iter().take_while(|result| {
@@ -571,7 +592,6 @@
                 });
                 let count = fitting.count().max(1).min(job.work.results.len());
                 if count == 0 {
-                    job.work.committing = false;
                     return;
                 }
                 let results: Vec<_> = job.work.results[..count].to_vec();
@@ -579,7 +599,7 @@
                 let complete = job.work.committed.len() + count >= total;
                 (revision, job.work.groups, results, complete)
             };
-            let transaction = match job_store::append(&id, claim, group, &results, complete) {
+            let transaction = match job_store::append(id, claim, group, &results, complete) {
                 Ok(transaction) => transaction,
                 Err(error) => {
                     warn!(self.node.log, "results cannot be encoded"; "job" => %id,
@@ -593,7 +613,7 @@
                 "items" => results.len(), "complete" => complete,
                 "end" => format!("{written:?}"));
             let mut jobs = self.jobs();
-            let Some(job) = jobs.get_mut(&id) else { return };
+            let Some(job) = jobs.get_mut(id) else { return };
             let Claim::Own { revision, .. } = job.claim else { return };
             if revision != claim {
                 return;
@@ -612,8 +632,8 @@
                     }
                 }
                 Ok(Written::Refused) => {
-                    job.stop();
-                    job.claim = Claim::Other;
+                    // The claim has ended. The work is kept in case that this worker claims again.
+                    job.claim = Claim::Free { since: self.node.now() };
                     return;
                 }
                 Err(_) => {}
@@ -644,8 +664,13 @@
                 job.stop();
             }
             JobKey::Claim => match job.claim {
-                Claim::Own { revision, .. } if revision == item.revision => {}
+                Claim::Own { revision, .. } if revision >= item.revision => {}
                 Claim::Pending => {}
+                // The own claim, which was seen as ended meanwhile.
+                _ if item.value == self.claim_value() && job.work.spec.is_some() => {
+                    let lease = self.lease.number();
+                    job.claim = Claim::Own { revision: item.revision, lease };
+                }
                 Claim::Own { .. } => {
                     job.stop();
                     job.claim = Claim::Other;
@@ -695,15 +720,22 @@
         for change in changes {
             match change {
                 StoreChange::Written(item) => self.0.written(&mut jobs, &item),
-                StoreChange::Removed { key } => {
+                StoreChange::Removed { key, revision } => {
                     let Some((id, JobKey::Claim)) = JobKey::parse(&key) else { continue };
                     let Some(job) = jobs.get_mut(&id) else { continue };
-                    match job.claim {
-                        Claim::Pending => {}
-                        _ => {
-                            job.stop();
-                            job.claim = Claim::Free { since: now };
-                        }
+                    // The removal of an earlier claim can be seen after the next one was made.
+                    let newer = match job.claim {
+                        Claim::Own { revision: own, .. } => own > revision,
+                        Claim::Pending => true,
+                        _ => false,
+                    };
+                    if !newer {
+                        // The former holder has begun the work and goes first, if it lives.
+                        let wait = match job.work.spec {
+                            Some(_) => Duration::ZERO,
+                            None => FORMER_FIRST,
+                        };
+                        job.claim = Claim::Free { since: now + wait };
                     }
                 }
             }
--- a/crates/sesamewall-ports/src/lease_store.rs
+++ b/crates/sesamewall-ports/src/lease_store.rs
@@ -43,6 +43,8 @@
     Removed {
         /// Full key.
         key: String,
+        /// Revision of the removal.
+        revision: u64,
     },
 }
 
