Keep results and progress of a job when it is claimed again

An item that ended in the moment of its cancellation was never listed. Items close to their end made way for online requests first and could not finish (one was cancelled four times with 13 events left).

Change: loading keeps what is there; attempts are numbered; items with the longest time left make way first.

--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,7 +32,6 @@
 use sesamewall_ports::Transaction;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::JobId;
-use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use slog::info;
 use slog::warn;
@@ -98,9 +99,10 @@
 }
 
 struct Running {
+    /// Tells this attempt from later ones of the same item.
+    number: u64,
     due: Time,
     from: u64,
-    target: TargetName,
     key: u32,
     started: Time,
     cancel: CancellationToken,
@@ -164,6 +166,7 @@
     wake: Notify,
     jobs: Mutex<BTreeMap<JobId, Job>>,
     times: Mutex<ItemTimes>,
+    started: AtomicU64,
 }
 
 impl Worker {
@@ -177,6 +180,7 @@
             wake: Notify::new(),
             jobs: Mutex::default(),
             times: Mutex::default(),
+            started: AtomicU64::new(0),
         })
     }
 
@@ -268,10 +272,11 @@
                 .flat_map(|job| job.work.running.values())
                 .filter(|running| running.key == key && !running.cancel.is_cancelled())
                 .collect();
-            // Those that cannot end in time first, then those that are due last.
+            // Those that cannot end in time first, then those with the longest time left: the others
+            // free their places soon anyway.
             here.sort_by_key(|running| {
                 let left = times.left(running.from).saturating_sub(now.since(running.started));
-                std::cmp::Reverse(ItemRank::new(running.due, left, now))
+                std::cmp::Reverse((ItemRank::new(running.due, left, now).is_late(), left))
             });
             for running in here.into_iter().take(count as usize) {
                 running.cancel.cancel();
@@ -396,21 +401,24 @@
             return Ok(());
         }
         let committed = results.ended();
-        job.work = Work {
-            waiting: spec
-                .items
-                .iter()
-                .filter(|item| !committed.contains(&item.id))
-                .map(|item| Item {
-                    spec: Arc::new(item.clone()),
-                    progress: ItemProgress::default(),
-                })
-                .collect(),
-            groups: results.groups(),
-            committed,
-            spec: Some(Arc::new(spec)),
-            ..Work::default()
-        };
+        let work = &mut job.work;
+        work.results.retain(|result| !committed.contains(&result.id));
+        work.waiting.retain(|item| !committed.contains(&item.spec.id));
+        // Items from before a lost lease keep what they have.
+        let mut known = committed.clone();
+        known.extend(work.running.keys().cloned());
+        known.extend(work.results.iter().map(|result| result.id.clone()));
+        known.extend(work.waiting.iter().map(|item| item.spec.id.clone()));
+        let new = spec.items.iter().filter(|item| !known.contains(&item.id));
+        work.waiting.extend(
+            new.map(|item| Item {
+                spec: Arc::new(item.clone()),
+                progress: ItemProgress::default(),
+            }),
+        );
+        work.groups = results.groups();
+        work.committed = committed;
+        work.spec = Some(Arc::new(spec));
         drop(jobs);
         self.wake.notify_one();
         Ok(())
@@ -425,17 +433,17 @@
         let Some(catalog) = self.node.catalog() else { return };
         let times = self.times().clone();
         let mut jobs = self.jobs();
-        let mut order: Vec<(ItemRank, JobId, ItemId)> = Vec::new();
+        let mut order: Vec<(ItemRank, Duration, JobId, ItemId)> = Vec::new();
         for (id, job) in jobs.iter().filter(|(_, job)| job.open()) {
             let due = job.learned + job.due;
             let ready = job.work.waiting.iter().filter(|item| item.progress.not_before() <= now);
             order.extend(ready.map(|item| {
                 let left = times.left(item.progress.events());
-                (ItemRank::new(due, left, now), id.clone(), item.spec.id.clone())
+                (ItemRank::new(due, left, now), left, id.clone(), item.spec.id.clone())
             }));
         }
         order.sort();
-        for (_, id, item) in order {
+        for (_, _, id, item) in order {
             let Some(job) = jobs.get_mut(&id) else { continue };
             if !self.start_item(&catalog, &id, job, &item, now) {
                 break;
@@ -481,10 +489,11 @@
         let Ok(chosen) = choose(&self.node, &ask) else { return false };
         let progress = job.work.waiting.remove(index).progress;
         let cancel = CancellationToken::new();
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
         let running = Running {
+            number,
             due: job.learned + job.due,
             from: progress.events(),
-            target: chosen.name.clone(),
             key: chosen.key,
             started: now,
             cancel: cancel.clone(),
@@ -492,7 +501,7 @@
         job.work.running.insert(item.clone(), running);
         // The count is taken here, so that the next choice sees it.
         let held = Held::new(&self.node, chosen.key, true);
-        let task = self.clone().run_item(id.clone(), call, chosen, progress, held, cancel);
+        let task = self.clone().run_item(id.clone(), number, call, chosen, progress, held, cancel);
         tokio::spawn(task);
         true
     }
@@ -500,6 +509,7 @@
     async fn run_item(
         self: Arc<Self>,
         id: JobId,
+        number: u64,
         call: ItemCall,
         chosen: sesamewall_fleet::Chosen,
         mut progress: ItemProgress,
@@ -520,12 +530,8 @@
         let mut jobs = self.jobs();
         let Some(job) = jobs.get_mut(&id) else { return };
         // The work may have been stopped, and begun anew, while this attempt ran.
-        let ours =
-            job.work.running.get(&call.item().id).is_some_and(|running| {
-                running.target == chosen.name && !running.cancel.is_cancelled()
-            });
-        let made_way = end == ItemEnd::MadeWay;
-        if !(ours || made_way && job.work.running.contains_key(&call.item().id)) {
+        let running = job.work.running.get(&call.item().id);
+        if running.is_none_or(|running| running.number != number) {
             return;
         }
         if let Some(running) = job.work.running.remove(&call.item().id)
