Start rates within the bound's slack after a restart of all instances

Change: an instance waits 0.5 s for the word of one that knows the level; if none does, all were down, and the bucket gets four fifths of what the bound allows beyond rate and burst.

--- a/crates/sesamewall-fleet/src/account_rate.rs
+++ b/crates/sesamewall-fleet/src/account_rate.rs
@@ -23,13 +23,23 @@
     /// Silence after which what an instance spent came from its own part: the contact time of the
     /// beacons.
     pub contact_time: Duration,
+    /// Time after a start in which another instance's word about a bucket is waited for.
+    pub sync_time: Duration,
+    /// Part of the bound's slack that buckets start with when no instance knows their level. All
+    /// instances were down then, and each account may have used its whole burst just before.
+    pub restart_part: f64,
     /// Debt beyond which a late report of spending is not remembered, in seconds of the rate.
     pub max_debt: f64,
 }
 
 impl Default for RateSettings {
     fn default() -> Self {
-        Self { contact_time: Duration::from_millis(700), max_debt: 1.0 }
+        Self {
+            contact_time: Duration::from_millis(700),
+            sync_time: Duration::from_millis(500),
+            restart_part: 0.8,
+            max_debt: 1.0,
+        }
     }
 }
 
@@ -41,8 +51,8 @@
     pub account: u32,
     /// Requests sent on since the start of the process.
     pub spent: u64,
-    /// Tokens that the sender sees in the bucket.
-    pub level: f32,
+    /// Tokens that the sender sees in the bucket; `None` while it does not know.
+    pub level: Option<f32>,
 }
 
 #[derive(Clone, Debug)]
@@ -52,11 +62,22 @@
     level: f64,
     at: Time,
     spent: u64,
-    synced: bool,
+    /// Time at which the bucket stops waiting for other instances; `None` once it is known.
+    unknown_until: Option<Time>,
 }
 
+/// Seconds of the rate, part of the burst and requests by which the platform's bound exceeds rate and
+/// burst: a tenth of five seconds, a tenth of the burst and twenty requests.
+const BOUND_SLACK: (f64, f64, f64) = (0.5, 0.1, 20.0);
+
 impl Bucket {
-    fn refill(&mut self, part: f64, now: Time) {
+    fn refill(&mut self, settings: &RateSettings, part: f64, now: Time) {
+        if self.unknown_until.is_some_and(|until| until <= now) {
+            let (seconds, burst, requests) = BOUND_SLACK;
+            let slack = seconds * self.rate + burst * self.burst + requests;
+            self.level += (settings.restart_part * slack).min(self.burst) * part;
+            self.unknown_until = None;
+        }
         let seconds = now.since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         self.level = (self.level + self.rate * part * seconds).min(self.burst.max(1.0) * part);
@@ -99,7 +120,7 @@
                 level: if full { account.burst } else { 0.0 },
                 at: now,
                 spent: 0,
-                synced: full,
+                unknown_until: (!full).then_some(now + self.settings.sync_time),
             });
             bucket.rate = account.rate;
             bucket.burst = account.burst;
@@ -113,7 +134,7 @@
     /// token is expected.
     pub fn take(&mut self, account: &AccountName, part: f64, now: Time) -> Result<(), Duration> {
         let Some(bucket) = self.buckets.get_mut(&account_key(account)) else { return Ok(()) };
-        bucket.refill(part, now);
+        bucket.refill(&self.settings, part, now);
         if bucket.level >= 1.0 {
             bucket.level -= 1.0;
             bucket.spent += 1;
@@ -145,10 +166,12 @@
         let same = known.filter(|known| known.boot == boot);
         for spending in report {
             let Some(bucket) = self.buckets.get_mut(&spending.account) else { continue };
-            bucket.refill(part, now);
-            if !bucket.synced {
-                bucket.level = f64::from(spending.level);
-                bucket.synced = true;
+            bucket.refill(&self.settings, part, now);
+            if bucket.unknown_until.is_some() {
+                if let Some(level) = spending.level {
+                    bucket.level = f64::from(level);
+                    bucket.unknown_until = None;
+                }
                 continue;
             }
             let before = match same {
@@ -158,7 +181,7 @@
             let news = spending.spent.saturating_sub(before) as f64;
             match silent || (same.is_none() && known.is_none()) {
                 // It spent from its own part meanwhile, or ran before this process heard it.
-                true => bucket.level = bucket.level.min(f64::from(spending.level)),
+                true => bucket.level = bucket.level.min(spending.level.map_or(f64::MAX, f64::from)),
                 false => bucket.level -= news,
             }
             bucket.level = bucket.level.max(-self.settings.max_debt * bucket.rate);
@@ -174,7 +197,7 @@
             .map(|(account, bucket)| Spending {
                 account: *account,
                 spent: bucket.spent,
-                level: bucket.level as f32,
+                level: bucket.unknown_until.is_none().then_some(bucket.level as f32),
             })
             .collect()
     }
