--- a/crates/sesamewall-fleet/src/account_rate.rs
+++ b/crates/sesamewall-fleet/src/account_rate.rs
@@ -167,11 +167,10 @@
         for spending in report {
             let Some(bucket) = self.buckets.get_mut(&spending.account) else { continue };
             bucket.refill(&self.settings, part, now);
-            if bucket.unknown_until.is_some() {
-                if let Some(level) = spending.level {
-                    bucket.level = f64::from(level);
-                    bucket.unknown_until = None;
-                }
+            if let Some(level) = spending.level
+                && bucket.unknown_until.take().is_some()
+            {
+                bucket.level = f64::from(level);
                 continue;
             }
             let before = match same {
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -0,0 +1,16 @@
+//! Tests of the decisions that instances make without a lead.
+
+#[path = "decisions/account_rate.rs"]
+mod account_rate;
+#[path = "decisions/batch.rs"]
+mod batch;
+#[path = "decisions/peers.rs"]
+mod peers;
+#[path = "decisions/placement.rs"]
+mod placement;
+#[path = "decisions/streams.rs"]
+mod streams;
+#[path = "decisions/support.rs"]
+mod support;
+#[path = "decisions/targets.rs"]
+mod targets;
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/account_rate.rs
@@ -0,0 +1,194 @@
+//! The rate of an account over instances that tell each other what they spent.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewall_fleet::AccountRates;
+use sesamewall_fleet::RateSettings;
+use sesamewall_fleet::Spending;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::InstanceName;
+
+use crate::support::at;
+use crate::support::catalog;
+
+const INSTANCES: usize = 4;
+const STEP_MS: u64 = 5;
+const WINDOW_MS: u64 = 5000;
+
+struct Front {
+    rates: AccountRates,
+    boot: u64,
+    /// Reports under way: arrival, sender, boot, report.
+    inbox: VecDeque<(u64, usize, u64, Vec<Spending>)>,
+}
+
+struct Run {
+    admitted: Vec<u64>,
+    asked: u64,
+}
+
+/// What happens to the fleet besides the traffic.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    None,
+    /// Two halves do not hear each other between two times.
+    Split(u64, u64),
+    /// All processes are killed and are back 500 ms later.
+    KillAll(u64),
+    /// One process is killed and is back 500 ms later.
+    KillOne(u64),
+}
+
+fn front(full: bool, now: u64) -> AccountRates {
+    let mut rates = AccountRates::new(RateSettings::default());
+    rates.configure(&catalog(40.0, 40.0), full, at(now));
+    rates
+}
+
+/// Plays `per_second` requests a second at random instances. Reports take up to 20 ms.
+fn play(seed: u64, per_second: f64, length_ms: u64, fault: Fault) -> Run {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let account = AccountName::from("acme");
+    let names: Vec<_> = (0..INSTANCES).map(|n| InstanceName::from(format!("f{n}"))).collect();
+    let mut fronts: Vec<Front> = (0..INSTANCES)
+        .map(|_| Front { rates: front(true, 0), boot: 1, inbox: VecDeque::new() })
+        .collect();
+    let mut run = Run { admitted: Vec::new(), asked: 0 };
+    for now in (0..length_ms).step_by(STEP_MS as usize) {
+        let down = |n: usize| match fault {
+            Fault::KillAll(from) => (from..from + 500).contains(&now),
+            Fault::KillOne(from) => n == 0 && (from..from + 500).contains(&now),
+            _ => false,
+        };
+        let apart = |a: usize, b: usize| match fault {
+            Fault::Split(from, to) => (from..to).contains(&now) && (a < 2) != (b < 2),
+            _ => false,
+        };
+        let part = |n: usize| {
+            let heard = (0..INSTANCES).filter(|other| !apart(n, *other) && !down(*other)).count();
+            heard as f64 / INSTANCES as f64
+        };
+        for n in 0..INSTANCES {
+            let restarted = match fault {
+                Fault::KillAll(from) => now == from + 500,
+                Fault::KillOne(from) => n == 0 && now == from + 500,
+                _ => false,
+            };
+            if restarted {
+                fronts[n].rates = front(false, now);
+                fronts[n].boot += 1;
+                fronts[n].inbox.clear();
+            }
+            while let Some((due, from, boot, report)) = fronts[n].inbox.front().cloned() {
+                if due > now {
+                    break;
+                }
+                fronts[n].inbox.pop_front();
+                fronts[n].rates.on_report(&names[from], boot, &report, part(n), at(now));
+            }
+        }
+        if rng.random_bool((per_second * STEP_MS as f64 / 1000.0).min(1.0)) {
+            let n = rng.random_range(0..INSTANCES);
+            if !down(n) {
+                run.asked += 1;
+                if fronts[n].rates.take(&account, part(n), at(now)).is_ok() {
+                    run.admitted.push(now);
+                }
+            }
+        }
+        for n in (0..INSTANCES).filter(|n| !down(*n)) {
+            let (boot, report) = (fronts[n].boot, fronts[n].rates.report());
+            for other in (0..INSTANCES).filter(|other| *other != n && !apart(n, *other)) {
+                if !rng.random_bool(0.05) {
+                    let due = now + rng.random_range(1..20);
+                    fronts[other].inbox.push_back((due, n, boot, report.clone()));
+                }
+            }
+        }
+    }
+    run
+}
+
+/// Returns the most admitted requests in any window.
+fn busiest(admitted: &[u64]) -> usize {
+    let in_window = |from: u64| {
+        let window = from..from + WINDOW_MS;
+        admitted.iter().filter(|t| window.contains(t)).count()
+    };
+    admitted.iter().map(|from| in_window(*from)).max().unwrap_or_default()
+}
+
+/// The platform's bound: rate over the window and burst, a tenth more, and twenty requests.
+const BOUND: usize = ((40 * 5 + 40) * 11) / 10 + 20;
+
+/// Guards against an account that gets more than its rate and burst, also while the fleet is split,
+/// restarts at once, or loses one process.
+#[test]
+fn the_bound_holds_under_faults() {
+    let faults = [
+        Fault::None,
+        Fault::Split(4000, 9000),
+        Fault::Split(3000, 4200),
+        Fault::KillAll(4000),
+        Fault::KillAll(9000),
+        Fault::KillOne(5000),
+    ];
+    for fault in faults {
+        for seed in 0..20 {
+            let run = play(seed, 180.0, 15_000, fault);
+            let most = busiest(&run.admitted);
+            assert!(most <= BOUND, "{fault:?} seed {seed}: {most} in a window, bound {BOUND}");
+        }
+    }
+}
+
+/// Guards against refusals of requests within the rate when all instances are in contact.
+#[test]
+fn requests_within_the_rate_are_admitted() {
+    for seed in 0..20 {
+        let run = play(seed, 30.0, 15_000, Fault::None);
+        assert_eq!(run.admitted.len() as u64, run.asked, "seed {seed}");
+    }
+}
+
+/// Guards against a long phase of refusals after all instances restarted: traffic at three quarters of
+/// the rate is served again at once, but for the time in which instances wait for each other.
+#[test]
+fn a_restart_of_all_costs_little() {
+    for seed in 0..20 {
+        let run = play(seed, 30.0, 15_000, Fault::KillAll(5000));
+        let refused = run.asked as usize - run.admitted.len();
+        assert!(refused <= 30, "seed {seed}: {refused} of {} refused", run.asked);
+    }
+}
+
+/// Guards against a refusal that says nothing about when to come back.
+#[test]
+fn a_refusal_names_the_time_of_the_next_token() {
+    let mut rates = front(true, 0);
+    let account = AccountName::from("acme");
+    for _ in 0..40 {
+        rates.take(&account, 1.0, at(0)).expect("within the burst");
+    }
+    let wait = rates.take(&account, 1.0, at(0)).expect_err("the bucket is empty");
+    assert!(wait <= Duration::from_millis(26), "{wait:?}");
+    rates.take(&account, 1.0, at(0) + wait).expect("a token has come");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Guards against sums of parts above the whole: two halves of a split fleet together.
+    #[test]
+    fn split_parts_stay_within_the_bound(seed in any::<u64>(), from in 1000u64..6000, len in 800u64..6000) {
+        let run = play(seed, 200.0, 14_000, Fault::Split(from, from + len));
+        assert!(busiest(&run.admitted) <= BOUND);
+    }
+}
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/batch.rs
@@ -0,0 +1,127 @@
+//! Room for batch items, their order, and the list of results.
+
+use std::time::Duration;
+
+use sesamewall_fleet::BatchRoom;
+use sesamewall_fleet::ItemRank;
+use sesamewall_fleet::ItemResult;
+use sesamewall_fleet::ItemTimes;
+use sesamewall_fleet::PeerSettings;
+use sesamewall_fleet::Peers;
+use sesamewall_fleet::ResultList;
+use sesamewall_fleet::ResultState;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::ItemId;
+use sesamewall_protocol::TargetName;
+
+use crate::support::at;
+use crate::support::count;
+use crate::support::hear;
+use crate::support::table;
+
+/// Guards against online requests behind batch items, and against workers that all cancel for the same
+/// request: together they free as many places as are missing.
+#[test]
+fn workers_together_free_the_missing_places() {
+    let table = table(&[("t1", "a")]);
+    let target = table.get(&TargetName::from("t1")).expect("in the table");
+    let workers = [("w1", 2u16), ("w2", 3), ("w3", 1)];
+    for online in 0..=10u16 {
+        let mut leaving = 0;
+        for (own, mine) in workers {
+            let mut peers = Peers::new(PeerSettings::default());
+            for _ in 0..mine {
+                peers.start(target.key, true, at(0));
+            }
+            hear(&mut peers, "f1", 1, &[count("t1", online, 0, online.into())], at(0));
+            for (name, batch) in workers.iter().filter(|(name, _)| *name != own) {
+                hear(&mut peers, name, 1, &[count("t1", 0, *batch, (*batch).into())], at(0));
+            }
+            let room = BatchRoom::default();
+            leaving += room.leaving(&InstanceName::from(own), target, &peers, at(1));
+        }
+        let missing = (u32::from(online) + 6).saturating_sub(8).min(6);
+        assert_eq!(leaving, missing, "{online} online requests");
+    }
+}
+
+/// Plays a fleet with `slots` places and jobs of ten items of five seconds, due after 18 s, at twice the
+/// capacity, and returns the part of the items that ends in time.
+fn in_time(slots: usize, feasible_first: bool) -> f64 {
+    let run = Duration::from_secs(5);
+    let times = ItemTimes::default();
+    let per_second = slots as f64 / 5.0 * 2.0;
+    let mut waiting: Vec<u64> = Vec::new();
+    let mut ends: Vec<(u64, u64)> = Vec::new();
+    let (mut asked, mut good) = (0.0, 0);
+    for now in (0..60_000u64).step_by(100) {
+        asked += per_second / 10.0;
+        while (waiting.len() + ends.len() + good) < asked as usize {
+            waiting.push(now);
+        }
+        for (end, submitted) in std::mem::take(&mut ends) {
+            match end <= now {
+                true if end <= submitted + 18_000 => good += 1,
+                true => asked += 1.0,
+                false => ends.push((end, submitted)),
+            }
+        }
+        let rank = |submitted: &u64| match feasible_first {
+            true => ItemRank::new(at(submitted + 18_000), times.left(0), at(now)),
+            false => ItemRank::new(at(submitted + 1_000_000), Duration::ZERO, at(now)),
+        };
+        waiting.sort_by_key(rank);
+        while ends.len() < slots && !waiting.is_empty() {
+            let submitted = waiting.remove(0);
+            ends.push((now + run.as_millis() as u64, submitted));
+        }
+    }
+    good as f64 / (slots as f64 / 5.0 * 60.0)
+}
+
+/// Guards against a backlog in which every item ends late: under twice the load that the fleet carries,
+/// most of its capacity still goes to items that end in time. Load: jobs of ten items, due in 18 s.
+#[test]
+fn overload_leaves_most_capacity_to_items_in_time() {
+    let (first_come, feasible) = (in_time(10, false), in_time(10, true));
+    assert!(feasible >= 0.75, "feasible first: {feasible}, first come first served: {first_come}");
+    assert!(feasible > first_come + 0.2, "feasible first: {feasible}, first come: {first_come}");
+}
+
+/// Guards against late items that start before ones that can still end in time.
+#[test]
+fn late_items_come_last() {
+    let left = Duration::from_secs(5);
+    let soon = ItemRank::new(at(6_000), left, at(0));
+    let later = ItemRank::new(at(9_000), left, at(0));
+    let late = ItemRank::new(at(4_000), left, at(0));
+    assert!(soon < later && later < late && late.is_late());
+}
+
+fn result(id: &str, bytes: usize) -> ItemResult {
+    let output = vec![b'x'; bytes];
+    ItemResult { id: ItemId::from(id), state: ResultState::Completed, output }
+}
+
+/// Guards against results that change their position: groups out of order are not taken over.
+#[test]
+fn results_keep_their_positions() {
+    let mut list = ResultList::default();
+    assert!(!list.append(1, vec![result("b", 1)]));
+    assert!(list.append(0, vec![result("a", 1)]));
+    assert!(list.append(1, vec![result("b", 1), result("c", 1)]));
+    assert!(!list.append(1, vec![result("d", 1)]));
+    let ids: Vec<_> = list.page(1, 100).iter().map(|result| result.id.to_string()).collect();
+    assert_eq!(ids, ["b", "c"]);
+}
+
+/// Guards against pages without progress and pages that are too large.
+#[test]
+fn a_page_has_at_least_one_result_and_is_bounded() {
+    let mut list = ResultList::default();
+    list.append(0, vec![result("a", 500), result("b", 500), result("c", 500)]);
+    assert_eq!(list.page(0, 100).len(), 1);
+    assert_eq!(list.page(0, 1100).len(), 2);
+    assert!(list.page(3, 100).is_empty());
+    assert!(list.page(9, 100).is_empty());
+}
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/streams.rs
@@ -0,0 +1,77 @@
+//! Events of streams, and the text of batch items.
+
+use sesamewall_fleet::EventSplitter;
+use sesamewall_fleet::ItemEnd;
+use sesamewall_fleet::ItemProgress;
+use sesamewall_fleet::ItemSettings;
+use sesamewall_fleet::ResultState;
+use sesamewall_fleet::StreamEvent;
+
+use crate::support::at;
+
+fn event(id: u64, data: &str) -> StreamEvent {
+    StreamEvent { bytes: format!("id: {id}\ndata: {data}\n\n").into_bytes(), id: Some(id) }
+}
+
+/// Guards against parts of events: whatever the pieces, whole events come out in order.
+#[test]
+fn any_pieces_give_whole_events() {
+    let text =
+        b"id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nid: 3\ndata: th\ndata: ree\n\nid: 4\nda";
+    for size in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut found = Vec::new();
+        for piece in text.chunks(size) {
+            splitter.push(piece).expect("small events");
+            while let Some(event) = splitter.next_event() {
+                found.push((event.id, String::from_utf8(event.data()).expect("text")));
+            }
+        }
+        let expected = [(Some(1), "one"), (Some(2), "two"), (Some(3), "th\nree")];
+        assert_eq!(found, expected.map(|(id, data)| (id, data.to_owned())), "pieces of {size}");
+        assert!(splitter.has_rest());
+    }
+}
+
+/// Guards against texts with a missing or doubled part after an item went on elsewhere.
+#[test]
+fn a_text_goes_on_only_after_its_last_event() {
+    let mut progress = ItemProgress::default();
+    assert!(progress.on_event(&event(1, "a")));
+    assert!(progress.on_event(&event(2, "b")));
+    assert!(!progress.on_event(&event(2, "b")));
+    assert!(!progress.on_event(&event(4, "d")));
+    assert_eq!(progress.resume_after(), Some(2));
+    let settings = ItemSettings::default();
+    assert_eq!(progress.on_end(&settings, ItemEnd::Broken, 3, at(0)), None);
+    assert!(progress.on_event(&event(3, "c")));
+    let end = progress.on_end(&settings, ItemEnd::Whole, 3, at(0));
+    assert_eq!(end, Some(ResultState::Completed));
+    assert_eq!(progress.into_output(), b"a\nb\nc");
+}
+
+/// Guards against items that are given up too early: only failed runs count, not breaks, refusals or
+/// cancellations.
+#[test]
+fn only_failed_runs_give_an_item_up() {
+    let settings = ItemSettings::default();
+    let mut progress = ItemProgress::default();
+    for end in [ItemEnd::Broken, ItemEnd::NotRun, ItemEnd::MadeWay].repeat(10) {
+        assert_eq!(progress.on_end(&settings, end, 3, at(0)), None);
+    }
+    assert_eq!(progress.on_end(&settings, ItemEnd::Failed, 3, at(0)), None);
+    assert_eq!(progress.on_end(&settings, ItemEnd::Failed, 3, at(0)), None);
+    let end = progress.on_end(&settings, ItemEnd::Failed, 3, at(0));
+    assert_eq!(end, Some(ResultState::GivenUp));
+}
+
+/// Guards against a text that joins the parts of a failed run and of the next one.
+#[test]
+fn a_failed_run_starts_the_text_anew() {
+    let mut progress = ItemProgress::default();
+    progress.on_event(&event(1, "a"));
+    progress.on_end(&ItemSettings::default(), ItemEnd::Failed, 3, at(0));
+    assert_eq!(progress.resume_after(), None);
+    assert!(progress.on_event(&event(1, "a")));
+    assert_eq!(progress.into_output(), b"a");
+}
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/targets.rs
@@ -0,0 +1,59 @@
+//! Which targets get new work.
+
+use sesamewall_fleet::TargetEntry;
+use sesamewall_protocol::TargetName;
+
+use crate::support::at;
+use crate::support::entry;
+use crate::support::table;
+
+fn in_service(table: &sesamewall_fleet::TargetTable, name: &str, millis: u64) -> bool {
+    table.get(&TargetName::from(name)).is_some_and(|target| table.in_service(target, at(millis)))
+}
+
+/// Guards against work for targets that leave or have left.
+#[test]
+fn draining_and_removed_targets_get_nothing() {
+    let mut table = table(&[("t1", "a"), ("t2", "a")]);
+    table.upsert(TargetEntry { draining: true, ..entry("t1", "a") });
+    table.remove(&TargetName::from("t2"), at(0));
+    assert!(!in_service(&table, "t1", 0));
+    assert!(!in_service(&table, "t2", 0));
+}
+
+/// Guards against a fleet without targets after an outage of the store in which entries lapsed: they
+/// stay for two seconds after its return, and those that do not come back go.
+#[test]
+fn lapsed_entries_stay_until_after_the_outage() {
+    let mut table = table(&[("t1", "a"), ("t2", "a")]);
+    table.on_store(false, at(0));
+    table.on_store(true, at(5000));
+    table.remove(&TargetName::from("t1"), at(5010));
+    table.remove(&TargetName::from("t2"), at(5010));
+    assert!(in_service(&table, "t1", 5020));
+    table.upsert(entry("t2", "a"));
+    assert!(table.on_tick(at(6900)).is_empty());
+    assert_eq!(table.on_tick(at(7000)), vec![TargetName::from("t1")]);
+    assert!(in_service(&table, "t2", 7000));
+}
+
+/// Guards against a leaving target that is kept because of an outage.
+#[test]
+fn a_draining_target_goes_also_in_an_outage() {
+    let mut table = table(&[("t1", "a")]);
+    table.upsert(TargetEntry { draining: true, ..entry("t1", "a") });
+    table.on_store(false, at(0));
+    table.remove(&TargetName::from("t1"), at(10));
+    assert!(table.is_empty());
+}
+
+/// Guards against a target that is shut out for ever: a new start under the same name is a new target.
+#[test]
+fn a_new_start_forgets_the_failures_of_the_former_one() {
+    let mut table = table(&[("t1", "a")]);
+    table.on_misdirected(&TargetName::from("t1"));
+    table.upsert(entry("t1", "a"));
+    assert!(!in_service(&table, "t1", 10));
+    table.upsert(TargetEntry { born: 2, ..entry("t1", "a") });
+    assert!(in_service(&table, "t1", 10));
+}
