--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,8 @@
+//! Real processes on stand-ins of the users' platform.
+
+#[path = "platform/batch.rs"]
+mod batch;
+#[path = "platform/online.rs"]
+mod online;
+#[path = "platform/world.rs"]
+mod world;
--- /dev/null
+++ b/tests/platform/batch.rs
@@ -0,0 +1,135 @@
+//! Batch jobs.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use sesamewall_platform_standin::GIVEN_UP;
+use sesamewall_platform_standin::StandinTarget;
+
+use crate::world::World;
+use crate::world::until;
+
+fn items(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("item{n:02}")).collect()
+}
+
+fn check(results: &[serde_json::Value], count: usize) {
+    let ids: BTreeSet<_> = results.iter().filter_map(|row| row["id"].as_str()).collect();
+    assert_eq!(ids.len(), count, "each item once");
+    for row in results {
+        assert_eq!(row["state"], "completed");
+        let path = format!("/jobs/{}", row["id"].as_str().unwrap_or_default());
+        assert_eq!(row["output"], StandinTarget::text(&path));
+    }
+}
+
+/// Guards against lost, doubled or reordered results: each item once, the same from every front.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_completes_once_on_all_instances() {
+    let world = World::start(2, 2).await;
+    let list = items(12);
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &list).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let again = world.client.submit(world.fronts[1].front(), "job1", &list).await;
+    assert_eq!(again.expect("an answer").status, 202);
+    let first = world.finished(0, "job1", 12).await;
+    check(&first, 12);
+    assert_eq!(world.finished(1, "job1", 12).await, first);
+    let unknown = world.client.results(world.fronts[0].front(), "job9").await;
+    assert_eq!(unknown.expect("an answer").status, 404);
+}
+
+/// Guards against jobs that end with their worker, and against texts that join parts of two runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_worker_takes_over_after_a_kill() {
+    let mut world = World::start(1, 2).await;
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(100));
+    }
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(10)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let claimed = || async { !world.store.keys("sesamewall/job/job1/claim").is_empty() };
+    assert!(until(claimed).await);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let claim = world.store.value("sesamewall/job/job1/claim").expect("claimed");
+    let holder = usize::from(String::from_utf8_lossy(&claim).starts_with("worker-2"));
+    world.workers[holder].kill();
+    check(&world.finished(0, "job1", 10).await, 10);
+}
+
+/// Guards against lost jobs and results when answers of the store are lost and the store is away, and
+/// against a 202 before the store has acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_survives_lost_answers_and_an_outage() {
+    let world = World::start(1, 1).await;
+    world.store.lose_answers(1);
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(6)).await;
+    assert!(matches!(answer.expect("an answer").status, 202 | 504));
+    let claimed = || async { !world.store.keys("sesamewall/job/job1/claim").is_empty() };
+    assert!(until(claimed).await);
+    world.store.set_down(true);
+    let refused = world.client.submit(world.fronts[0].front(), "job2", &items(2)).await;
+    assert_eq!(refused.expect("an answer").status, 504);
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    world.store.compact();
+    world.store.set_down(false);
+    check(&world.finished(0, "job1", 6).await, 6);
+}
+
+/// Guards against work for a job after its client has ended it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ended_job_stops() {
+    let world = World::start(1, 1).await;
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(300));
+    }
+    let front = world.fronts[0].front();
+    let answer = world.client.submit(front, "job1", &items(40)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let begun = || async { world.targets.iter().any(|target| !target.seen().is_empty()) };
+    assert!(until(begun).await);
+    for _ in 0..2 {
+        let sent =
+            world.client.send(front, Method::DELETE, "/lots/job1", "d1", "key-1", Bytes::new());
+        assert_eq!(sent.await.expect("an answer").status, 200);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let seen: usize = world.targets.iter().map(|target| target.seen().len()).sum();
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let later: usize = world.targets.iter().map(|target| target.seen().len()).sum();
+    assert_eq!(seen, later);
+    let other =
+        world.client.send(front, Method::GET, "/lots/job1?after=0", "r2", "wrong", Bytes::new());
+    assert_eq!(other.await.expect("an answer").status, 401);
+}
+
+/// Guards against items that are never listed: one that a target calls impossible is given up at once,
+/// one that fails is given up after the route's attempts.
+#[tokio::test(flavor = "multi_thread")]
+async fn impossible_and_failing_items_are_given_up() {
+    for (status, runs) in [(422, 1), (500, 3)] {
+        let world = World::start(1, 1).await;
+        for target in &world.targets {
+            target.set_status(Some(status));
+        }
+        let answer = world.client.submit(world.fronts[0].front(), "job1", &items(1)).await;
+        assert_eq!(answer.expect("an answer").status, 202);
+        let results = world.finished(0, "job1", 1).await;
+        assert_eq!(results[0]["state"], GIVEN_UP);
+        let seen: usize = world.targets.iter().map(|target| target.seen().len()).sum();
+        assert_eq!(seen, runs, "status {status}");
+    }
+}
+
+/// Guards against a retirement that waits: nothing has to be moved.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retirement_is_reported() {
+    let world = World::start(1, 2).await;
+    world.store.put("op/retire/worker-1", &serde_json::json!({ "periodS": 10 }));
+    let reported = || async { world.store.value("status/retire/worker-1").is_some() };
+    assert!(until(reported).await);
+    let status = world.store.value("status/retire/worker-1").expect("written");
+    assert_eq!(status, br#"{"state":"completed"}"#);
+}
--- /dev/null
+++ b/tests/platform/world.rs
@@ -0,0 +1,202 @@
+//! A fleet of processes with a store and targets.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use sesamewall_platform_standin::Answer;
+use sesamewall_platform_standin::MachineFile;
+use sesamewall_platform_standin::PATH_VARIABLE;
+use sesamewall_platform_standin::StandinClient;
+use sesamewall_platform_standin::StandinStore;
+use sesamewall_platform_standin::StandinTarget;
+use sesamewall_platform_standin::configuration;
+use sesamewall_platform_standin::target_entry;
+
+/// Longest wait for something that takes well below a second on an idle machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static WORLDS: AtomicU8 = AtomicU8::new(1);
+
+pub struct Process {
+    file: MachineFile,
+    path: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    pub fn ip(&self) -> IpAddr {
+        self.file.ip
+    }
+
+    pub fn front(&self) -> SocketAddr {
+        self.file.front.expect("a front").0
+    }
+
+    pub fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_sesamewalld"))
+            .arg("--platform")
+            .env(PATH_VARIABLE, &self.path)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program was built for this test");
+        self.child = Some(child);
+    }
+
+    /// Ends the process without warning.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks the process to end.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let status = Command::new("kill").arg(child.id().to_string()).status();
+            assert!(status.expect("the command exists").success());
+        }
+    }
+
+    pub async fn ended(&mut self) -> bool {
+        let child = self.child.as_mut().expect("a started process");
+        let until = Instant::now() + PATIENCE;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.success();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+pub struct World {
+    pub store: StandinStore,
+    pub targets: Vec<StandinTarget>,
+    pub fronts: Vec<Process>,
+    pub workers: Vec<Process>,
+    pub client: StandinClient,
+    _folder: tempfile::TempDir,
+}
+
+/// Returns a port that was free a moment ago on an address that no other test uses.
+fn free_port(ip: IpAddr) -> u16 {
+    let socket = std::net::TcpListener::bind(SocketAddr::new(ip, 0)).expect("loopback");
+    socket.local_addr().expect("a bound listener has an address").port()
+}
+
+impl World {
+    /// Starts a store, two targets, `fronts` fronts and `workers` workers, and waits until the fronts
+    /// are ready.
+    pub async fn start(fronts: usize, workers: usize) -> Self {
+        let store = StandinStore::start().await;
+        let mut targets = Vec::new();
+        for (name, domain) in [("t1", "a"), ("t2", "b")] {
+            let target = StandinTarget::start(name).await;
+            store.put(&format!("servers/{name}"), &target_entry(target.address, domain, false));
+            targets.push(target);
+        }
+        store.put("op/config", &configuration(1, 1000.0, 1000.0));
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        // Addresses of their own keep parallel tests and other users of the machine apart.
+        let net = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id().to_le_bytes();
+        let ip =
+            |n: usize| IpAddr::V4(Ipv4Addr::new(127, pid[0].max(1), pid[1] ^ net, 10 + n as u8));
+        let port = free_port(ip(0));
+        let mut made = Vec::new();
+        for n in 0..fronts + workers {
+            let front = (n < fronts).then(|| {
+                let address = |port| SocketAddr::new(ip(n), port);
+                (address(free_port(ip(n))), address(free_port(ip(n))))
+            });
+            let file = MachineFile {
+                name: format!("{}-{n}", if n < fronts { "front" } else { "worker" }),
+                domain: if n % 2 == 0 { "a" } else { "b" }.to_owned(),
+                ip: ip(n),
+                port,
+                front,
+                store: store.address,
+                first_start: true,
+            };
+            let path = folder.path().join(format!("{}.toml", file.name));
+            file.write(&path).expect("a temporary folder");
+            let mut process = Process { file, path, child: None };
+            process.start();
+            made.push(process);
+        }
+        let workers = made.split_off(fronts);
+        let client = StandinClient::default();
+        let world = Self { store, targets, fronts: made, workers, client, _folder: folder };
+        for n in 0..fronts {
+            assert!(world.ready(n, 200).await, "front {n} is not ready");
+        }
+        world
+    }
+
+    /// Waits until the readiness of a front has this status.
+    pub async fn ready(&self, n: usize, status: u16) -> bool {
+        let address = self.fronts[n].file.front.expect("a front").1;
+        let ask = || async {
+            let sent = self.client.send(address, Method::GET, "/ready", "r", "-", Bytes::new());
+            sent.await.is_some_and(|answer| answer.status == status)
+        };
+        until(ask).await
+    }
+
+    pub async fn talk(&self, n: usize, path: &str, id: &str) -> Option<Answer> {
+        let body = Bytes::from_static(b"hello");
+        let front = self.fronts[n].front();
+        self.client.send(front, Method::POST, path, id, "key-1", body).await
+    }
+
+    /// Waits until all items of a job are listed, and returns the results.
+    pub async fn finished(&self, n: usize, job: &str, items: usize) -> Vec<serde_json::Value> {
+        let listed = || async {
+            let answer = self.client.results(self.fronts[n].front(), job).await?;
+            let list = answer.json()["results"].as_array().cloned().unwrap_or_default();
+            (list.len() == items).then_some(list)
+        };
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(list) = listed().await {
+                return list;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!(
+            "{job} has not {items} results: {:?}",
+            self.client.results(self.fronts[n].front(), job).await
+        );
+    }
+}
+
+/// Waits until `check` holds.
+pub async fn until<F: Future<Output = bool>>(check: impl Fn() -> F) -> bool {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if check().await {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    false
+}
