Let a cut-off part of the fleet use its part of the whole bound on starts

Cause: in a cut-off failure domain three targets got a quarter of 17 starts a second each; 503 with start rate reached although the targets had free slots. The refusal line did not say what was counted.

Change: the bound of a part is its part of what the platform allows (1.5 times the rate and 5), at most the rate; refusals log their inputs.

--- a/crates/sesamewall-edge/src/call.rs
+++ b/crates/sesamewall-edge/src/call.rs
@@ -19,6 +19,7 @@
 use sesamewall_fleet::RouteKind;
 use sesamewall_fleet::RouteSpec;
 use sesamewall_fleet::place;
+use sesamewall_fleet::start_bound;
 use sesamewall_platform::ACCOUNT;
 use sesamewall_platform::DEADLINE_MS;
 use sesamewall_platform::EXPECT_TARGET;
@@ -182,10 +183,11 @@
     let now = node.now();
     let state = node.state();
     let catalog = state.catalog.as_deref();
-    // Starts count up to the rate itself; the platform's factor on it is left for counts under way.
-    let rate = catalog.and_then(|catalog| catalog.service(ask.service));
-    let rate = rate.map_or(0.0, |service| service.cold_rate);
+    let service = catalog.and_then(|catalog| catalog.service(ask.service));
+    let rate = service.map_or(0.0, |service| service.cold_rate);
+    let bounds = &node.machine.bounds;
     let part = state.fleet_part(now);
+    let starts = start_bound(rate, bounds.cold_factor, bounds.cold_extra, part);
     let settings = PlaceSettings::default();
     place(
         &settings,
@@ -193,8 +195,7 @@
         &state.targets,
         &state.peers,
         &node.machine.regions,
-        rate,
-        part,
+        starts,
         now,
         rand::random(),
     )
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -92,7 +92,7 @@
                 info!(self.node.log, "request refused";
                     "request" => id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?"),
                     "method" => method.as_str(), "path" => path, "code" => code,
-                    "detail" => %refusal.error,
+                    "detail" => %refusal.error, "inputs" => inputs(&refusal.error),
                     "retry_ms" => refusal.retry.map(|retry| retry.as_millis() as u64),
                     "held_ms" => self.node.now().since(arrived).as_millis() as u64);
                 failure(&refusal.error, refusal.retry, id.as_ref())
@@ -143,8 +143,7 @@
         );
         let call = call.ok_or_else(|| Refusal::later(none, RETRY_BLIND))?;
         self.admit(&call)?;
-        let result = self.run(Arc::new(call)).await;
-        result
+        self.run(Arc::new(call)).await
     }
 
     /// Checks crash marks and takes a token of the account's rate.
@@ -295,7 +294,10 @@
         match (runs, reason) {
             (0, NoPlace::NoTarget) => Refusal::later(Error::NoTarget { model }, RETRY_BLIND),
             (0, reason) => {
-                let numbers = vec![("in_flight".to_owned(), self.in_flight())];
+                let numbers = vec![
+                    ("in_flight".to_owned(), self.in_flight()),
+                    ("part".to_owned(), self.node.state().fleet_part(self.node.now())),
+                ];
                 let error = Error::QueueTimeout { model: format!("{model}: {reason}"), numbers };
                 Refusal::later(error, retry)
             }
@@ -326,6 +328,15 @@
     }
 }
 
+/// Returns the numbers that a refusal was decided on.
+fn inputs(error: &Error) -> String {
+    let numbers = match error {
+        Error::RateExceeded { numbers, .. } | Error::QueueTimeout { numbers, .. } => numbers,
+        _ => return String::new(),
+    };
+    numbers.iter().map(|(name, value)| format!("{name}={value:.2}")).collect::<Vec<_>>().join(" ")
+}
+
 fn host<'a>(headers: &'a HeaderMap, uri: &'a http::Uri) -> &'a str {
     let named = headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = named.or_else(|| uri.authority().map(http::uri::Authority::as_str)).unwrap_or("");
--- a/crates/sesamewall-fleet/src/batch_room.rs
+++ b/crates/sesamewall-fleet/src/batch_room.rs
@@ -1,7 +1,5 @@
 //! How much of the fleet batch items may use, and which of them make way for online requests.
 
-use std::time::Duration;
-
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
 
@@ -13,13 +11,11 @@
 pub struct RoomSettings {
     /// Slots that batch items leave free at each target.
     pub free: u32,
-    /// Time from an item's cancellation until its place is counted as free by all.
-    pub settle: Duration,
 }
 
 impl Default for RoomSettings {
     fn default() -> Self {
-        Self { free: 1, settle: Duration::from_millis(30) }
+        Self { free: 1 }
     }
 }
 
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -49,6 +49,7 @@
 pub use placement::NoPlace;
 pub use placement::PlaceSettings;
 pub use placement::place;
+pub use placement::start_bound;
 pub use suspects::Suspects;
 pub use targets::TargetEntry;
 pub use targets::TargetState;
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -83,10 +83,18 @@
     StartRate,
 }
 
+/// Returns the starts a second that an instance lets a target have, counted over all instances that it
+/// hears; 0 for no bound. A cold target bears `rate`, and the platform allows `factor` times as much and
+/// `extra` more, which is left for counts under way. `part` is the part of the fleet that is heard: the
+/// parts of a split fleet together stay below what the platform allows.
+pub fn start_bound(rate: f64, factor: f64, extra: f64, part: f64) -> f64 {
+    rate.min(part * (rate * factor + extra))
+}
+
 /// Chooses the target with the lowest cost. Load counts by the square of its part of the slots, so
 /// that failure domain and cache decide between lightly loaded targets and load between full ones.
-/// `cold_rate` is the bound on starts a second at one target, 0 for none; `part` is the part of
-/// the fleet that is heard; `draw` is a random number that breaks ties.
+/// `starts` is the bound on starts a second at one target, 0 for none; `draw` is a random number that
+/// breaks ties.
 #[allow(clippy::too_many_arguments)]
 pub fn place(
     settings: &PlaceSettings,
@@ -94,8 +102,7 @@
     table: &TargetTable,
     peers: &Peers,
     regions: &HashMap<DomainName, Arc<str>>,
-    cold_rate: f64,
-    part: f64,
+    starts: f64,
     now: Time,
     draw: u64,
 ) -> Result<Chosen, NoPlace> {
@@ -124,8 +131,8 @@
             reason = NoPlace::Full;
             continue;
         }
-        let starts = peers.recent_starts(target.key, now);
-        if cold_rate > 0.0 && f64::from(starts + 1) > (cold_rate * part).max(1.0) {
+        let recent = peers.recent_starts(target.key, now);
+        if starts > 0.0 && f64::from(recent + 1) > starts.max(1.0) {
             reason = NoPlace::StartRate;
             continue;
         }
