Split the worker and leave two places a target free of batch

In peaks one free slot a target was used up before items had made way.

Change: job_work, job_follow and worker_commit are files of their own; event_end and describe stand once. Batch leaves two slots free.

--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -64,3 +64,14 @@
     };
     tokio::time::timeout(limit, exchange).await.unwrap_or(Err(CallError::Unclear))
 }
+
+/// Returns an error with its causes.
+pub fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/crates/sesamewall-adapters/src/http_target.rs
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -20,6 +20,7 @@
 
 use crate::http_client;
 use crate::http_client::HyperClient;
+use crate::http_client::describe;
 
 /// Header in which an engine echoes the identifier of the attempt.
 pub const ATTEMPT_HEADER: &str = "x-attempt-id";
@@ -122,13 +123,3 @@
         tokio::time::timeout(EVENTS_TIMEOUT, exchange).await.map_err(late)?
     }
 }
-
-fn describe(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use sesamewall_adapters::http_client::describe;
 use sesamewall_fleet::Chosen;
 use sesamewall_platform::EXPECT_TARGET;
 use sesamewall_platform::NOT_RUN;
@@ -143,7 +144,7 @@
                 .map_err(|_| AttemptError::Silent(limit))?;
             match frame {
                 None => return Ok(None),
-                Some(Err(error)) => return Err(AttemptError::Lost(chain(&error))),
+                Some(Err(error)) => return Err(AttemptError::Lost(describe(&error))),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
                     Ok(data) => return Ok(Some(data)),
@@ -187,16 +188,6 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-pub(crate) fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
-
 /// Sends a request and returns the head of its answer.
 ///
 /// # Errors
@@ -272,8 +263,10 @@
     let response = match sent {
         Err(_) => return Err(AttemptError::Silent(limit)),
         // Hyper reports a request as cancelled only if it has not written any of it.
-        Ok(Err(error)) if error.is_canceled() => return Err(AttemptError::NotSent(chain(&error))),
-        Ok(Err(error)) => return Err(AttemptError::Lost(chain(&error))),
+        Ok(Err(error)) if error.is_canceled() => {
+            return Err(AttemptError::NotSent(describe(&error)));
+        }
+        Ok(Err(error)) => return Err(AttemptError::Lost(describe(&error))),
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -7,8 +7,10 @@
 mod counted_store;
 mod item_call;
 mod job_api;
+mod job_follow;
 mod job_keys;
 mod job_store;
+mod job_work;
 mod lease;
 mod logs;
 mod metrics;
@@ -21,6 +23,7 @@
 mod sync;
 mod target_pool;
 mod worker;
+mod worker_commit;
 
 pub use metrics::Metrics;
 pub use node::Node;
--- a/crates/sesamewall-edge/src/run.rs
+++ b/crates/sesamewall-edge/src/run.rs
@@ -31,6 +31,7 @@
 use crate::beacons;
 use crate::beacons::Directory;
 use crate::job_api::JobApi;
+use crate::job_follow::JobFollower;
 use crate::job_keys::JOB_PREFIX;
 use crate::lease;
 use crate::lease::ProcessLease;
@@ -42,7 +43,6 @@
 use crate::store_relay;
 use crate::store_relay::RELAY_PATH;
 use crate::sync;
-use crate::worker::JobFollower;
 use crate::worker::Worker;
 
 /// Port of the metrics, the same on all machines.
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -1,7 +1,6 @@
 //! Claims batch jobs, runs their items and commits results.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -19,16 +18,12 @@
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemSettings;
-use sesamewall_fleet::ItemSpec;
 use sesamewall_fleet::ItemTimes;
-use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::ResultState;
 use sesamewall_fleet::job_key;
-use sesamewall_ports::StoreChange;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
-use sesamewall_ports::StoredItem;
 use sesamewall_ports::Transaction;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::JobId;
@@ -45,11 +40,12 @@
 use crate::item_call::ItemCall;
 use crate::job_keys::JobKey;
 use crate::job_store;
-use crate::job_store::JobHead;
 use crate::job_store::Written;
+use crate::job_work::Claim;
+use crate::job_work::Item;
+use crate::job_work::Job;
+use crate::job_work::Running;
 use crate::lease::ProcessLease;
-use crate::node::wall_millis;
-use crate::sync::Follow;
 
 /// Time between two looks at unclaimed jobs and waiting items when nothing else happens.
 const TICK: Duration = Duration::from_millis(250);
@@ -61,109 +57,13 @@
 /// It is above the time between two watches of the jobs.
 const CLAIM_STEP: Duration = Duration::from_millis(700);
 
-/// Time for which other workers leave a job whose claim has ended to its former holder.
-const FORMER_FIRST: Duration = Duration::from_millis(400);
-
-/// Results that come within this time are committed together.
-/// Readers come about twice a second.
-const COMMIT_DELAY: Duration = Duration::from_millis(400);
-
-/// Time between two looks at whether all items of a job have ended, so that the last results do not
-/// wait.
-const COMMIT_STEP: Duration = Duration::from_millis(50);
-
-/// Most output bytes in one group of results.
-const GROUP_BYTES: usize = 400 << 10;
-
-/// Longest time for the commit of a group before the claim is checked again.
-const COMMIT_TIME: Duration = Duration::from_secs(20);
-
-/// Due time of a job whose route is not known yet.
-const USUAL_DUE: Duration = Duration::from_secs(18);
-
-/// Longest age of a job that the time of day may tell.
-const MAX_AGE: Duration = Duration::from_secs(60);
-
-/// A claim on a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Claim {
-    Free { since: Time },
-    Other,
-    Own { revision: u64, lease: u64 },
-    Pending,
-}
-
-struct Item {
-    spec: Arc<ItemSpec>,
-    progress: ItemProgress,
-}
-
-struct Running {
-    /// Tells this attempt from later ones of the same item.
-    number: u64,
-    due: Time,
-    from: u64,
-    key: u32,
-    started: Time,
-    cancel: CancellationToken,
-}
-
-#[derive(Default)]
-struct Work {
-    spec: Option<Arc<JobSpec>>,
-    waiting: Vec<Item>,
-    running: BTreeMap<ItemId, Running>,
-    results: Vec<ItemResult>,
-    committed: HashSet<ItemId>,
-    groups: u64,
-    committing: bool,
-}
-
-struct Job {
-    head: Option<JobHead>,
-    /// When the job was accepted, by the own clock.
-    learned: Time,
-    /// Time within which its results are due.
-    due: Duration,
-    claim: Claim,
-    ended: bool,
-    complete: bool,
-    work: Work,
-}
-
-impl Job {
-    fn new(now: Time) -> Self {
-        Self {
-            head: None,
-            learned: now,
-            due: USUAL_DUE,
-            claim: Claim::Free { since: now },
-            ended: false,
-            complete: false,
-            work: Work::default(),
-        }
-    }
-
-    fn open(&self) -> bool {
-        self.head.is_some() && !self.ended && !self.complete
-    }
-
-    /// Stops all items and forgets the work.
-    fn stop(&mut self) {
-        for running in self.work.running.values() {
-            running.cancel.cancel();
-        }
-        self.work = Work::default();
-    }
-}
-
 /// The worker of a process.
 pub struct Worker {
-    node: Arc<Node>,
-    lease: Arc<ProcessLease>,
+    pub(crate) node: Arc<Node>,
+    pub(crate) lease: Arc<ProcessLease>,
     room: BatchRoom,
     items: ItemSettings,
-    wake: Notify,
+    pub(crate) wake: Notify,
     jobs: Mutex<BTreeMap<JobId, Job>>,
     times: Mutex<ItemTimes>,
     started: AtomicU64,
@@ -184,7 +84,7 @@
         })
     }
 
-    fn jobs(&self) -> MutexGuard<'_, BTreeMap<JobId, Job>> {
+    pub(crate) fn jobs(&self) -> MutexGuard<'_, BTreeMap<JobId, Job>> {
         self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -323,7 +223,7 @@
     }
 
     /// Returns the value of the own claims: the process and its start.
-    fn claim_value(&self) -> Bytes {
+    pub(crate) fn claim_value(&self) -> Bytes {
         Bytes::from(format!("{} {:x}", self.node.machine.instance, self.node.boot))
     }
 
@@ -557,134 +457,6 @@
         drop(jobs);
         self.wake.notify_one();
     }
-
-    /// Starts the commit of finished items unless one is under way.
-    fn commit_soon(self: &Arc<Self>, id: &JobId, job: &mut Job) {
-        let claimed = matches!(job.claim, Claim::Own { .. }) && job.work.spec.is_some();
-        if !claimed || job.work.committing || job.work.results.is_empty() {
-            return;
-        }
-        job.work.committing = true;
-        tokio::spawn(self.clone().commit(id.clone()));
-    }
-
-    async fn commit(self: Arc<Self>, id: JobId) {
-        self.commit_groups(&id).await;
-        if let Some(job) = self.jobs().get_mut(&id) {
-            job.work.committing = false;
-        }
-    }
-
-    /// Commits groups of results until none is left or the claim is lost.
-    async fn commit_groups(&self, id: &JobId) {
-        loop {
-            let from = self.node.now();
-            while self.node.now().since(from) < COMMIT_DELAY {
-                tokio::time::sleep(COMMIT_STEP).await;
-                let jobs = self.jobs();
-                let Some(job) = jobs.get(id) else { return };
-                if job.work.running.is_empty() && job.work.waiting.is_empty() {
-                    break;
-                }
-            }
-            let (claim, group, results, complete) = {
-                let mut jobs = self.jobs();
-                let Some(job) = jobs.get_mut(id) else { return };
-                let Claim::Own { revision, .. } = job.claim else { return };
-                let mut bytes = 0;
-                let fitting = job.work.results.iter().take_while(|result| {
-                    bytes += result.output.len();
-                    bytes <= GROUP_BYTES
-                });
-                let count = fitting.count().max(1).min(job.work.results.len());
-                if count == 0 {
-                    return;
-                }
-                let results: Vec<_> = job.work.results[..count].to_vec();
-                let total = job.head.as_ref().map_or(usize::MAX, |head| head.total);
-                let complete = job.work.committed.len() + count >= total;
-                (revision, job.work.groups, results, complete)
-            };
-            let transaction = match job_store::append(id, claim, group, &results, complete) {
-                Ok(transaction) => transaction,
-                Err(error) => {
-                    warn!(self.node.log, "results cannot be encoded"; "job" => %id,
-                        "error" => %error);
-                    return;
-                }
-            };
-            let until = self.node.now() + COMMIT_TIME;
-            let written = job_store::commit_once(&self.node, &transaction, until).await;
-            info!(self.node.log, "results committed"; "job" => %id, "group" => group,
-                "items" => results.len(), "complete" => complete,
-                "end" => format!("{written:?}"));
-            let mut jobs = self.jobs();
-            let Some(job) = jobs.get_mut(id) else { return };
-            let Claim::Own { revision, .. } = job.claim else { return };
-            if revision != claim {
-                return;
-            }
-            match written {
-                Ok(Written::Done(_)) => {
-                    let done: HashSet<_> = results.into_iter().map(|result| result.id).collect();
-                    job.work.results.retain(|result| !done.contains(&result.id));
-                    job.work.committed.extend(done);
-                    job.work.groups += 1;
-                    self.wake.notify_one();
-                    if complete {
-                        job.complete = true;
-                        job.stop();
-                        return;
-                    }
-                }
-                Ok(Written::Refused) => {
-                    // The claim has ended. The work is kept in case that this worker claims again.
-                    job.claim = Claim::Free { since: self.node.now() };
-                    return;
-                }
-                Err(_) => {}
-            }
-        }
-    }
-
-    fn written(&self, jobs: &mut BTreeMap<JobId, Job>, item: &StoredItem) {
-        let Some((id, kind)) = JobKey::parse(&item.key) else { return };
-        let now = self.node.now();
-        let job = jobs.entry(id.clone()).or_insert_with(|| Job::new(now));
-        match kind {
-            JobKey::Head => {
-                job.head = job_store::decode_head(&self.node, &id, &item.value);
-                let accepted = job.head.as_ref().map_or(u64::MAX, |head| head.accepted);
-                let age = Duration::from_millis(wall_millis().saturating_sub(accepted));
-                job.learned = now - age.min(MAX_AGE);
-            }
-            JobKey::End => {
-                if !job.ended {
-                    info!(self.node.log, "job stops"; "job" => %id, "revision" => item.revision);
-                }
-                job.ended = true;
-                job.stop();
-            }
-            JobKey::Complete => {
-                job.complete = true;
-                job.stop();
-            }
-            JobKey::Claim => match job.claim {
-                Claim::Own { revision, .. } if revision >= item.revision => {}
-                Claim::Pending => {}
-                // The own claim, which was seen as ended meanwhile.
-                _ if item.value == self.claim_value() && job.work.spec.is_some() => {
-                    let lease = self.lease.number();
-                    job.claim = Claim::Own { revision: item.revision, lease };
-                }
-                Claim::Own { .. } => {
-                    job.stop();
-                    job.claim = Claim::Other;
-                }
-                _ => job.claim = Claim::Other,
-            },
-        }
-    }
 }
 
 /// Spreads the hashes of names and jobs.
@@ -693,60 +465,3 @@
 fn hash(id: &JobId) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes())
 }
-
-/// Takes over the keys of jobs.
-pub struct JobFollower(pub Arc<Worker>);
-
-impl Follow for JobFollower {
-    fn replace(&mut self, items: Vec<StoredItem>, _revision: u64) {
-        let now = self.0.node.now();
-        let mut jobs = self.0.jobs();
-        let claimed: HashSet<JobId> = items
-            .iter()
-            .filter_map(|item| JobKey::parse(&item.key))
-            .filter(|(_, kind)| *kind == JobKey::Claim)
-            .map(|(id, _)| id)
-            .collect();
-        for item in &items {
-            self.0.written(&mut jobs, item);
-        }
-        for (id, job) in jobs.iter_mut() {
-            match job.claim {
-                Claim::Other if !claimed.contains(id) => job.claim = Claim::Free { since: now },
-                _ => {}
-            }
-        }
-        drop(jobs);
-        self.0.wake.notify_one();
-    }
-
-    fn apply(&mut self, changes: Vec<StoreChange>, _revision: u64) {
-        let now = self.0.node.now();
-        let mut jobs = self.0.jobs();
-        for change in changes {
-            match change {
-                StoreChange::Written(item) => self.0.written(&mut jobs, &item),
-                StoreChange::Removed { key, revision } => {
-                    let Some((id, JobKey::Claim)) = JobKey::parse(&key) else { continue };
-                    let Some(job) = jobs.get_mut(&id) else { continue };
-                    // The removal of an earlier claim can be seen after the next one was made.
-                    let newer = match job.claim {
-                        Claim::Own { revision: own, .. } => own > revision,
-                        Claim::Pending => true,
-                        _ => false,
-                    };
-                    if !newer {
-                        // The former holder has begun the work and goes first, if it lives.
-                        let wait = match job.work.spec {
-                            Some(_) => Duration::ZERO,
-                            None => FORMER_FIRST,
-                        };
-                        job.claim = Claim::Free { since: now + wait };
-                    }
-                }
-            }
-        }
-        drop(jobs);
-        self.0.wake.notify_one();
-    }
-}
--- a/crates/sesamewall-fleet/src/batch_room.rs
+++ b/crates/sesamewall-fleet/src/batch_room.rs
@@ -9,13 +9,14 @@
 /// Settings of the room for batch items.
 #[derive(Clone, Debug)]
 pub struct RoomSettings {
-    /// Slots that batch items leave free at each target.
+    /// Slots that batch items leave free at each target: room for the online requests that arrive while
+    /// items make way.
     pub free: u32,
 }
 
 impl Default for RoomSettings {
     fn default() -> Self {
-        Self { free: 1 }
+        Self { free: 2 }
     }
 }
 
--- a/crates/sesamewall-fleet/src/event_stream.rs
+++ b/crates/sesamewall-fleet/src/event_stream.rs
@@ -83,8 +83,8 @@
     }
 }
 
-/// Returns the offset after the first empty line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
+/// Returns the offset after the first empty line, which ends an event.
+pub fn event_end(bytes: &[u8]) -> Option<usize> {
     let mut offset = 0;
     while let Some(found) = bytes[offset..].iter().position(|byte| *byte == b'\n') {
         let next = offset + found + 1;
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -30,6 +30,7 @@
 pub use catalog::ServiceSpec;
 pub use event_stream::EventSplitter;
 pub use event_stream::StreamEvent;
+pub use event_stream::event_end;
 pub use item_order::ItemRank;
 pub use item_order::ItemTimes;
 pub use item_run::ItemEnd;
--- a/crates/sesamewall-server/src/execute/sse.rs
+++ b/crates/sesamewall-server/src/execute/sse.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use sesamewall_fleet::event_end;
 
 use super::Event;
 
@@ -30,7 +31,7 @@
     /// Returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let from = self.scanned.saturating_sub(3);
-        let Some(end) = find_blank_line(&self.buffer[from..]).map(|end| from + end) else {
+        let Some(end) = event_end(&self.buffer[from..]).map(|end| from + end) else {
             self.scanned = self.buffer.len();
             return None;
         };
@@ -40,17 +41,3 @@
         Some(Event { bytes, last })
     }
 }
-
-/// Returns the offset after the first empty line.
-fn find_blank_line(bytes: &[u8]) -> Option<usize> {
-    let mut offset = 0;
-    while let Some(found) = bytes[offset..].iter().position(|byte| *byte == b'\n') {
-        let next = offset + found + 1;
-        match bytes.get(next) {
-            Some(b'\n') => return Some(next + 1),
-            Some(b'\r') if bytes.get(next + 1) == Some(&b'\n') => return Some(next + 2),
-            _ => offset = next,
-        }
-    }
-    None
-}
