Withdraw a worker's word about a job while it may be wrong

Cause: fronts skip reading the store when the job's worker says in its beacons that there is nothing new.

Change: a worker names a job only under a valid lease and not while a commit is under way; the highest word counts.

The new process test fails without the check ('nothing listed 600 ms after the store had it') and passes with it.

--- a/crates/sesamewall-edge/src/job_work.rs
+++ b/crates/sesamewall-edge/src/job_work.rs
@@ -51,6 +51,8 @@
     pub(crate) committed: HashSet<ItemId>,
     pub(crate) groups: u64,
     pub(crate) committing: bool,
+    /// A group is being written: the store may have it already.
+    pub(crate) writing: bool,
 }
 
 pub(crate) struct Job {
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -111,12 +111,17 @@
     }
 
     /// Tells the other instances which jobs this worker runs and how many groups of results it has
-    /// committed.
-    fn report(&self) {
+    /// committed. It says nothing about jobs whose groups it does not know for sure.
+    pub(crate) fn report(&self) {
+        let valid = self.lease.valid(self.node.now());
+        let sure = |job: &Job| match job.claim {
+            Claim::Own { lease, .. } => valid == Some(lease) && !job.work.writing,
+            _ => false,
+        };
         let report: Vec<_> = self
             .jobs()
             .iter()
-            .filter(|(_, job)| job.open() && job.work.spec.is_some())
+            .filter(|(_, job)| job.open() && job.work.spec.is_some() && sure(job))
             .map(|(id, job)| (job_key(id), job.work.groups as u32))
             .collect();
         let mut state = self.node.state();
--- a/crates/sesamewall-edge/src/worker_commit.rs
+++ b/crates/sesamewall-edge/src/worker_commit.rs
@@ -44,6 +44,16 @@
         if let Some(job) = self.jobs().get_mut(&id) {
             job.work.committing = false;
         }
+        self.set_writing(&id, false);
+    }
+
+    /// Notes that a group is being written, and withdraws the word about the job meanwhile: readers of
+    /// the store can see the group before its answer comes.
+    fn set_writing(&self, id: &JobId, writing: bool) {
+        if let Some(job) = self.jobs().get_mut(id) {
+            job.work.writing = writing;
+        }
+        self.report();
     }
 
     /// Commits groups of results until none is left or the claim is lost.
@@ -85,6 +95,7 @@
                 }
             };
             let until = self.node.now() + COMMIT_TIME;
+            self.set_writing(id, true);
             let written = job_store::commit_once(&self.node, &transaction, until).await;
             info!(self.node.log, "results committed"; "job" => %id, "group" => group,
                 "items" => results.len(), "complete" => complete,
@@ -101,6 +112,7 @@
                     job.work.results.retain(|result| !done.contains(&result.id));
                     job.work.committed.extend(done);
                     job.work.groups += 1;
+                    job.work.writing = false;
                     self.wake.notify_one();
                     if complete {
                         job.complete = true;
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -226,8 +226,9 @@
             .values()
             .filter(|known| now.since(known.heard) <= fresh)
             .flat_map(|known| known.beacon.jobs.iter())
-            .find(|(key, _)| *key == job)
+            .filter(|(key, _)| *key == job)
             .map(|(_, groups)| *groups)
+            .max()
     }
 
     /// Returns the requests of all instances at a target.
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -99,6 +99,18 @@
     assert_eq!(peers.job_groups(7, at(900)), None);
 }
 
+/// Guards against results that disappear: a former worker that is heard again after a cut knows fewer
+/// groups than the present one.
+#[test]
+fn the_word_of_the_worker_that_knows_most_counts() {
+    let mut peers = Peers::new(PeerSettings::default());
+    for (name, groups) in [("w1", 1), ("w2", 6), ("w3", 0)] {
+        let beacon = Beacon { jobs: vec![(7, groups)], ..beacon(name, 1) };
+        peers.on_beacon(beacon, true, at(0));
+    }
+    assert_eq!(peers.job_groups(7, at(100)), Some(6));
+}
+
 /// Guards against requests that crash one target after the other: crashes seen by different instances
 /// add up, and an innocent request is forgotten after it ended well.
 #[test]
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -78,6 +78,30 @@
     check(&world.finished(0, "job1", 6).await, 6);
 }
 
+/// Guards against results that one front shows and another does not: while the answer to a commit is
+/// missing, the worker's word about the job is withdrawn, and fronts read the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_are_seen_by_all_before_their_commit_is_answered() {
+    let world = World::start(2, 1).await;
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(100));
+    }
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(20)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let claimed = || async { !world.store.keys("sesamewall/job/job1/claim").is_empty() };
+    assert!(until(claimed).await);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    world.store.lose_answers(1);
+    let stored = || async { world.store.value("sesamewall/result/job1/000000").is_some() };
+    assert!(until(stored).await);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for front in &world.fronts {
+        let answer = world.client.results(front.front(), "job1").await.expect("an answer");
+        let listed = answer.json()["results"].as_array().map_or(0, Vec::len);
+        assert!(listed > 0, "nothing listed 600 ms after the store had it");
+    }
+}
+
 /// Guards against work for a job after its client has ended it.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_ended_job_stops() {
