Move a stream off a silent target within its objective

Cause: behind a silent cut a stream waited 700 ms for its target, twice the pause with which it is on time, and was late although another target was free. And the last permitted run was ended after the same silence, with nothing else to try. Change: SilenceSettings waits 0.7 of the objective for a target with a free slot and 0.7 of the pause objective between events; a queued request keeps 700 ms; the last run gets all the time that is left. Load: streams in flight while a failure domain is cut off. Tests: silence.rs, and the_last_run_of_a_stream_is_waited_for.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -31,6 +31,10 @@
 /// Longest idle time of a kept connection for other requests.
 const MAX_IDLE: Duration = Duration::from_secs(60);
 
+/// Time for a connection's task to pass on what has arrived already, before its target counts as silent:
+/// after a stall of the process its timers end before its sockets are read.
+const LATE_POLL: Duration = Duration::from_millis(5);
+
 /// How an attempt failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive_more::Display)]
@@ -139,9 +143,13 @@
     /// Returns `Lost` if the connection ends before the body does, `Silent` after `limit`.
     pub async fn piece(&mut self, limit: Duration) -> Result<Option<Bytes>, AttemptError> {
         loop {
-            let frame = tokio::time::timeout(limit, self.body.frame())
-                .await
-                .map_err(|_| AttemptError::Silent(limit))?;
+            let timely = tokio::time::timeout(limit, self.body.frame()).await;
+            let frame = match timely {
+                Ok(frame) => frame,
+                Err(_) => tokio::time::timeout(LATE_POLL, self.body.frame())
+                    .await
+                    .map_err(|_| AttemptError::Silent(limit))?,
+            };
             match frame {
                 None => return Ok(None),
                 Some(Err(error)) => return Err(AttemptError::Lost(describe(&error))),
--- a/crates/sesamewall-edge/src/call.rs
+++ b/crates/sesamewall-edge/src/call.rs
@@ -18,6 +18,7 @@
 use sesamewall_fleet::PlaceSettings;
 use sesamewall_fleet::RouteKind;
 use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::SilenceSettings;
 use sesamewall_fleet::place;
 use sesamewall_fleet::start_bound;
 use sesamewall_platform::ACCOUNT;
@@ -161,6 +162,22 @@
         }
     }
 
+    /// Returns how long the next run's target may be silent. `runs` is the number of finished runs,
+    /// `silence` the wait if the request may go on elsewhere afterwards. The last run gets all the time
+    /// that is left: nothing is gained by ending it.
+    pub fn patience(
+        &self,
+        now: Time,
+        runs: u32,
+        silence: impl Fn(&SilenceSettings, &RouteSpec) -> Duration,
+    ) -> Duration {
+        let left = self.deadline.since(now);
+        match self.resumable() && runs + 1 < self.route.attempts {
+            true => left.min(silence(&SilenceSettings::default(), &self.route)),
+            false => left,
+        }
+    }
+
     /// Chooses a target that is not in `tried`.
     pub fn choose(&self, node: &Node, tried: &[TargetName]) -> Result<Chosen, NoPlace> {
         let ask = Ask {
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -36,10 +36,6 @@
 use crate::reply::full;
 use crate::reply::strip_connection_headers;
 
-/// Longest silence of a target before its first event, for streams that may go on elsewhere. A first
-/// event usually comes within the objective of some hundred milliseconds.
-const FIRST_SILENCE: Duration = Duration::from_millis(700);
-
 /// Attempts that targets did not run, after which a request is refused.
 const MAX_NOT_RUN: usize = 3;
 
@@ -197,8 +193,8 @@
                 Ok(chosen) => chosen,
                 Err(reason) => return Err(self.no_place(call, reason, runs)),
             };
-            let left = call.deadline.since(now);
-            let limit = if call.resumable() { left.min(FIRST_SILENCE) } else { left };
+            let limit =
+                call.patience(now, runs, |silence, route| silence.before_answer(route, &chosen));
             let outgoing = call.outgoing(None, now);
             let result = attempt(&self.node, &chosen, &outgoing, limit).await;
             info!(self.node.log, "attempt"; "request" => call.id_text(),
--- a/crates/sesamewall-edge/src/relay.rs
+++ b/crates/sesamewall-edge/src/relay.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -10,6 +9,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use sesamewall_fleet::EventSplitter;
+use sesamewall_fleet::SilenceSettings;
 use sesamewall_protocol::TargetName;
 use slog::info;
 
@@ -20,10 +20,6 @@
 use crate::call::Call;
 use crate::reply::ReplyBody;
 
-/// Longest silence between events before a stream that may is continued elsewhere. Usual pauses are
-/// some tens of milliseconds; callers give up after two seconds.
-const GAP_SILENCE: Duration = Duration::from_millis(700);
-
 /// A stream on its way to the caller.
 pub struct Relay {
     node: Arc<Node>,
@@ -33,6 +29,7 @@
     last: Option<u64>,
     events: u64,
     tried: Vec<TargetName>,
+    /// Runs so far, the present one included.
     runs: u32,
     ended: bool,
 }
@@ -81,11 +78,12 @@
                 }
             }
             let Some(answer) = &mut self.answer else { return self.end("no target") };
-            let left = self.call.deadline.since(self.node.now());
-            if left.is_zero() {
+            let now = self.node.now();
+            if now >= self.call.deadline {
                 return self.end("timeout");
             }
-            let limit = if self.call.resumable() { left.min(GAP_SILENCE) } else { left };
+            let finished = self.runs.saturating_sub(1);
+            let limit = self.call.patience(now, finished, SilenceSettings::between_events);
             match answer.piece(limit).await {
                 Ok(Some(piece)) if self.splitter.push(&piece).is_ok() => {}
                 Ok(Some(_)) => return self.end("event too large"),
@@ -168,9 +166,11 @@
                 Ok(chosen) => chosen,
                 Err(reason) => return self.end(&format!("broken off: {error}; {reason}")),
             };
-            let left = self.call.deadline.since(now).min(GAP_SILENCE);
+            let limit = self
+                .call
+                .patience(now, self.runs, |silence, route| silence.before_answer(route, &chosen));
             let outgoing = self.call.outgoing(self.last, now);
-            let result = attempt(&self.node, &chosen, &outgoing, left).await;
+            let result = attempt(&self.node, &chosen, &outgoing, limit).await;
             info!(self.node.log, "stream goes on elsewhere"; "request" => self.call.id_text(),
             "after" => self.last, "cause" => %error, "target" => %chosen.name,
             "end" => match &result {
--- a/crates/sesamewall-fleet/src/catalog.rs
+++ b/crates/sesamewall-fleet/src/catalog.rs
@@ -46,6 +46,8 @@
     pub timeout: Duration,
     /// Time to the first byte within which an answer is worth most.
     pub objective: Duration,
+    /// Longest pause between two events with which a stream is on time; zero if there is no bound.
+    pub gap: Duration,
     /// Most targets that one request may run on.
     pub attempts: u32,
     /// Services with their weights.
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod job;
 mod peers;
 mod placement;
+mod silence;
 mod suspects;
 mod targets;
 
@@ -51,6 +52,7 @@
 pub use placement::PlaceSettings;
 pub use placement::place;
 pub use placement::start_bound;
+pub use silence::SilenceSettings;
 pub use suspects::Suspects;
 pub use targets::TargetEntry;
 pub use targets::TargetState;
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -62,6 +62,8 @@
     pub address: SocketAddr,
     /// Its number in beacons.
     pub key: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
     /// Online requests there, as known.
     pub online: u32,
     /// Batch items there, as known.
@@ -150,6 +152,7 @@
                 name: target.entry.name.clone(),
                 address: target.entry.address,
                 key: target.key,
+                slots: target.entry.slots,
                 online,
                 batch,
             };
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -8,6 +8,8 @@
 mod peers;
 #[path = "decisions/placement.rs"]
 mod placement;
+#[path = "decisions/silence.rs"]
+mod silence;
 #[path = "decisions/streams.rs"]
 mod streams;
 #[path = "decisions/support.rs"]
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/silence.rs
@@ -0,0 +1,76 @@
+//! How long silent targets are waited for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamewall_fleet::Chosen;
+use sesamewall_fleet::RouteKind;
+use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::SilenceSettings;
+use sesamewall_protocol::TargetName;
+
+/// Time that a stream needs to go on elsewhere: a new connection to another failure domain, a prompt of
+/// some hundred tokens and the first step.
+const MOVE_TIME: Duration = Duration::from_millis(60);
+
+fn route(objective: u64, gap: u64) -> RouteSpec {
+    RouteSpec {
+        name: "talk".into(),
+        host: "a.example".into(),
+        prefix: "/talk/".into(),
+        kind: RouteKind::Stream { resumable: true },
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(objective),
+        gap: Duration::from_millis(gap),
+        attempts: 2,
+        services: vec![(Arc::from("chat"), 1)],
+        public: false,
+        regions: Vec::new(),
+        due: Duration::ZERO,
+        keep: Duration::ZERO,
+    }
+}
+
+fn chosen(online: u32, batch: u32) -> Chosen {
+    Chosen {
+        name: TargetName::from("t1"),
+        address: "127.0.0.1:9".parse().expect("a constant address"),
+        key: 1,
+        slots: 8,
+        online,
+        batch,
+    }
+}
+
+/// Guards against streams behind a silent cut that are late although another target is free: the wait
+/// and the move fit into the objective.
+#[test]
+fn a_stream_that_moves_is_on_time() {
+    let settings = SilenceSettings::default();
+    for millis in [250, 300, 400, 1000] {
+        let objective = Duration::from_millis(millis);
+        let route = route(millis, millis);
+        assert!(settings.between_events(&route) + MOVE_TIME <= objective, "{millis}");
+        assert!(settings.before_answer(&route, &chosen(3, 4)) + MOVE_TIME <= objective, "{millis}");
+    }
+}
+
+/// Guards against moves away from targets that only queue: a request behind others is given the time of
+/// several slots.
+#[test]
+fn a_queue_is_not_silence() {
+    let settings = SilenceSettings::default();
+    let route = route(300, 300);
+    assert!(settings.before_answer(&route, &chosen(9, 0)) >= Duration::from_millis(500));
+    assert!(settings.before_answer(&route, &chosen(4, 4)) >= Duration::from_millis(500));
+}
+
+/// Guards against a wait of zero where the configuration names no objective, and against waits below
+/// the usual time between events where it names a very short one.
+#[test]
+fn extreme_objectives_leave_a_usual_wait() {
+    let settings = SilenceSettings::default();
+    assert_eq!(settings.between_events(&route(0, 0)), settings.longest);
+    assert_eq!(settings.between_events(&route(20, 20)), settings.shortest);
+    assert_eq!(settings.between_events(&route(60_000, 60_000)), settings.longest);
+}
--- a/tests/platform/online.rs
+++ b/tests/platform/online.rs
@@ -49,6 +49,19 @@
     assert_eq!(runs.filter(|run| run.header("sesamewall-request-id") == "id-2").count(), 1);
 }
 
+/// Guards against a stream that is ended for its target's silence although it may not go on elsewhere
+/// any more: the second of two targets gets the time that it needs.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_run_of_a_stream_is_waited_for() {
+    let world = World::start(1, 0).await;
+    for target in &world.targets {
+        target.stall_after(Some((4, Duration::from_millis(1200))));
+    }
+    let answer = world.talk(0, "/talk/x", "id-1").await.expect("an answer");
+    assert_eq!(answer.text(), Some(StandinTarget::text("/talk/x")));
+    assert_eq!(world.targets[1].seen()[0].header("last-event-id"), "4");
+}
+
 /// Guards against another request's answer, and against a second run of a request that may run once.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_to_another_request_is_not_passed_on() {
