Share targets out among batch workers and fill them between peaks

Cause: four workers filled the same free place, since each knows the others' starts only some milliseconds later; the surplus items were cancelled and started again (one item up to 25 times). So two places a target had to stay free all the time, and batch used 57 of 96 slots between peaks. Change: beacons name the waiting items of a worker, and each target belongs to one worker with waiting items. Tests: a_free_place_is_filled_by_one_worker, room_for_batch_follows_online_load.

--- a/crates/sesamewall-edge/src/beacons.rs
+++ b/crates/sesamewall-edge/src/beacons.rs
@@ -98,6 +98,7 @@
         targets: state.peers.own_counts(),
         accounts: state.rates.report(),
         jobs: state.jobs.clone(),
+        backlog: state.backlog,
         suspects: state.suspects.report(),
     }
 }
--- a/crates/sesamewall-edge/src/call.rs
+++ b/crates/sesamewall-edge/src/call.rs
@@ -186,6 +186,7 @@
             domain: &node.machine.domain,
             prefix: self.prefix,
             exclude: tried,
+            among: None,
             leave_free: None,
         };
         choose(node, &ask)
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -43,6 +43,8 @@
     pub suspects: Suspects,
     /// Jobs that the own worker runs, with the groups of results that it has committed.
     pub jobs: Vec<(u32, u32)>,
+    /// Items that wait for a place at the own worker.
+    pub backlog: u32,
     /// Highest store revision of an operators' key that was read.
     pub notices: u64,
     /// Highest version and revision that another instance has named.
@@ -123,6 +125,7 @@
                 rates: AccountRates::new(RateSettings::default()),
                 suspects: Suspects::default(),
                 jobs: Vec::new(),
+                backlog: 0,
                 notices: 0,
                 named: (0, 0),
             }),
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -1,6 +1,7 @@
 //! Claims batch jobs, runs their items and commits results.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -124,14 +125,25 @@
             .filter(|(_, job)| job.open() && job.work.spec.is_some() && sure(job))
             .map(|(id, job)| (job_key(id), job.work.groups as u32))
             .collect();
+        let backlog = match valid {
+            Some(_) if !self.node.is_draining() => self.backlog(),
+            _ => 0,
+        };
         let mut state = self.node.state();
-        if state.jobs != report {
+        if state.jobs != report || state.backlog != backlog {
             state.jobs = report;
+            state.backlog = backlog;
             drop(state);
             self.node.changed.notify_one();
         }
     }
 
+    /// Returns the number of items that wait for a place.
+    fn backlog(&self) -> u32 {
+        let own = |job: &&Job| matches!(job.claim, Claim::Own { .. }) && job.open();
+        self.jobs().values().filter(own).map(|job| job.work.waiting.len() as u32).sum()
+    }
+
     /// Returns the number of items that run, for the end of the process.
     pub fn running(&self) -> usize {
         self.jobs().values().map(|job| job.work.running.len() + job.work.results.len()).sum()
@@ -348,9 +360,10 @@
             }));
         }
         order.sort();
+        let (free, among) = self.room(now);
         for (_, _, id, item) in order {
             let Some(job) = jobs.get_mut(&id) else { continue };
-            if !self.start_item(&catalog, &id, job, &item, now) {
+            if !self.start_item(&catalog, &id, job, &item, free, &among, now) {
                 break;
             }
         }
@@ -359,6 +372,17 @@
         }
     }
 
+    /// Returns the slots that a new item leaves free at its target, and the targets that it may get.
+    fn room(&self, now: Time) -> (u32, HashSet<u32>) {
+        let state = self.node.state();
+        let in_service =
+            state.targets.iter().filter(|target| state.targets.in_service(target, now));
+        let slots = in_service.map(|target| target.entry.slots).sum();
+        let free = self.room.free(state.peers.online_total(), slots);
+        let own = &self.node.machine.instance;
+        (free, self.room.own_targets(own, &state.targets, &state.peers, now))
+    }
+
     /// Starts an item. Returns false if there is no room.
     fn start_item(
         self: &Arc<Self>,
@@ -366,6 +390,8 @@
         id: &JobId,
         job: &mut Job,
         item: &ItemId,
+        free: u32,
+        among: &HashSet<u32>,
         now: Time,
     ) -> bool {
         let Claim::Own { .. } = job.claim else { return true };
@@ -389,7 +415,8 @@
             domain: &self.node.machine.domain,
             prefix: call.prefix(),
             exclude: &[],
-            leave_free: Some(self.room.free()),
+            among: Some(among),
+            leave_free: Some(free),
         };
         let Ok(chosen) = choose(&self.node, &ask) else { return false };
         let progress = job.work.waiting.remove(index).progress;
--- a/crates/sesamewall-fleet/src/beacon.rs
+++ b/crates/sesamewall-fleet/src/beacon.rs
@@ -58,6 +58,8 @@
     pub accounts: Vec<Spending>,
     /// Jobs that the sender runs, and the groups of results that it has committed.
     pub jobs: Vec<(u32, u32)>,
+    /// Batch items that wait for a place at the sender.
+    pub backlog: u32,
     /// Hashes of requests that were running when targets crashed, with the number of crashes seen.
     pub suspects: Vec<(u64, u8)>,
 }
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -49,6 +49,8 @@
     pub prefix: Option<u64>,
     /// Targets that it must not get again.
     pub exclude: &'a [TargetName],
+    /// Numbers of the targets that it may get; `None` for all.
+    pub among: Option<&'a HashSet<u32>>,
     /// Slots that it must leave free at the target; `None` for online requests, which may queue.
     pub leave_free: Option<u32>,
 }
@@ -111,7 +113,8 @@
     let allowed = |target: &&TargetState| {
         let region = regions.get(&target.entry.domain);
         let here = ask.regions.is_none_or(|set| region.is_some_and(|region| set.contains(region)));
-        here && table.in_service(target, now) && !ask.exclude.contains(&target.entry.name)
+        let among = ask.among.is_none_or(|set| set.contains(&target.key));
+        here && among && table.in_service(target, now) && !ask.exclude.contains(&target.entry.name)
     };
     let candidates: Vec<_> = table.of_service(ask.service).filter(allowed).collect();
     let home = ask.prefix.and_then(|prefix| {
--- a/crates/sesamewall-fleet/tests/decisions/batch.rs
+++ b/crates/sesamewall-fleet/tests/decisions/batch.rs
@@ -1,8 +1,10 @@
 //! Room for batch items, their order, and the list of results.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use sesamewall_fleet::BatchRoom;
+use sesamewall_fleet::Beacon;
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemTimes;
@@ -15,6 +17,7 @@
 use sesamewall_protocol::TargetName;
 
 use crate::support::at;
+use crate::support::beacon;
 use crate::support::count;
 use crate::support::hear;
 use crate::support::table;
@@ -45,6 +48,42 @@
     }
 }
 
+/// Guards against workers that all fill the same free place, and then cancel each other's items: each
+/// target belongs to one of the workers with waiting items, also when these come and go.
+#[test]
+fn a_free_place_is_filled_by_one_worker() {
+    let names: Vec<String> = (0..12).map(|n| format!("t{n}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (&**name, "a")).collect();
+    let table = table(&entries);
+    let workers = ["w1", "w2", "w3", "w4"];
+    for waiting in 1..16u32 {
+        let backlog = |index: usize| u32::from(waiting & (1 << index) != 0);
+        let mut owners: HashMap<u32, u32> = HashMap::new();
+        for (own, name) in workers.iter().enumerate().filter(|(own, _)| backlog(*own) > 0) {
+            let mut peers = Peers::new(PeerSettings::default());
+            for (other, name) in workers.iter().enumerate().filter(|(other, _)| *other != own) {
+                let beacon = Beacon { worker: true, backlog: backlog(other), ..beacon(name, 1) };
+                assert!(peers.on_beacon(beacon, true, at(0)));
+            }
+            let room = BatchRoom::default();
+            for key in room.own_targets(&InstanceName::from(*name), &table, &peers, at(1)) {
+                *owners.entry(key).or_default() += 1;
+            }
+        }
+        assert_eq!(owners.len(), 12, "{waiting:b}: a target without a worker");
+        assert!(owners.values().all(|count| *count == 1), "{waiting:b}: {owners:?}");
+    }
+}
+
+/// Guards against batch items that start into a peak and make way at once, and against places that stay
+/// empty between peaks although items make way fast.
+#[test]
+fn room_for_batch_follows_online_load() {
+    let room = BatchRoom::default();
+    assert_eq!(room.free(10, 96), 0);
+    assert!(room.free(60, 96) > 0);
+}
+
 /// Plays a fleet with `slots` places and jobs of ten items of five seconds, due after 18 s, at twice the
 /// capacity, and returns the part of the items that ends in time.
 fn in_time(slots: usize, feasible_first: bool) -> f64 {
--- a/crates/sesamewall-fleet/tests/decisions/placement.rs
+++ b/crates/sesamewall-fleet/tests/decisions/placement.rs
@@ -24,7 +24,15 @@
 use crate::support::table;
 
 fn ask(domain: &DomainName) -> Ask<'_> {
-    Ask { service: "chat", regions: None, domain, prefix: None, exclude: &[], leave_free: None }
+    Ask {
+        service: "chat",
+        regions: None,
+        domain,
+        prefix: None,
+        exclude: &[],
+        among: None,
+        leave_free: None,
+    }
 }
 
 fn choose(ask: &Ask<'_>, table: &TargetTable, peers: &Peers, now: Time) -> Result<Chosen, NoPlace> {
--- a/crates/sesamewall-fleet/tests/decisions/support.rs
+++ b/crates/sesamewall-fleet/tests/decisions/support.rs
@@ -59,6 +59,7 @@
         targets: Vec::new(),
         accounts: Vec::new(),
         jobs: Vec::new(),
+        backlog: 0,
         suspects: Vec::new(),
     }
 }
