Print the trial's request when it will be admitted

Change: the trial waits until one request of its account is admitted. Result: tests/quick_start.rs sends the printed request at once and gets 200.

--- a/crates/sesamewall-server/src/daemon.rs
+++ b/crates/sesamewall-server/src/daemon.rs
@@ -23,6 +23,8 @@
 use sesamewall_ports::PeerAddress;
 use sesamewall_ports::Store;
 use sesamewall_ports::SystemClock;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Class;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::InstanceName;
@@ -42,6 +44,7 @@
 use crate::Metrics;
 use crate::Node;
 use crate::OperatorService;
+use crate::RateGate;
 use crate::RecordLimits;
 use crate::RecordService;
 use crate::Recorder;
@@ -133,7 +136,26 @@
     Stoppable { stop, task }
 }
 
+/// Time between two tries of an account's rate.
+const ADMIT_PAUSE: Duration = Duration::from_millis(50);
+
 impl Instance {
+    /// Waits until a request of a client account is admitted; one request of its rate is spent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last refusal after `limit`.
+    pub async fn admitted(&self, account: &AccountName, limit: Duration) -> Result<()> {
+        let until = tokio::time::Instant::now() + limit;
+        loop {
+            let refused = self.parts.rates.spend(account, Class::Online).await;
+            if refused.is_ok() || tokio::time::Instant::now() >= until {
+                return refused;
+            }
+            tokio::time::sleep(ADMIT_PAUSE).await;
+        }
+    }
+
     /// Starts an instance.
     ///
     /// # Errors
--- a/crates/sesamewall-server/src/dev.rs
+++ b/crates/sesamewall-server/src/dev.rs
@@ -32,6 +32,11 @@
 const ENGINES: usize = 2;
 const MODEL: &str = "standin-1";
 const DOMAIN: &str = "domain-1";
+const ACCOUNT: &str = "trial";
+
+/// Longest time until the first request is admitted: the election of a lead and its wait for earlier
+/// grants take about two seconds.
+const START_TIME: Duration = Duration::from_secs(15);
 
 /// Returns the settings of a trial.
 pub fn settings() -> Settings {
@@ -55,6 +60,9 @@
     let key = secret("sk");
     let operations = resources(&key).await?.into_iter().map(Operation::Put).collect();
     instance.writer.submit("dev", 0, operations).await?;
+    // The buckets of a new account are empty until the first leads are elected. The request below would
+    // be refused until then.
+    instance.admitted(&ACCOUNT.into(), START_TIME).await?;
     let (callers, operators) = (&instance.caller_addr, &instance.operator_addr);
     println!("callers    http://{callers}/v1");
     println!("operators  http://{operators}  (export SESAMEWALL_TOKEN={operator_token})");
@@ -84,7 +92,7 @@
     }
     let service = PlainService::start("127.0.0.1:0").await.map_err(failed)?;
     let account = Account {
-        name: "trial".into(),
+        name: ACCOUNT.into(),
         online: RateLimit { rate: 100.0, burst: 200.0 },
         batch: None,
         weight: 1.0,
@@ -93,7 +101,7 @@
         Resource::Account(account),
         Resource::Key(Key {
             id: "trial-key".to_owned(),
-            account: "trial".into(),
+            account: ACCOUNT.into(),
             hash: hash_key(key),
         }),
         Resource::TargetGroup(TargetGroup {
