Test bounds over several processes on the platform's stand-in

Six tests with real processes: an account's rate over three fronts, starts at targets in a burst, an evacuated failure domain, runs and time over two attempts, the timeout of a route beside a silent target, and a restart of all fronts; and a worker that is suspended until another one has its job.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,6 +2,8 @@
 
 #[path = "platform/batch.rs"]
 mod batch;
+#[path = "platform/bounds.rs"]
+mod bounds;
 #[path = "platform/online.rs"]
 mod online;
 #[path = "platform/world.rs"]
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -59,6 +59,29 @@
     check(&world.finished(0, "job1", 10).await, 10);
 }
 
+/// Guards against a suspended worker that acts on its former claim when it wakes: each item is listed
+/// once, with a text of one piece.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_was_suspended_commits_nothing_twice() {
+    let world = World::start(1, 2).await;
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(150));
+    }
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(10)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let holder = || {
+        let claim = world.store.value("sesamewall/job/job1/claim")?;
+        Some(usize::from(String::from_utf8_lossy(&claim).starts_with("worker-2")))
+    };
+    assert!(until(|| async { holder().is_some() }).await);
+    let first = holder().expect("claimed");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.workers[first].signal("STOP");
+    assert!(until(|| async { holder() == Some(1 - first) }).await);
+    world.workers[first].signal("CONT");
+    check(&world.finished(0, "job1", 10).await, 10);
+}
+
 /// Guards against lost jobs and results when answers of the store are lost and the store is away, and
 /// against a 202 before the store has acknowledged.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -61,10 +61,23 @@
         }
     }
 
+    /// Starts the process again after the whole fleet has run before.
+    pub fn start_again(&mut self) {
+        self.file.first_start = false;
+        self.file.write(&self.path).expect("a temporary folder");
+        self.start();
+    }
+
     /// Asks the process to end.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let status = Command::new("kill").arg(child.id().to_string()).status();
+            let id = child.id().to_string();
+            let status = Command::new("kill").args(["-s", name, &id]).status();
             assert!(status.expect("the command exists").success());
         }
     }
