Let results wait for others while their job is not due

Change: CommitSettings waits 1.5 s while the due time is more than 3.5 s away, 0.4 s after that, and not at all at the end of a job or while the process drains. Test: the_wait_for_a_group_keeps_results_on_time.

--- a/crates/sesamewall-edge/src/worker_commit.rs
+++ b/crates/sesamewall-edge/src/worker_commit.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sesamewall_fleet::CommitSettings;
 use sesamewall_protocol::JobId;
 use slog::info;
 use slog::warn;
@@ -14,10 +15,6 @@
 use crate::job_work::Job;
 use crate::worker::Worker;
 
-/// Results that come within this time are committed together.
-/// Readers come about twice a second.
-const COMMIT_DELAY: Duration = Duration::from_millis(400);
-
 /// Time between two looks at whether all items of a job have ended, so that the last results do not
 /// wait.
 const COMMIT_STEP: Duration = Duration::from_millis(50);
@@ -60,11 +57,15 @@
     async fn commit_groups(&self, id: &JobId) {
         loop {
             let from = self.node.now();
-            while self.node.now().since(from) < COMMIT_DELAY {
+            let settings = CommitSettings::default();
+            loop {
                 tokio::time::sleep(COMMIT_STEP).await;
+                let now = self.node.now();
                 let jobs = self.jobs();
                 let Some(job) = jobs.get(id) else { return };
-                if job.work.running.is_empty() && job.work.waiting.is_empty() {
+                let idle = job.work.running.is_empty() && job.work.waiting.is_empty();
+                let delay = settings.delay(job.learned + job.due, from);
+                if idle || self.node.is_draining() || now.since(from) >= delay {
                     break;
                 }
             }
--- a/crates/sesamewall-fleet/tests/decisions/batch.rs
+++ b/crates/sesamewall-fleet/tests/decisions/batch.rs
@@ -5,6 +5,7 @@
 
 use sesamewall_fleet::BatchRoom;
 use sesamewall_fleet::Beacon;
+use sesamewall_fleet::CommitSettings;
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemTimes;
@@ -84,6 +85,21 @@
     assert!(room.free(60, 96) > 0);
 }
 
+/// Guards against results that come in time and are listed too late, whenever they come: the wait for
+/// others, a slow write and the next read fit in before the due time, or the wait is short.
+#[test]
+fn the_wait_for_a_group_keeps_results_on_time() {
+    let settings = CommitSettings::default();
+    let due = at(18_000);
+    let (write, read) = (Duration::from_millis(1000), Duration::from_millis(700));
+    for millis in (0..25_000).step_by(50) {
+        let from = at(millis);
+        let delay = settings.delay(due, from);
+        assert!(delay == settings.late || from + delay + write + read <= due, "{millis}");
+    }
+    assert!(settings.delay(due, at(1000)) > settings.late);
+}
+
 /// Plays a fleet with `slots` places and jobs of ten items of five seconds, due after 18 s, at twice the
 /// capacity, and returns the part of the items that ends in time.
 fn in_time(slots: usize, feasible_first: bool) -> f64 {
