Send calls for the store only through instances that are heard directly

Change: Peers::direct_contacts, which the beacons' own list uses too, ends with the contact time. Test: direct_contact_ends_although_others_pass_beacons_on.

--- a/crates/sesamewall-edge/src/beacons.rs
+++ b/crates/sesamewall-edge/src/beacons.rs
@@ -225,9 +225,9 @@
 
 /// Returns the instances that the store serves: those of the own failure domain first.
 fn helpers(state: &State, node: &Node, now: Time) -> Vec<IpAddr> {
-    let serving = state.peers.contacts(now).filter(|contact| contact.beacon.store);
-    let direct = serving.filter(|contact| contact.direct.is_some());
+    let direct = state.peers.direct_contacts(now);
     let mut ranked: Vec<_> = direct
+        .filter(|contact| contact.beacon.store)
         .map(|contact| {
             let far = contact.beacon.domain != node.machine.domain;
             (far, target_draw(node, &contact.beacon.instance), contact.beacon.address)
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -187,15 +187,17 @@
         (heard + 1) as f64 / (heard + missing + 1) as f64
     }
 
+    /// Returns the instances that are heard directly. Others in contact may be heard through a third one
+    /// while they cannot be reached.
+    pub fn direct_contacts(&self, now: Time) -> impl Iterator<Item = &Contact> {
+        let limit = self.settings.contact_time;
+        let fresh = move |known: &&Contact| known.direct.is_some_and(|at| now.since(at) <= limit);
+        self.heard.values().filter(fresh)
+    }
+
     /// Returns the numbers of the instances that are heard directly.
     pub fn direct_keys(&self, now: Time) -> Vec<u32> {
-        let limit = self.settings.contact_time;
-        let fresh = |known: &&Contact| known.direct.is_some_and(|at| now.since(at) <= limit);
-        self.heard
-            .values()
-            .filter(fresh)
-            .map(|known| instance_key(&known.beacon.instance))
-            .collect()
+        self.direct_contacts(now).map(|known| instance_key(&known.beacon.instance)).collect()
     }
 
     /// Returns the instances to which the own one passes a beacon of `sender` on: those that hear the
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -14,6 +14,17 @@
 use crate::support::count;
 use crate::support::hear;
 
+/// Guards against calls to an instance that is heard only through another one: it cannot be reached.
+#[test]
+fn direct_contact_ends_although_others_pass_beacons_on() {
+    let mut peers = Peers::new(PeerSettings::default());
+    assert!(peers.on_beacon(beacon("f1", 1), true, at(0)));
+    assert_eq!(peers.direct_contacts(at(100)).count(), 1);
+    assert!(peers.on_beacon(beacon("f1", 2), false, at(900)));
+    assert_eq!(peers.contacts(at(1000)).count(), 1);
+    assert_eq!(peers.direct_contacts(at(1000)).count(), 0);
+}
+
 /// Guards against an instance that takes its fleet for complete while it has not read who belongs to it,
 /// or has not heard one of them for a while.
 #[test]
