Give each machine its own way to the stand-in of the store

Cause: on loopback all calls come from 127.0.0.1, so turning a machine away had no effect, and two tests passed without their fault: taking the mechanism out did not fail them. Change: the stand-in listens once for each machine and knows it by the listener.

--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -147,7 +147,7 @@
                 ip: ip(n),
                 port,
                 front,
-                store: store.address,
+                store: store.address_for(ip(n)).await,
                 first_start: true,
             };
             let path = folder.path().join(format!("{}.toml", file.name));
