Look for places of batch items only when one waits

Cause: the worker looked at all targets after each beacon, also without a waiting item; at 690 targets that is most of its work. start_item had grown to eight arguments. Change: Places holds where items may start, and is worked out once a round with a waiting item.

--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -58,6 +58,15 @@
 /// It is above the time between two watches of the jobs.
 const CLAIM_STEP: Duration = Duration::from_millis(700);
 
+/// Where new items may start.
+#[derive(Default)]
+struct Places {
+    /// Slots that an item leaves free at its target.
+    free: u32,
+    /// Numbers of the targets.
+    targets: HashSet<u32>,
+}
+
 /// The worker of a process.
 pub struct Worker {
     pub(crate) node: Arc<Node>,
@@ -360,10 +369,13 @@
             }));
         }
         order.sort();
-        let (free, among) = self.room(now);
+        let places = match order.is_empty() {
+            true => Places::default(),
+            false => self.places(now),
+        };
         for (_, _, id, item) in order {
             let Some(job) = jobs.get_mut(&id) else { continue };
-            if !self.start_item(&catalog, &id, job, &item, free, &among, now) {
+            if !self.start_item(&catalog, &id, job, &item, &places, now) {
                 break;
             }
         }
@@ -372,15 +384,15 @@
         }
     }
 
-    /// Returns the slots that a new item leaves free at its target, and the targets that it may get.
-    fn room(&self, now: Time) -> (u32, HashSet<u32>) {
+    fn places(&self, now: Time) -> Places {
         let state = self.node.state();
         let in_service =
             state.targets.iter().filter(|target| state.targets.in_service(target, now));
         let slots = in_service.map(|target| target.entry.slots).sum();
         let free = self.room.free(state.peers.online_total(), slots);
         let own = &self.node.machine.instance;
-        (free, self.room.own_targets(own, &state.targets, &state.peers, now))
+        let targets = self.room.own_targets(own, &state.targets, &state.peers, now);
+        Places { free, targets }
     }
 
     /// Starts an item. Returns false if there is no room.
@@ -390,8 +402,7 @@
         id: &JobId,
         job: &mut Job,
         item: &ItemId,
-        free: u32,
-        among: &HashSet<u32>,
+        places: &Places,
         now: Time,
     ) -> bool {
         let Claim::Own { .. } = job.claim else { return true };
@@ -415,8 +426,8 @@
             domain: &self.node.machine.domain,
             prefix: call.prefix(),
             exclude: &[],
-            among: Some(among),
-            leave_free: Some(free),
+            among: Some(&places.targets),
+            leave_free: Some(places.free),
         };
         let Ok(chosen) = choose(&self.node, &ask) else { return false };
         let progress = job.work.waiting.remove(index).progress;
