--- a/crates/sesamewall-server/src/dev.rs
+++ b/crates/sesamewall-server/src/dev.rs
@@ -34,6 +34,10 @@
 const DOMAIN: &str = "domain-1";
 const ACCOUNT: &str = "trial";
 
+/// Time in which the bucket refills for further requests: the one that was admitted took all it had. The
+/// trial's rate of 100 a second brings 50 requests.
+const REFILL_TIME: Duration = Duration::from_millis(500);
+
 /// Longest time until the first request is admitted: the election of a lead and its wait for earlier
 /// grants take about two seconds.
 const START_TIME: Duration = Duration::from_secs(15);
@@ -63,6 +67,7 @@
     // The buckets of a new account are empty until the first leads are elected. The request below would
     // be refused until then.
     instance.admitted(&ACCOUNT.into(), START_TIME).await?;
+    tokio::time::sleep(REFILL_TIME).await;
     let (callers, operators) = (&instance.caller_addr, &instance.operator_addr);
     println!("callers    http://{callers}/v1");
     println!("operators  http://{operators}  (export SESAMEWALL_TOKEN={operator_token})");
