--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -30,8 +30,13 @@
 
 /// Returns a new client with its own connection pool.
 pub fn new_client() -> HyperClient {
+    new_client_within(CONNECT_TIMEOUT)
+}
+
+/// Returns a new client with its own connection pool that waits `connect` for a connection.
+pub fn new_client_within(connect: Duration) -> HyperClient {
     let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(connect));
     connector.set_nodelay(true);
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/sesamewall-edge/src/call.rs
+++ b/crates/sesamewall-edge/src/call.rs
@@ -18,9 +18,10 @@
 use sesamewall_fleet::PlaceSettings;
 use sesamewall_fleet::RouteKind;
 use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::Scene;
 use sesamewall_fleet::SilenceSettings;
+use sesamewall_fleet::StartBounds;
 use sesamewall_fleet::place;
-use sesamewall_fleet::start_bound;
 use sesamewall_platform::ACCOUNT;
 use sesamewall_platform::DEADLINE_MS;
 use sesamewall_platform::EXPECT_TARGET;
@@ -205,16 +206,14 @@
     let rate = service.map_or(0.0, |service| service.cold_rate);
     let bounds = &node.machine.bounds;
     let part = state.fleet_part(now);
-    let starts = start_bound(rate, bounds.cold_factor, bounds.cold_extra, part);
-    let settings = PlaceSettings::default();
-    place(
-        &settings,
-        ask,
-        &state.targets,
-        &state.peers,
-        &node.machine.regions,
-        starts,
+    let scene = Scene {
+        table: &state.targets,
+        peers: &state.peers,
+        regions: &node.machine.regions,
+        starts: StartBounds::new(rate, bounds.cold_factor, bounds.cold_extra, part),
         now,
-        rand::random(),
-    )
+        staleness: state.peers.staleness(now),
+        draw: rand::random(),
+    };
+    place(&PlaceSettings::default(), ask, &scene)
 }
--- /dev/null
+++ b/crates/sesamewall-edge/src/control/receive.rs
@@ -0,0 +1,182 @@
+//! Takes over what other instances say.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamewall_fleet::Beacon;
+use sesamewall_fleet::Datagram;
+use sesamewall_fleet::Digest;
+use sesamewall_fleet::HubWord;
+use sesamewall_fleet::Report;
+
+use crate::Node;
+use crate::control::Control;
+
+/// Largest datagram that is read.
+const DATAGRAM_BYTES: usize = 64 << 10;
+
+/// Receives until the process ends.
+pub async fn run(control: Arc<Control>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let Ok((length, from)) = control.socket.recv_from(&mut buffer).await else {
+            // A report that an earlier datagram had no receiver.
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            continue;
+        };
+        let Some(message) = Datagram::decode(&buffer[..length]) else { continue };
+        control.node.metrics.datagrams.inc();
+        match message {
+            Datagram::Hello(address) => send_hubs(&control, address),
+            Datagram::Hubs(hubs) => {
+                control.node.state().peers.on_hubs(&hubs);
+                control.node.changed.notify_one();
+            }
+            Datagram::Beacon(beacon) => on_beacon(&control, *beacon, from.ip(), &buffer[..length]),
+            Datagram::Report(report) => on_report(&control, *report),
+            Datagram::Digest(digest) => on_digest(&control, *digest),
+        }
+    }
+}
+
+/// Names the hubs to an instance that looks for one.
+fn send_hubs(control: &Control, to: IpAddr) {
+    let node = &control.node;
+    let now = node.now();
+    let mut hubs: Vec<HubWord> = node.state().peers.hubs(now);
+    if node.state().peers.is_hub() {
+        hubs.push(HubWord {
+            name: node.machine.instance.clone(),
+            address: node.machine.ip,
+            domain: node.machine.domain.clone(),
+            store: !node.store.is_lost(),
+            draining: node.is_draining(),
+        });
+    }
+    if !hubs.is_empty() {
+        let datagram = Datagram::Hubs(hubs).encode();
+        let to = SocketAddr::new(to, node.machine.peer_port);
+        // A lost answer is asked for again.
+        let _ = control.socket.try_send_to(&datagram, to);
+    }
+}
+
+fn on_beacon(control: &Control, beacon: Beacon, from: IpAddr, bytes: &[u8]) {
+    let node = &control.node;
+    let name = beacon.hub.name.clone();
+    if name == node.machine.instance {
+        return;
+    }
+    // A beacon that another hub passed on comes from that one's address.
+    let direct = beacon.hub.address == from;
+    let now = node.now();
+    let mut guard = node.state();
+    let state = &mut *guard;
+    if !state.peers.is_hub() {
+        // The own seat was known to the sender once.
+        state.peers.on_hubs(std::slice::from_ref(&beacon.hub));
+        return;
+    }
+    let part = state.front_part(now);
+    let new_start = state.peers.boot(&name) != Some(beacon.boot);
+    let (boot, versions) = (beacon.boot, beacon.versions);
+    let near = beacon.hub.domain == node.machine.domain;
+    let address = beacon.hub.address;
+    let (accounts, suspects) = (beacon.accounts.clone(), beacon.suspects.clone());
+    if state.peers.on_beacon(beacon, direct, now) {
+        state.rates.on_report(&name, boot, &accounts, part, now);
+        state.suspects.on_report(&name, &suspects);
+        if direct {
+            state.sources.on_versions(address, versions, near, now);
+        }
+        if state.peers.parts(now).complete {
+            state.rates.stop_waiting(now);
+        }
+    }
+    let behind = state.versions.is_behind(&versions);
+    let pass_on: Vec<IpAddr> = match direct {
+        true => {
+            let to = state.peers.pass_on_to(&name, now);
+            let hubs = state.peers.hub_contacts(now).map(|contact| &contact.beacon.hub);
+            hubs.filter(|hub| to.contains(&hub.name)).map(|hub| hub.address).collect()
+        }
+        false => Vec::new(),
+    };
+    drop(guard);
+    for address in pass_on {
+        let to = SocketAddr::new(address, node.machine.peer_port);
+        // As for the own beacons: a lost one is followed by the next.
+        let _ = control.socket.try_send_to(bytes, to);
+    }
+    node.heard.notify_one();
+    if new_start {
+        // It waits for what the others know.
+        node.changed.notify_one();
+    }
+    if behind {
+        node.behind.notify_waiters();
+    }
+}
+
+fn on_report(control: &Control, report: Report) {
+    let node = &control.node;
+    let now = node.now();
+    let mut guard = node.state();
+    let state = &mut *guard;
+    let name = report.instance.clone();
+    if report.leaving {
+        state.peers.on_hub_gone(&name, now);
+        state.peers.on_report(report, now);
+        state.rates.drop_member(&name);
+        return;
+    }
+    if !state.peers.is_hub() {
+        let address = report.address;
+        drop(guard);
+        send_hubs(control, address);
+        return;
+    }
+    let boot = report.boot;
+    let (accounts, suspects) = (report.accounts.clone(), report.suspects.clone());
+    if state.peers.on_report(report, now) {
+        state.rates.on_member(&name, boot, &accounts, now);
+        state.suspects.on_report(&name, &suspects);
+    }
+    drop(guard);
+    node.changed.notify_one();
+    node.heard.notify_one();
+}
+
+fn on_digest(control: &Control, digest: Digest) {
+    let node: &Node = &control.node;
+    let now = node.now();
+    let mut guard = node.state();
+    let state = &mut *guard;
+    let (hub, versions) = (digest.hub.clone(), digest.versions);
+    let own = sesamewall_fleet::instance_key(&node.machine.instance);
+    let Some(acked) = digest.acked.iter().find(|(key, _)| *key == own).map(|(_, acked)| *acked)
+    else {
+        return;
+    };
+    if control.member.homing().home() != Some(&hub.name) {
+        return;
+    }
+    control.member.homing().on_digest(&hub.name, now);
+    let (known, hot, suspects) = (digest.levels_known, digest.hot.clone(), digest.suspects.clone());
+    if !state.peers.on_digest(digest, now) {
+        return;
+    }
+    let part = state.front_part(now);
+    state.rates.on_digest(acked, known, &hot, part, now);
+    state.suspects.on_totals(&suspects);
+    let near = hub.domain == node.machine.domain;
+    state.sources.on_versions(hub.address, versions, near, now);
+    let behind = state.versions.is_behind(&versions);
+    drop(guard);
+    node.heard.notify_one();
+    if behind {
+        node.behind.notify_waiters();
+    }
+}
--- a/crates/sesamewall-edge/src/counted_store.rs
+++ b/crates/sesamewall-edge/src/counted_store.rs
@@ -29,9 +29,6 @@
     lost: AtomicBool,
 }
 
-/// Longest wait of a watch through another instance.
-const RELAYED_WAIT: Duration = Duration::from_secs(2);
-
 /// Time for the store's answer after which a call is sent through another instance as well. The store
 /// usually answers in 4 ms; a path that is cut answers nothing, and the acceptance of a job is due within
 /// some hundred milliseconds.
@@ -176,22 +173,19 @@
         decode(self.relayed("page", call()).await?).ok_or(StoreError::Unclear)
     }
 
-    /// Waits for changes.
+    /// Waits for changes. A watch never goes through another instance: the other one tells the news itself.
     pub async fn changes(
         &self,
         prefix: &str,
         revision: u64,
         wait: Duration,
     ) -> Result<Watched, StoreError> {
-        if !self.is_relayed() {
-            return self.count("watch", self.inner.changes(prefix, revision, wait)).await;
-        }
-        // A short wait: the direct way is cheaper as soon as it is back.
-        let wait = wait.min(RELAYED_WAIT).as_millis() as u64;
-        match self.relayed("watch", StoreCall::Changes(prefix.to_owned(), revision, wait)).await? {
-            StoreReply::Changes(watched) => Ok(watched),
-            _ => Err(StoreError::Unclear),
-        }
+        self.count("watch", self.inner.changes(prefix, revision, wait)).await
+    }
+
+    /// Returns the first page of a prefix as it was some seconds ago at most.
+    pub async fn stale_page(&self, prefix: &str) -> Result<Page, StoreError> {
+        self.count("stale-page", self.inner.stale_page(prefix)).await
     }
 
     /// Commits a transaction.
--- /dev/null
+++ b/crates/sesamewall-edge/src/feed.rs
@@ -0,0 +1,219 @@
+//! What the operators and the targets wrote, from one instance to the next.
+//!
+//! One hub of each failure domain follows the store. All others fetch what is new from the instance that
+//! says in its datagrams that it has read more: a hub from other hubs, a member from its home.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use sesamewall_fleet::TargetEntry;
+use sesamewall_fleet::Versions;
+use sesamewall_protocol::Time;
+use slog::info;
+use slog::warn;
+
+use crate::Node;
+use crate::State;
+use crate::node::Notices;
+use crate::sync;
+
+/// Path of the call.
+pub const FEED_PATH: &str = "/feed";
+
+/// Time for an answer. A configuration of a megabyte takes some hundred milliseconds on a small machine.
+const FEED_TIME: Duration = Duration::from_millis(800);
+
+/// Time for which an instance is not asked again after it did not answer.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Age after which what an instance said about its versions does not count.
+const SOURCE_LIFE: Duration = Duration::from_secs(2);
+
+/// Low bits of the table's version that count the targets dropped without a change in the store.
+const DROP_BITS: u32 = 8;
+
+/// Returns the table's version after the store's change at `revision`.
+pub fn table_version(revision: u64) -> u64 {
+    revision << DROP_BITS
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    versions: Versions,
+    near: bool,
+    heard: Time,
+    failed_until: Time,
+}
+
+/// Instances that have said how far they have read.
+#[derive(Clone, Debug, Default)]
+pub struct FeedSources {
+    sources: HashMap<IpAddr, Source>,
+}
+
+impl FeedSources {
+    /// Notes what an instance says. `near` tells that it is in the own failure domain.
+    pub fn on_versions(&mut self, address: IpAddr, versions: Versions, near: bool, now: Time) {
+        let known = self.sources.get(&address).map(|source| source.failed_until);
+        let failed_until = known.unwrap_or(Time::ZERO);
+        self.sources.insert(address, Source { versions, near, heard: now, failed_until });
+    }
+
+    fn on_failure(&mut self, address: IpAddr, now: Time) {
+        if let Some(source) = self.sources.get_mut(&address) {
+            source.failed_until = now + FAILED_PAUSE;
+        }
+    }
+
+    /// Returns an instance that has read more than `own`, one in the own failure domain first.
+    fn choose(&self, own: &Versions, now: Time) -> Option<IpAddr> {
+        let usable = |source: &&Source| {
+            now.since(source.heard) < SOURCE_LIFE
+                && source.failed_until <= now
+                && own.is_behind(&source.versions)
+        };
+        let fresh = self.sources.iter().filter(|(_, source)| usable(source));
+        let best = fresh.max_by_key(|(_, source)| (source.near, source.versions.table));
+        best.map(|(address, _)| *address)
+    }
+
+    /// Returns the highest version of each part that is named.
+    pub fn highest(&self, now: Time) -> Versions {
+        let fresh = self.sources.values().filter(|source| now.since(source.heard) < SOURCE_LIFE);
+        fresh.fold(Versions::default(), |all, source| all.merge(&source.versions))
+    }
+
+    /// Forgets instances that have been silent for long.
+    pub fn on_tick(&mut self, now: Time) {
+        self.sources.retain(|_, source| now.since(source.heard) < SOURCE_LIFE);
+    }
+}
+
+/// The list of targets, as far as it changed.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub struct TableNews {
+    /// Numbers of all targets.
+    present: Vec<u32>,
+    /// Entries that changed, with their store revisions.
+    changed: Vec<(TargetEntry, u64)>,
+}
+
+/// What one instance tells another one.
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
+pub struct FeedReply {
+    versions: Versions,
+    document: Option<Bytes>,
+    notices: Option<Notices>,
+    table: Option<TableNews>,
+}
+
+/// Answers an instance that has read as far as `known`.
+pub fn serve(node: &Node, known: &Versions) -> FeedReply {
+    let state = node.state();
+    let own = state.versions;
+    let table = (known.table < own.table).then(|| TableNews {
+        present: state.targets.iter().map(|target| target.key).collect(),
+        changed: state
+            .targets
+            .iter()
+            .filter(|target| target.revision > known.table >> DROP_BITS || known.table == 0)
+            .map(|target| (target.entry.clone(), target.revision))
+            .collect(),
+    });
+    FeedReply {
+        versions: own,
+        document: (known.config < own.config).then(|| state.document.clone()),
+        notices: (known.notices < own.notices).then(|| state.notices.clone()),
+        table,
+    }
+}
+
+fn apply(node: &Arc<Node>, reply: FeedReply, from: IpAddr) {
+    let now = node.now();
+    if let Some(document) = &reply.document {
+        sync::apply_configuration(node, document);
+    }
+    let mut retiring = None;
+    let mut state = node.state();
+    if let Some(notices) = reply.notices
+        && state.versions.notices < reply.versions.notices
+    {
+        retiring = Some(notices.retiring.clone());
+        set_notices(node, &mut state, notices, reply.versions.notices);
+    }
+    // Who follows the store itself knows the list better than others who are ahead for a moment.
+    let own_list = node.watches() && !node.is_store_lost();
+    if let Some(table) = reply.table
+        && state.versions.table < reply.versions.table
+        && !own_list
+    {
+        let (changed, present) = (table.changed.len(), table.present.len());
+        for (entry, revision) in table.changed {
+            state.targets.upsert(entry, revision, now);
+        }
+        let gone = state.targets.keep_only(&table.present.into_iter().collect::<HashSet<_>>());
+        state.versions.table = reply.versions.table;
+        info!(node.log, "targets learned"; "changed" => changed, "gone" => gone,
+            "present" => present, "version" => reply.versions.table, "from" => %from);
+    }
+    drop(state);
+    if let Some(retiring) = retiring {
+        sync::retire(node, &retiring);
+    }
+    node.changed.notify_one();
+}
+
+/// Puts the operators' notices in force.
+pub fn set_notices(node: &Node, state: &mut State, notices: Notices, revision: u64) {
+    if state.targets.evacuated() != &notices.evacuated {
+        let list: Vec<_> = notices.evacuated.iter().map(ToString::to_string).collect();
+        info!(node.log, "evacuated failure domains"; "domains" => list.join(","),
+            "revision" => revision);
+        state.targets.set_evacuated(notices.evacuated.clone());
+    }
+    state.notices = notices;
+    state.versions.notices = revision;
+}
+
+/// Fetches what other instances know better, for ever.
+pub async fn follow_others(node: Arc<Node>) {
+    loop {
+        let now = node.now();
+        let (source, own) = {
+            let state = node.state();
+            let mut own = state.versions;
+            if node.watches() && !node.is_store_lost() {
+                own.table = u64::MAX;
+            }
+            (state.sources.choose(&own, now), state.versions)
+        };
+        let Some(source) = source else {
+            // Failed sources are asked again after a pause.
+            let _ = tokio::time::timeout(FAILED_PAUSE, node.behind.notified()).await;
+            continue;
+        };
+        match node.calls.call(source, FEED_PATH, &own, FEED_TIME).await {
+            Ok(reply) => {
+                apply(&node, reply, source);
+                if node.state().versions == own {
+                    // Nothing of it could be used, and the same would come again.
+                    let now = node.now();
+                    node.state().sources.on_failure(source, now);
+                }
+            }
+            Err(error) => {
+                warn!(node.log, "news not fetched"; "from" => %source, "error" => format!("{error:?}"));
+                let now = node.now();
+                node.state().sources.on_failure(source, now);
+            }
+        }
+    }
+}
--- a/crates/sesamewall-edge/src/job_keys.rs
+++ b/crates/sesamewall-edge/src/job_keys.rs
@@ -1,12 +1,41 @@
 //! Keys of batch jobs in the store.
 
+use serde::Deserialize;
+use serde::Serialize;
+use sesamewall_fleet::QueueName;
+use sesamewall_fleet::account_key;
+use sesamewall_protocol::AccountName;
 use sesamewall_protocol::JobId;
 
-/// Start of the keys that workers watch: head, claim, end and completion of each job.
+/// Start of the keys that are watched: head, claim, end and completion of each job.
 pub const JOB_PREFIX: &str = "sesamewall/job/";
 
-/// Start of the keys of registered instances.
-pub const INSTANCE_PREFIX: &str = "sesamewall/instance/";
+/// A job by its account and identifier. Two accounts may use the same identifier.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct JobName {
+    /// The account, numbered by its name's hash; 0 on public routes.
+    pub account: u32,
+    /// The identifier.
+    pub id: JobId,
+}
+
+impl JobName {
+    /// Names a job of an account.
+    pub fn new(account: Option<&AccountName>, id: &JobId) -> Self {
+        Self { account: account.map_or(0, account_key), id: id.clone() }
+    }
+
+    fn path(&self) -> String {
+        format!("{:08x}/{}", self.account, self.id)
+    }
+}
+
+impl std::fmt::Display for JobName {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.write_str(self.id.as_str())
+    }
+}
 
 /// A key below `JOB_PREFIX`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,19 +52,20 @@
 
 impl JobKey {
     /// Returns the key of a job.
-    pub fn of(self, job: &JobId) -> String {
+    pub fn of(self, job: &JobName) -> String {
         let part = match self {
             Self::Head => "head",
             Self::Claim => "claim",
             Self::End => "end",
             Self::Complete => "complete",
         };
-        format!("{JOB_PREFIX}{job}/{part}")
+        format!("{JOB_PREFIX}{}/{part}", job.path())
     }
 
     /// Reads a key.
-    pub fn parse(key: &str) -> Option<(JobId, Self)> {
-        let (job, part) = key.strip_prefix(JOB_PREFIX)?.rsplit_once('/')?;
+    pub fn parse(key: &str) -> Option<(JobName, Self)> {
+        let (path, part) = key.strip_prefix(JOB_PREFIX)?.rsplit_once('/')?;
+        let (account, id) = path.split_once('/')?;
         let kind = match part {
             "head" => Self::Head,
             "claim" => Self::Claim,
@@ -43,26 +73,38 @@
             "complete" => Self::Complete,
             _ => return None,
         };
-        Some((JobId::from(job), kind))
+        let account = u32::from_str_radix(account, 16).ok()?;
+        Some((JobName { account, id: JobId::from(id) }, kind))
     }
 }
 
+/// Returns the start of the keys of an account's jobs.
+pub fn account_prefix(account: Option<&AccountName>) -> String {
+    format!("{JOB_PREFIX}{:08x}/", account.map_or(0, account_key))
+}
+
+/// Returns the key of the worker that holds an account's queue on a route.
+pub fn queue_key(queue: &QueueName) -> String {
+    let account = queue.account.as_ref().map_or(0, account_key);
+    format!("sesamewall/queue/{}/{account:08x}", queue.route)
+}
+
 /// Returns the key of a part of a job's specification.
-pub fn part_key(job: &JobId, part: usize) -> String {
-    format!("sesamewall/spec/{job}/{part:02}")
+pub fn part_key(job: &JobName, part: usize) -> String {
+    format!("sesamewall/spec/{}/{part:02}", job.path())
 }
 
 /// Returns the start of the keys that readers of a job read: a copy of its head, and its results.
-pub fn result_prefix(job: &JobId) -> String {
-    format!("sesamewall/result/{job}/")
+pub fn result_prefix(job: &JobName) -> String {
+    format!("sesamewall/result/{}/", job.path())
 }
 
 /// Returns the key of the head's copy, which comes before all results.
-pub fn read_head_key(job: &JobId) -> String {
+pub fn read_head_key(job: &JobName) -> String {
     format!("{}!head", result_prefix(job))
 }
 
 /// Returns the key of a group of results.
-pub fn result_key(job: &JobId, group: u64) -> String {
+pub fn result_key(job: &JobName, group: u64) -> String {
     format!("{}{group:06}", result_prefix(job))
 }
--- a/crates/sesamewall-edge/src/job_work.rs
+++ b/crates/sesamewall-edge/src/job_work.rs
@@ -9,21 +9,30 @@
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemSpec;
 use sesamewall_fleet::JobSpec;
+use sesamewall_fleet::QueueName;
+use sesamewall_fleet::ResultList;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::Time;
 use tokio_util::sync::CancellationToken;
 
 use crate::job_store::JobHead;
+use crate::node::wall_millis;
 
 /// Due time of a job whose route is not known yet.
 const USUAL_DUE: Duration = Duration::from_secs(18);
 
+/// Longest age of a job that the time of day may tell.
+const MAX_AGE: Duration = Duration::from_secs(60);
+
 /// A claim on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Claim {
-    Free { since: Time },
-    Other,
+    /// Nobody is known to have it. `revision` is that of a claim key that is left by a dead process, 0
+    /// if there is none.
+    Free { since: Time, revision: u64 },
+    /// The own process has it.
     Own { revision: u64, lease: u64 },
+    /// The own process is writing it.
     Pending,
 }
 
@@ -49,39 +58,86 @@
     pub(crate) running: BTreeMap<ItemId, Running>,
     pub(crate) results: Vec<ItemResult>,
     pub(crate) committed: HashSet<ItemId>,
-    pub(crate) groups: u64,
     pub(crate) committing: bool,
-    /// A group is being written: the store may have it already.
-    pub(crate) writing: bool,
 }
 
 pub(crate) struct Job {
-    pub(crate) head: Option<JobHead>,
+    pub(crate) head: JobHead,
     /// When the job was accepted, by the own clock.
     pub(crate) learned: Time,
     /// Time within which its results are due.
     pub(crate) due: Duration,
     pub(crate) claim: Claim,
     pub(crate) ended: bool,
+    /// The store says that the job is ended.
+    pub(crate) end_stored: bool,
     pub(crate) complete: bool,
+    /// Since when a group is being written: the store may have it already.
+    pub(crate) writing: Option<Time>,
+    /// Results that the store has.
+    pub(crate) listed: ResultList,
+    /// When the job ended or was complete.
+    pub(crate) closed: Option<Time>,
     pub(crate) work: Work,
 }
 
 impl Job {
-    pub(crate) fn new(now: Time) -> Self {
+    pub(crate) fn new(head: JobHead, claim: Claim, now: Time) -> Self {
+        let age = Duration::from_millis(wall_millis().saturating_sub(head.accepted));
         Self {
-            head: None,
-            learned: now,
+            head,
+            learned: now - age.min(MAX_AGE),
             due: USUAL_DUE,
-            claim: Claim::Free { since: now },
+            claim,
             ended: false,
+            end_stored: false,
             complete: false,
+            writing: None,
+            listed: ResultList::default(),
+            closed: None,
             work: Work::default(),
         }
     }
 
     pub(crate) fn open(&self) -> bool {
-        self.head.is_some() && !self.ended && !self.complete
+        !self.ended && !self.complete
+    }
+
+    /// Returns the name of the queue that the job waits in.
+    pub(crate) fn queue(&self) -> QueueName {
+        QueueName { route: self.head.route.clone(), account: self.head.account.clone() }
+    }
+
+    /// Takes over the specification: items without a result wait, beside those that are already at work.
+    pub(crate) fn load(&mut self, spec: JobSpec) {
+        let committed = self.listed.ended();
+        let work = &mut self.work;
+        work.results.retain(|result| !committed.contains(&result.id));
+        work.waiting.retain(|item| !committed.contains(&item.spec.id));
+        let mut known = committed.clone();
+        known.extend(work.running.keys().cloned());
+        known.extend(work.results.iter().map(|result| result.id.clone()));
+        known.extend(work.waiting.iter().map(|item| item.spec.id.clone()));
+        let new = spec.items.iter().filter(|item| !known.contains(&item.id));
+        work.waiting.extend(
+            new.map(|item| Item {
+                spec: Arc::new(item.clone()),
+                progress: ItemProgress::default(),
+            }),
+        );
+        work.committed = committed;
+        work.spec = Some(Arc::new(spec));
+    }
+
+    /// Returns the tokens of items without a result.
+    pub(crate) fn left(&self) -> u64 {
+        let Some(spec) = &self.work.spec else { return self.head.tokens };
+        let ended = |item: &&ItemSpec| {
+            self.work.committed.contains(&item.id)
+                || self.work.results.iter().any(|result| result.id == item.id)
+        };
+        let done: u64 = spec.items.iter().filter(ended).map(|item| item.tokens).sum();
+        self.head.tokens.saturating_sub(done)
     }
 
     /// Stops all items and forgets the work.
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -2,13 +2,14 @@
 //! `sesamewall-fleet`.
 
 mod attempt;
-mod beacons;
 mod call;
+mod control;
 mod counted_store;
+mod feed;
 mod item_call;
 mod job_api;
-mod job_follow;
 mod job_keys;
+mod job_peer;
 mod job_store;
 mod job_work;
 mod lease;
@@ -16,14 +17,18 @@
 mod metrics;
 mod node;
 mod online;
+mod peer_client;
 mod relay;
 mod reply;
 mod run;
 mod store_relay;
+mod sweeper;
 mod sync;
 mod target_pool;
 mod worker;
 mod worker_commit;
+mod worker_serve;
+mod worker_start;
 
 pub use metrics::Metrics;
 pub use node::Node;
--- a/crates/sesamewall-edge/src/metrics.rs
+++ b/crates/sesamewall-edge/src/metrics.rs
@@ -32,8 +32,8 @@
     pub store_losses: IntCounter,
     /// New connections to targets.
     pub connections: IntCounter,
-    /// Beacons heard.
-    pub beacons: IntCounter,
+    /// Datagrams heard.
+    pub datagrams: IntCounter,
     /// Batch items by end of their attempts.
     pub items: IntCounterVec,
 }
@@ -74,7 +74,7 @@
             store_seconds,
             store_losses: counter("sesamewall_store_losses", "Times the store was lost."),
             connections: counter("sesamewall_connections", "New connections to targets."),
-            beacons: counter("sesamewall_beacons", "Beacons heard."),
+            datagrams: counter("sesamewall_datagrams", "Datagrams of other instances."),
             items: counters("sesamewall_items", "Attempts of batch items.", &["end"]),
             registry,
         }
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -1,5 +1,6 @@
 //! What all parts of a process share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,65 +11,80 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use bytes::Bytes;
 use rustix::time::ClockId;
+use serde::Deserialize;
+use serde::Serialize;
 use sesamewall_fleet::AccountRates;
-use sesamewall_fleet::Beacon;
 use sesamewall_fleet::Catalog;
+use sesamewall_fleet::Identity;
 use sesamewall_fleet::PeerSettings;
 use sesamewall_fleet::Peers;
 use sesamewall_fleet::RateSettings;
 use sesamewall_fleet::Suspects;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::Versions;
+use sesamewall_fleet::WorkerWord;
 use sesamewall_platform::Machine;
 use sesamewall_ports::LeaseStore;
+use sesamewall_protocol::DomainName;
+use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
 use slog::Logger;
 use tokio::sync::Notify;
 
 use crate::Metrics;
 use crate::counted_store::CountedStore;
+use crate::feed::FeedSources;
+use crate::peer_client::PeerClient;
 use crate::target_pool::TargetPool;
 
 /// The state that decisions read and change.
 pub struct State {
     /// Configuration in force, once one is known.
     pub catalog: Option<Arc<Catalog>>,
+    /// The document that it was read from, for other instances.
+    pub document: Bytes,
+    /// What the operators want besides the configuration.
+    pub notices: Notices,
     /// Known targets.
     pub targets: TargetTable,
+    /// How far the operators' keys and the targets' entries have been read.
+    pub versions: Versions,
+    /// Instances that have said how far they have read.
+    pub sources: FeedSources,
     /// Counts of all instances.
     pub peers: Peers,
     /// Rates of client accounts.
     pub rates: AccountRates,
     /// Requests that were running when targets crashed.
     pub suspects: Suspects,
-    /// Jobs that the own worker runs, with the groups of results that it has committed.
-    pub jobs: Vec<(u32, u32)>,
     /// Items that wait for a place at the own worker.
     pub backlog: u32,
-    /// Highest store revision of an operators' key that was read.
-    pub notices: u64,
-    /// Highest version and revision that another instance has named.
-    pub named: (u64, u64),
 }
 
 impl State {
-    /// Tells whether another instance has read more of the operators' keys.
-    pub fn is_behind(&self) -> bool {
-        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
-        self.named.0 > version || self.named.1 > self.notices
-    }
-
     /// Returns the part of the fronts that is heard, for rates.
     pub fn front_part(&self, now: Time) -> f64 {
-        self.peers.heard_part(now, |beacon: &Beacon| beacon.front)
+        self.peers.parts(now).fronts
     }
 
     /// Returns the part of all instances that is heard, for starts at cold targets.
     pub fn fleet_part(&self, now: Time) -> f64 {
-        self.peers.heard_part(now, |_| true)
+        self.peers.parts(now).fleet
     }
 }
 
+/// What the operators want besides the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Notices {
+    /// Failure domains that get no new work.
+    pub evacuated: BTreeSet<DomainName>,
+    /// Machines that are about to be taken away.
+    pub retiring: BTreeSet<InstanceName>,
+}
+
 /// Returns the time of day in Unix milliseconds.
 pub fn wall_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -87,16 +103,25 @@
     pub metrics: Arc<Metrics>,
     /// The platform's store.
     pub store: CountedStore,
+    /// Calls to other instances.
+    pub calls: PeerClient,
     /// Connections to targets.
     pub pool: TargetPool,
     /// The process stops soon.
     pub draining: AtomicBool,
-    /// Wakes the sender of beacons after a change.
+    /// The machine is about to be taken away.
+    pub retiring: AtomicBool,
+    /// Wakes who waits for the own worker to have no items left.
+    pub emptied: Notify,
+    /// Wakes the sender of datagrams after a change.
     pub changed: Notify,
     /// Wakes the worker after news from other instances.
     pub heard: Notify,
-    /// Wakes the followers of the store when another instance knows more.
+    /// Wakes those who follow the store or other instances when another instance knows more.
     pub behind: Notify,
+    /// Wakes those who follow the store when the instance begins to do so for its failure domain.
+    pub duty: Notify,
+    watches: AtomicBool,
     state: Mutex<State>,
     store_lost: AtomicBool,
     regained: Notify,
@@ -107,27 +132,38 @@
     pub fn new(machine: Machine, store: Arc<dyn LeaseStore>, log: Logger) -> Self {
         let metrics = Arc::new(Metrics::default());
         let port = machine.peer_port;
+        let own = Identity {
+            name: machine.instance.clone(),
+            domain: machine.domain.clone(),
+            front: machine.callers.is_some(),
+        };
         Self {
             machine,
             boot: rand::random(),
             log,
             store: CountedStore::new(store, metrics.clone(), port),
             metrics,
+            calls: PeerClient::new(port),
             pool: TargetPool::default(),
             draining: AtomicBool::new(false),
+            retiring: AtomicBool::new(false),
+            emptied: Notify::new(),
             changed: Notify::new(),
             heard: Notify::new(),
             behind: Notify::new(),
+            duty: Notify::new(),
+            watches: AtomicBool::new(false),
             state: Mutex::new(State {
                 catalog: None,
+                document: Bytes::new(),
+                notices: Notices::default(),
                 targets: TargetTable::default(),
-                peers: Peers::new(PeerSettings::default()),
+                versions: Versions::default(),
+                sources: FeedSources::default(),
+                peers: Peers::new(PeerSettings::default(), own),
                 rates: AccountRates::new(RateSettings::default()),
                 suspects: Suspects::default(),
-                jobs: Vec::new(),
                 backlog: 0,
-                notices: 0,
-                named: (0, 0),
             }),
             store_lost: AtomicBool::new(false),
             regained: Notify::new(),
@@ -158,6 +194,35 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Tells whether the instance follows the store for its failure domain.
+    pub fn watches(&self) -> bool {
+        self.watches.load(Ordering::Relaxed)
+    }
+
+    /// Begins or ends to follow the store.
+    pub fn set_watches(&self, watches: bool) {
+        if self.watches.swap(watches, Ordering::Relaxed) != watches {
+            slog::info!(self.log, "store followed for the failure domain"; "begins" => watches);
+            if watches {
+                self.duty.notify_waiters();
+            }
+        }
+    }
+
+    /// Returns what the instance says about itself as a worker; `None` if it is none.
+    pub fn worker_word(&self, state: &State) -> Option<WorkerWord> {
+        self.machine.worker.then(|| WorkerWord {
+            name: self.machine.instance.clone(),
+            address: self.machine.ip,
+            domain: self.machine.domain.clone(),
+            boot: self.boot,
+            draining: self.is_draining(),
+            store: !self.store.is_lost(),
+            backlog: state.backlog,
+            batch: state.peers.own_batch(),
+        })
+    }
+
     /// Notes the end of a call to the store.
     pub fn on_store(&self, reachable: bool, detail: &dyn std::fmt::Display) {
         let now = self.now();
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -130,7 +130,7 @@
         let body = drain(body, catalog.limits.body_bytes).await?;
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
             let submit = self.jobs.submit(&route, account.as_deref(), &host, &head, &body);
-            return submit.await.map_err(|error| Refusal::later(error, RETRY_BLIND));
+            return submit.await.map_err(|(error, retry)| Refusal::later(error, retry));
         }
         let none = Error::NoTarget { model: route.name.to_string() };
         let call = Call::new(
@@ -210,7 +210,8 @@
             && refusal.error.status() == 503
             && let Some(account) = &call.account
         {
-            self.node.state().rates.give_back(&account.name);
+            let now = self.node.now();
+            self.node.state().rates.give_back(&account.name, now);
         }
         result
     }
@@ -361,7 +362,9 @@
 /// Returns the numbers that a refusal was decided on.
 fn inputs(error: &Error) -> String {
     let numbers = match error {
-        Error::RateExceeded { numbers, .. } | Error::QueueTimeout { numbers, .. } => numbers,
+        Error::RateExceeded { numbers, .. }
+        | Error::TokensWaiting { numbers, .. }
+        | Error::QueueTimeout { numbers, .. } => numbers,
         _ => return String::new(),
     };
     numbers.iter().map(|(name, value)| format!("{name}={value:.2}")).collect::<Vec<_>>().join(" ")
--- a/crates/sesamewall-edge/src/run.rs
+++ b/crates/sesamewall-edge/src/run.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use sesamewall_adapters::http_client::CallError;
 use sesamewall_platform::Machine;
 use sesamewall_platform::READY_PATH;
 use sesamewall_platform::StoreClient;
@@ -28,20 +29,26 @@
 use tokio::signal::unix::signal;
 
 use crate::Node;
-use crate::beacons;
-use crate::beacons::Directory;
+use crate::control;
+use crate::feed;
+use crate::feed::FEED_PATH;
 use crate::job_api::JobApi;
-use crate::job_follow::JobFollower;
 use crate::job_keys::JOB_PREFIX;
+use crate::job_peer::JOB_PATH;
+use crate::job_peer::JobAsk;
+use crate::job_peer::JobTold;
 use crate::lease;
 use crate::lease::ProcessLease;
 use crate::logs;
 use crate::online::Online;
+use crate::peer_client;
 use crate::reply::Reply;
 use crate::reply::empty;
 use crate::reply::full;
 use crate::store_relay;
 use crate::store_relay::RELAY_PATH;
+use crate::sweeper::JobFollower;
+use crate::sweeper::Sweeper;
 use crate::sync;
 use crate::worker::Worker;
 
@@ -54,8 +61,9 @@
 /// Time before SIGKILL by which a process is gone.
 const END_MARGIN: Duration = Duration::from_millis(700);
 
-/// Shortest time between two watches of the jobs: each watch is paid for, and a job has many seconds.
-const JOB_PACE: Duration = Duration::from_millis(500);
+/// Shortest time between two watches of the jobs: each watch is paid for, and an ended job has to stop
+/// within some seconds.
+const JOB_PACE: Duration = Duration::from_millis(1000);
 
 /// Idle connections of callers are kept for somewhat longer than callers use them.
 const IDLE_FACTOR: f64 = 1.1;
@@ -76,22 +84,23 @@
         "first_start" => machine.first_start, "worker" => machine.worker);
     let store = Arc::new(StoreClient::new(machine.store));
     let node = Arc::new(Node::new(machine, store, log));
-    let socket = bind_beacons(&node).await?;
-    let directory = Arc::new(Directory::default());
-    directory.add_seeds(&node.machine.seeds);
+    let socket = bind_datagrams(&node).await?;
     let lease = Arc::new(ProcessLease::default());
-    beacons::spawn(&node, &directory, socket);
-    sync::spawn(&node);
-    tokio::spawn(lease::keep(node.clone(), lease.clone(), directory.clone()));
-    serve_side(&node, node.machine.ready).await?;
-    let metrics = Some(SocketAddr::new(node.machine.ip, METRICS_PORT));
-    serve_side(&node, metrics).await?;
-    let inner = SocketAddr::new(node.machine.ip, node.machine.peer_port);
-    serve_side(&node, Some(inner)).await?;
     let worker = node.machine.worker.then(|| Worker::new(node.clone(), lease.clone()));
+    let side = Side { node: node.clone(), worker: worker.clone() };
+    let inner = SocketAddr::new(node.machine.ip, node.machine.peer_port);
+    let metrics = SocketAddr::new(node.machine.ip, METRICS_PORT);
+    for address in [node.machine.ready, Some(metrics), Some(inner)].into_iter().flatten() {
+        side.listen(address).await?;
+    }
+    let control = control::spawn(&node, &lease, socket);
+    sync::spawn(&node);
+    tokio::spawn(lease::keep(node.clone(), lease.clone()));
     if let Some(worker) = &worker {
-        let follower = JobFollower(worker.clone());
+        let sweeper = Sweeper::new(worker.clone());
+        let follower = JobFollower(sweeper.clone());
         tokio::spawn(sync::follow(node.clone(), JOB_PREFIX, JOB_PACE, follower));
+        tokio::spawn(sweeper.run());
         tokio::spawn(worker.clone().run());
     }
     let callers = match node.machine.callers {
@@ -125,6 +134,7 @@
         };
         let _ = tokio::time::timeout(grace, emptied).await;
     }
+    control::leave(&control);
     lease.end(&node).await;
     info!(node.log, "process stopped");
     // The log's writer gets a moment for the last lines.
@@ -145,7 +155,7 @@
     bound.map_err(|error| invalid(key, format!("cannot listen on {address}: {error}")))
 }
 
-async fn bind_beacons(node: &Node) -> Result<UdpSocket> {
+async fn bind_datagrams(node: &Node) -> Result<UdpSocket> {
     let ip: IpAddr = node.machine.ip;
     let address = SocketAddr::new(ip, node.machine.peer_port);
     let bound = UdpSocket::bind(address).await;
@@ -162,66 +172,104 @@
     }
 }
 
-/// Serves readiness, metrics, and the store for instances that it does not serve.
-async fn serve_side(node: &Arc<Node>, address: Option<SocketAddr>) -> Result<()> {
-    let Some(address) = address else { return Ok(()) };
-    let listener = bind("listen", address).await?;
-    let node = node.clone();
-    tokio::spawn(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            let node = node.clone();
-            let service = service_fn(move |request: Request<Incoming>| {
-                let node = node.clone();
-                async move { Ok::<Reply, std::convert::Infallible>(side_reply(&node, request).await) }
-            });
-            tokio::spawn(async move {
-                // A broken connection of the load balancer needs no answer.
-                let _ = http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(Duration::from_secs(30))
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
-            });
-        }
-    });
-    Ok(())
+/// Serves readiness, metrics, and other instances.
+#[derive(Clone)]
+struct Side {
+    node: Arc<Node>,
+    worker: Option<Arc<Worker>>,
 }
 
-async fn side_reply(node: &Arc<Node>, request: Request<Incoming>) -> Reply {
-    match request.uri().path() {
-        RELAY_PATH => {
-            let body = request.into_body().collect().await.map(|body| body.to_bytes());
-            let reply = match &body {
-                Ok(body) => store_relay::serve(node, body).await,
-                Err(_) => None,
-            };
-            let mut answer = empty(StatusCode::BAD_REQUEST);
-            if let Some(bytes) = reply {
-                *answer.status_mut() = StatusCode::OK;
-                *answer.body_mut() = full(bytes);
+impl Side {
+    async fn listen(&self, address: SocketAddr) -> Result<()> {
+        let listener = bind("listen", address).await?;
+        let side = self.clone();
+        tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                };
+                // A connection without the option is slower and no less usable.
+                let _ = stream.set_nodelay(true);
+                let side = side.clone();
+                let service = service_fn(move |request: Request<Incoming>| {
+                    let side = side.clone();
+                    async move { Ok::<Reply, std::convert::Infallible>(side.reply(request).await) }
+                });
+                tokio::spawn(async move {
+                    // A broken connection of the load balancer needs no answer.
+                    let _ = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .header_read_timeout(Duration::from_secs(30))
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
             }
-            answer
+        });
+        Ok(())
+    }
+
+    async fn reply(&self, request: Request<Incoming>) -> Reply {
+        let node = &self.node;
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            RELAY_PATH | FEED_PATH | JOB_PATH => {
+                let body = request.into_body().collect().await.map(|body| body.to_bytes());
+                let reply = match &body {
+                    Ok(body) => self.answer_peer(&path, body).await,
+                    Err(_) => None,
+                };
+                let mut answer = empty(StatusCode::BAD_REQUEST);
+                if let Some(bytes) = reply {
+                    *answer.status_mut() = StatusCode::OK;
+                    *answer.body_mut() = full(bytes);
+                }
+                answer
+            }
+            READY_PATH => empty(match is_ready(node) {
+                true => StatusCode::OK,
+                false => StatusCode::SERVICE_UNAVAILABLE,
+            }),
+            "/metrics" => {
+                let mut reply = empty(StatusCode::OK);
+                *reply.body_mut() = full(node.metrics.text());
+                reply
+            }
+            _ => empty(StatusCode::NOT_FOUND),
         }
-        READY_PATH => empty(match is_ready(node) {
-            true => StatusCode::OK,
-            false => StatusCode::SERVICE_UNAVAILABLE,
-        }),
-        "/metrics" => {
-            let mut reply = empty(StatusCode::OK);
-            *reply.body_mut() = full(node.metrics.text());
-            reply
+    }
+
+    async fn answer_peer(&self, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+        let node = &self.node;
+        match path {
+            RELAY_PATH => peer_client::answer(body, |call| store_relay::serve(node, call)).await,
+            FEED_PATH => peer_client::answer(body, async |known| feed::serve(node, &known)).await,
+            _ => peer_client::answer(body, |ask| self.answer_job(ask)).await,
+        }
+    }
+
+    async fn answer_job(&self, ask: JobAsk) -> JobTold {
+        match (ask, &self.worker) {
+            (JobAsk::Forward(forward), _) => {
+                let (owner, ask) = *forward;
+                let limit = Duration::from_millis(1300);
+                match self.node.calls.call(owner, JOB_PATH, &ask, limit).await {
+                    Ok(told) => told,
+                    Err(CallError::NotSent) => JobTold::NotHere,
+                    Err(CallError::Unclear) => JobTold::Unclear,
+                }
+            }
+            (ask, Some(worker)) => worker.serve(ask).await,
+            (_, None) => JobTold::NotHere,
         }
-        _ => empty(StatusCode::NOT_FOUND),
     }
 }
 
 fn is_ready(node: &Node) -> bool {
+    let now = node.now();
     let state = node.state();
-    !node.is_draining() && state.catalog.is_some() && !state.targets.is_empty()
+    let heard = state.peers.is_hub() || state.peers.home(now).is_some();
+    !node.is_draining() && heard && state.catalog.is_some() && !state.targets.is_empty()
 }
 
 /// Accepts callers until `stop`, then lets the load balancer notice and ends the connections.
--- a/crates/sesamewall-edge/src/sync.rs
+++ b/crates/sesamewall-edge/src/sync.rs
@@ -1,4 +1,4 @@
-//! Follows the operators' keys and the targets' entries in the store.
+//! Follows the operators' keys and the targets' entries in the store, in one hub of each failure domain.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -19,12 +19,13 @@
 use sesamewall_ports::StoredItem;
 use sesamewall_ports::Transaction;
 use sesamewall_ports::Watched;
-use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use slog::info;
 use slog::warn;
 
 use crate::Node;
+use crate::feed;
+use crate::node::Notices;
 
 /// Longest wait of one watch. A silent connection is noticed after it, or earlier when another
 /// instance knows more.
@@ -39,8 +40,13 @@
 /// Longest time for which a follower trusts that the keeper of the lease notices the store's return.
 const BLIND_PAUSE: Duration = Duration::from_secs(3);
 
+/// Time between two looks at whether a follower is wanted.
+const WANTED_LOOK: Duration = Duration::from_millis(250);
+
 /// Handles what a follower reads.
 pub trait Follow: Send {
+    /// Tells whether the instance has to follow the store itself.
+    fn wanted(&self) -> bool;
     /// Takes over a complete read.
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64);
     /// Takes over changes.
@@ -65,13 +71,18 @@
     }
 }
 
-/// Follows a prefix of the store for ever. After a gap everything is read again. `pace` is the
-/// shortest time between two watches.
+/// Follows a prefix of the store while `to` wants it. After a gap everything is read again. `pace` is
+/// the shortest time between two watches.
 pub async fn follow(node: Arc<Node>, prefix: &'static str, pace: Duration, mut to: impl Follow) {
     let (shortest, longest) = RETRY_PAUSE;
     let mut pause = shortest;
     let mut revision = None;
     loop {
+        if !to.wanted() {
+            revision = None;
+            let _ = tokio::time::timeout(WANTED_LOOK, node.duty.notified()).await;
+            continue;
+        }
         let result = match revision {
             None => read_all(&node, prefix).await.map(|(items, at)| {
                 to.replace(items, at);
@@ -83,7 +94,9 @@
                     loop {
                         node.behind.notified().await;
                         tokio::time::sleep(NEWS_TIME).await;
-                        if node.state().is_behind() {
+                        let now = node.now();
+                        let state = node.state();
+                        if state.versions.is_behind(&state.sources.highest(now)) {
                             return;
                         }
                     }
@@ -129,7 +142,7 @@
 /// Takes over the operators' keys.
 pub struct Operators {
     node: Arc<Node>,
-    evacuated: BTreeSet<DomainName>,
+    notices: Notices,
     /// Highest revision of a key that was read.
     revision: u64,
 }
@@ -137,96 +150,131 @@
 impl Operators {
     /// Creates the follower of the operators' keys.
     pub fn new(node: Arc<Node>) -> Self {
-        Self { node, evacuated: BTreeSet::new(), revision: 0 }
+        Self { node, notices: Notices::default(), revision: 0 }
     }
 
     fn written(&mut self, item: &StoredItem) {
         match operator_key(&item.key) {
             Some(OperatorKey::Configuration) => apply_configuration(&self.node, &item.value),
             Some(OperatorKey::Evacuation(domain)) => {
-                self.evacuated.insert(domain);
+                self.notices.evacuated.insert(domain);
+            }
+            Some(OperatorKey::Retirement(instance)) => {
+                self.notices.retiring.insert(instance);
             }
-            Some(OperatorKey::Retirement(instance)) => self.retire(instance),
             None => {}
         }
         self.revision = self.revision.max(item.revision);
     }
 
-    /// Reports a worker machine as empty: nothing on its disk has to last.
-    fn retire(&self, instance: InstanceName) {
-        if instance != self.node.machine.instance && !self.node.machine.worker {
-            return;
-        }
-        let own = instance == self.node.machine.instance;
-        let node = self.node.clone();
-        tokio::spawn(async move {
-            // The machine itself reports first; others stand in for one that is down.
-            let wait = if own { Duration::ZERO } else { Duration::from_millis(1500) };
-            tokio::time::sleep(wait).await;
-            if own {
-                node.draining.store(true, std::sync::atomic::Ordering::Relaxed);
-            }
-            let (key, value) = retirement_status(&instance);
-            let transaction = Transaction {
-                expect: vec![(key.clone(), 0)],
-                writes: vec![StoreWrite { key, value: Bytes::from_static(value), lease: 0 }],
-                removes: Vec::new(),
-            };
-            for _ in 0..20 {
-                match node.store.commit(&transaction).await {
-                    Ok(end) => {
-                        info!(node.log, "retirement reported"; "machine" => %instance,
-                            "end" => format!("{end:?}"));
-                        return;
-                    }
-                    Err(error) => node.on_store(false, &error),
-                }
-                tokio::time::sleep(Duration::from_millis(300)).await;
-            }
-            warn!(node.log, "retirement not reported"; "machine" => %instance);
-        });
-    }
-
-    fn finish(&self, revision: u64) {
+    /// Puts the notices in force, unless another instance has told newer ones.
+    fn finish(&self) {
         let mut state = self.node.state();
-        if state.targets.evacuated() != &self.evacuated {
-            let list: Vec<_> = self.evacuated.iter().map(ToString::to_string).collect();
-            info!(self.node.log, "evacuated failure domains"; "domains" => list.join(","),
-                "revision" => revision);
-            state.targets.set_evacuated(self.evacuated.clone());
+        if self.revision >= state.versions.notices && state.notices != self.notices {
+            feed::set_notices(&self.node, &mut state, self.notices.clone(), self.revision);
+            drop(state);
+            retire(&self.node, &self.notices.retiring);
+        } else {
+            state.versions.notices = state.versions.notices.max(self.revision);
+            drop(state);
         }
-        state.notices = state.notices.max(self.revision);
-        drop(state);
         self.node.changed.notify_one();
     }
 }
 
 impl Follow for Operators {
+    fn wanted(&self) -> bool {
+        self.node.watches()
+    }
+
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64) {
-        self.evacuated.clear();
+        let before = std::mem::take(&mut self.notices);
         for item in &items {
             self.written(item);
         }
-        self.finish(revision);
+        if before.evacuated.difference(&self.notices.evacuated).next().is_some() {
+            // A key was removed, and its revision is not known.
+            self.revision = self.revision.max(revision);
+        }
+        self.finish();
     }
 
-    fn apply(&mut self, changes: Vec<StoreChange>, revision: u64) {
+    fn apply(&mut self, changes: Vec<StoreChange>, _revision: u64) {
         for change in changes {
             match change {
                 StoreChange::Written(item) => self.written(&item),
-                StoreChange::Removed { key, .. } => {
-                    if let Some(OperatorKey::Evacuation(domain)) = operator_key(&key) {
-                        self.evacuated.remove(&domain);
+                StoreChange::Removed { key, revision } => {
+                    match operator_key(&key) {
+                        Some(OperatorKey::Evacuation(domain)) => {
+                            self.notices.evacuated.remove(&domain);
+                        }
+                        Some(OperatorKey::Retirement(instance)) => {
+                            self.notices.retiring.remove(&instance);
+                        }
+                        _ => {}
                     }
+                    self.revision = self.revision.max(revision);
                 }
             }
         }
-        self.finish(revision);
+        self.finish();
+    }
+}
+
+/// Time after which another worker reports for a machine that is about to be taken away and may be
+/// down.
+const STAND_IN_TIME: Duration = Duration::from_millis(2500);
+
+/// Tries of the report about a retirement, and the pause between them.
+const RETIRE_TRIES: (usize, Duration) = (20, Duration::from_millis(300));
+
+/// Reports worker machines as empty: nothing on their disks has to last. The machine itself reports once
+/// its items have made way; the hub that follows the store stands in for one that is down.
+pub fn retire(node: &Arc<Node>, retiring: &BTreeSet<InstanceName>) {
+    for instance in retiring {
+        let own = *instance == node.machine.instance;
+        if !own && !node.watches() {
+            continue;
+        }
+        if own && node.retiring.swap(true, std::sync::atomic::Ordering::Relaxed) {
+            continue;
+        }
+        tokio::spawn(report_retirement(node.clone(), instance.clone(), own));
+    }
+}
+
+async fn report_retirement(node: Arc<Node>, instance: InstanceName, own: bool) {
+    if own {
+        node.draining.store(true, std::sync::atomic::Ordering::Relaxed);
+        node.changed.notify_one();
+        info!(node.log, "machine retires");
+        let _ = tokio::time::timeout(STAND_IN_TIME * 2 / 3, node.emptied.notified()).await;
+    } else {
+        tokio::time::sleep(STAND_IN_TIME).await;
+    }
+    let (key, value) = retirement_status(&instance);
+    let transaction = Transaction {
+        expect: vec![(key.clone(), 0)],
+        writes: vec![StoreWrite { key, value: Bytes::from_static(value), lease: 0 }],
+        removes: Vec::new(),
+    };
+    let (tries, pause) = RETIRE_TRIES;
+    for _ in 0..tries {
+        match node.store.commit(&transaction).await {
+            Ok(end) => {
+                info!(node.log, "retirement reported"; "machine" => %instance,
+                    "end" => format!("{end:?}"));
+                return;
+            }
+            Err(error) => node.on_store(false, &error),
+        }
+        tokio::time::sleep(pause).await;
     }
+    warn!(node.log, "retirement not reported"; "machine" => %instance);
 }
 
 /// Puts a configuration in force unless it is older than the present one.
-pub fn apply_configuration(node: &Node, value: &[u8]) {
+pub fn apply_configuration(node: &Node, value: &Bytes) {
     let catalog = match decode_catalog(value) {
         Ok(catalog) => catalog,
         Err(error) => {
@@ -242,7 +290,11 @@
     }
     info!(node.log, "configuration in force"; "version" => catalog.version, "before" => present);
     state.rates.configure(&catalog, node.machine.first_start, now);
+    state.versions.config = catalog.version;
     state.catalog = Some(Arc::new(catalog));
+    state.document = value.clone();
+    drop(state);
+    node.changed.notify_one();
 }
 
 /// Takes over the targets' entries.
@@ -262,9 +314,13 @@
 }
 
 impl Follow for Targets {
+    fn wanted(&self) -> bool {
+        self.node.watches()
+    }
+
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64) {
         let entry = |item: &StoredItem| match decode_target(&item.key, &item.value) {
-            Ok(entry) => Some(entry),
+            Ok(entry) => Some((entry, item.revision)),
             Err(error) => {
                 warn!(self.node.log, "target entry cannot be read"; "key" => &item.key,
                     "error" => error, "revision" => item.revision);
@@ -274,36 +330,57 @@
         let entries: Vec<_> = items.iter().filter_map(entry).collect();
         info!(self.node.log, "targets read"; "targets" => entries.len(), "revision" => revision);
         let now = self.node.now();
-        self.node.state().targets.replace(entries, now);
+        let mut state = self.node.state();
+        // A key that is gone leaves no revision: the read's own one counts then.
+        let gone = state
+            .targets
+            .iter()
+            .any(|target| !entries.iter().any(|(entry, _)| entry.name == target.entry.name));
+        let highest = items.iter().map(|item| item.revision).max().unwrap_or_default();
+        let at = if gone { revision } else { highest };
+        state.targets.replace(entries, now);
+        state.versions.table = state.versions.table.max(feed::table_version(at));
+        drop(state);
+        self.node.changed.notify_one();
     }
 
     fn apply(&mut self, changes: Vec<StoreChange>, revision: u64) {
         let now = self.node.now();
+        let mut highest = 0;
         for change in changes {
             match change {
-                StoreChange::Written(item) => match decode_target(&item.key, &item.value) {
-                    Ok(entry) => {
-                        let mut state = self.node.state();
-                        let known = state.targets.get(&entry.name).map(|known| &known.entry);
-                        if known != Some(&entry) {
-                            info!(self.node.log, "target changed"; "target" => %entry.name,
-                                "draining" => entry.draining, "revision" => item.revision);
+                StoreChange::Written(item) => {
+                    highest = highest.max(item.revision);
+                    match decode_target(&item.key, &item.value) {
+                        Ok(entry) => {
+                            let mut state = self.node.state();
+                            let known = state.targets.get(&entry.name).map(|known| &known.entry);
+                            if known != Some(&entry) {
+                                info!(self.node.log, "target changed"; "target" => %entry.name,
+                                    "draining" => entry.draining, "revision" => item.revision);
+                            }
+                            state.targets.upsert(entry, item.revision, now);
+                        }
+                        Err(error) => {
+                            warn!(self.node.log, "target entry cannot be read";
+                                "key" => &item.key, "error" => error,
+                                "revision" => item.revision);
+                            self.node.state().targets.remove(&name_of(&item.key), now);
                         }
-                        state.targets.upsert(entry);
-                    }
-                    Err(error) => {
-                        warn!(self.node.log, "target entry cannot be read"; "key" => &item.key,
-                            "error" => error, "revision" => item.revision);
-                        self.node.state().targets.remove(&name_of(&item.key), now);
                     }
-                },
-                StoreChange::Removed { key, .. } => {
+                }
+                StoreChange::Removed { key, revision: at } => {
+                    highest = highest.max(at);
                     info!(self.node.log, "target entry gone"; "target" => %name_of(&key),
                         "revision" => revision);
                     self.node.state().targets.remove(&name_of(&key), now);
                 }
             }
         }
+        let mut state = self.node.state();
+        state.versions.table = state.versions.table.max(feed::table_version(highest));
+        drop(state);
+        self.node.changed.notify_one();
     }
 }
 
@@ -316,4 +393,5 @@
     tokio::spawn(follow(node.clone(), OPERATOR_PREFIX, Duration::ZERO, operators));
     let targets = Targets::new(node.clone());
     tokio::spawn(follow(node.clone(), TARGET_PREFIX, TARGET_PACE, targets));
+    tokio::spawn(feed::follow_others(node.clone()));
 }
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -1,49 +1,35 @@
-//! Claims batch jobs, runs their items and commits results.
+//! Runs the batch jobs that the own process has claimed.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use sesamewall_fleet::Ask;
+use sesamewall_fleet::AccountQueues;
 use sesamewall_fleet::BatchRoom;
-use sesamewall_fleet::Catalog;
-use sesamewall_fleet::ItemEnd;
-use sesamewall_fleet::ItemProgress;
 use sesamewall_fleet::ItemRank;
-use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemSettings;
 use sesamewall_fleet::ItemTimes;
 use sesamewall_fleet::ResultList;
-use sesamewall_fleet::ResultState;
-use sesamewall_fleet::job_key;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
 use sesamewall_ports::Transaction;
-use sesamewall_protocol::ItemId;
-use sesamewall_protocol::JobId;
 use sesamewall_protocol::Time;
 use slog::info;
 use slog::warn;
 use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Node;
-use crate::attempt::Held;
-use crate::call::choose;
-use crate::item_call::ItemCall;
 use crate::job_keys::JobKey;
+use crate::job_keys::JobName;
 use crate::job_store;
 use crate::job_store::Written;
 use crate::job_work::Claim;
-use crate::job_work::Item;
 use crate::job_work::Job;
 use crate::job_work::Running;
 use crate::lease::ProcessLease;
@@ -54,29 +40,36 @@
 /// Time between two looks while items wait for room.
 const BUSY_TICK: Duration = Duration::from_millis(25);
 
-/// Wait before a worker claims a job that another one is expected to claim.
-/// It is above the time between two watches of the jobs.
-const CLAIM_STEP: Duration = Duration::from_millis(700);
+/// Longest time for the write of a claim.
+const CLAIM_TIME: Duration = Duration::from_millis(1500);
 
-/// Where new items may start.
-#[derive(Default)]
-struct Places {
-    /// Slots that an item leaves free at its target.
-    free: u32,
-    /// Numbers of the targets.
-    targets: HashSet<u32>,
-}
+/// Tries to read a claimed job, and the pause between them.
+const LOAD_TRIES: (u32, Duration) = (20, Duration::from_millis(200));
+
+/// Time after which a finished job leaves the memory: its clients have read it by then.
+const KEEP_CLOSED: Duration = Duration::from_secs(60);
+
+/// Time after that until its keys leave the store: clients may read a job for two minutes.
+const REMOVE_AFTER: Duration = Duration::from_secs(120);
+
+/// Most keys removed by one transaction, as the store allows.
+const MAX_REMOVES: usize = 32;
 
 /// The worker of a process.
 pub struct Worker {
     pub(crate) node: Arc<Node>,
     pub(crate) lease: Arc<ProcessLease>,
-    room: BatchRoom,
-    items: ItemSettings,
+    pub(crate) items: ItemSettings,
     pub(crate) wake: Notify,
-    jobs: Mutex<BTreeMap<JobId, Job>>,
+    /// Wakes readers of results.
+    pub(crate) listed: Notify,
+    pub(crate) started: AtomicU64,
+    jobs: Mutex<BTreeMap<JobName, Job>>,
+    queues: Mutex<AccountQueues>,
     times: Mutex<ItemTimes>,
-    started: AtomicU64,
+    room: Mutex<BatchRoom>,
+    /// Keys of old jobs, and when they go.
+    removals: Mutex<VecDeque<(Time, Vec<String>)>>,
 }
 
 impl Worker {
@@ -85,23 +78,36 @@
         Arc::new(Self {
             node,
             lease,
-            room: BatchRoom::default(),
             items: ItemSettings::default(),
             wake: Notify::new(),
+            listed: Notify::new(),
+            started: AtomicU64::new(0),
             jobs: Mutex::default(),
+            queues: Mutex::default(),
             times: Mutex::default(),
-            started: AtomicU64::new(0),
+            room: Mutex::default(),
+            removals: Mutex::default(),
         })
     }
 
-    pub(crate) fn jobs(&self) -> MutexGuard<'_, BTreeMap<JobId, Job>> {
+    /// Locks the jobs. The lock is never held over an await.
+    pub(crate) fn jobs(&self) -> MutexGuard<'_, BTreeMap<JobName, Job>> {
         self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn times(&self) -> MutexGuard<'_, ItemTimes> {
+    /// Locks the queues of accounts, after the jobs where both are needed.
+    pub(crate) fn queues(&self) -> MutexGuard<'_, AccountQueues> {
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn times(&self) -> MutexGuard<'_, ItemTimes> {
         self.times.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn room(&self) -> MutexGuard<'_, BatchRoom> {
+        self.room.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Runs until the process ends.
     pub async fn run(self: Arc<Self>) {
         loop {
@@ -117,30 +123,19 @@
             self.claim();
             self.start_items();
             self.report();
+            self.forget_closed();
         }
     }
 
-    /// Tells the other instances which jobs this worker runs and how many groups of results it has
-    /// committed. It says nothing about jobs whose groups it does not know for sure.
-    pub(crate) fn report(&self) {
-        let valid = self.lease.valid(self.node.now());
-        let sure = |job: &Job| match job.claim {
-            Claim::Own { lease, .. } => valid == Some(lease) && !job.work.writing,
-            _ => false,
-        };
-        let report: Vec<_> = self
-            .jobs()
-            .iter()
-            .filter(|(_, job)| job.open() && job.work.spec.is_some() && sure(job))
-            .map(|(id, job)| (job_key(id), job.work.groups as u32))
-            .collect();
-        let backlog = match valid {
-            Some(_) if !self.node.is_draining() => self.backlog(),
-            _ => 0,
-        };
+    /// Tells the other instances how many items wait.
+    fn report(&self) {
+        let valid = self.lease.valid(self.node.now()).is_some();
+        let backlog = if valid && !self.node.is_draining() { self.backlog() } else { 0 };
+        if self.running() == 0 {
+            self.node.emptied.notify_waiters();
+        }
         let mut state = self.node.state();
-        if state.jobs != report || state.backlog != backlog {
-            state.jobs = report;
+        if state.backlog != backlog {
             state.backlog = backlog;
             drop(state);
             self.node.changed.notify_one();
@@ -148,7 +143,7 @@
     }
 
     /// Returns the number of items that wait for a place.
-    fn backlog(&self) -> u32 {
+    pub(crate) fn backlog(&self) -> u32 {
         let own = |job: &&Job| matches!(job.claim, Claim::Own { .. }) && job.open();
         self.jobs().values().filter(own).map(|job| job.work.waiting.len() as u32).sum()
     }
@@ -162,28 +157,64 @@
     /// claims them again, and if another one does, this one stops.
     fn check_lease(&self) {
         let current = self.lease.number();
-        let now = self.node.now();
-        for (id, job) in self.jobs().iter_mut() {
+        let since = self.node.now();
+        for (name, job) in self.jobs().iter_mut() {
             match job.claim {
-                Claim::Own { lease, .. } if lease != current => {
-                    warn!(self.node.log, "claim lost with its lease"; "job" => %id);
-                    job.claim = Claim::Free { since: now };
+                Claim::Own { lease, .. } if lease != current && job.open() => {
+                    warn!(self.node.log, "claim lost with its lease"; "job" => %name);
+                    job.claim = Claim::Free { since, revision: 0 };
                 }
                 _ => {}
             }
         }
     }
 
+    /// Forgets jobs that were complete or ended a while ago, and removes them from the store later.
+    fn forget_closed(self: &Arc<Self>) {
+        let now = self.node.now();
+        let mut removals = self.removals.lock().unwrap_or_else(PoisonError::into_inner);
+        self.jobs().retain(|name, job| {
+            let kept = job.closed.is_none_or(|at| now.since(at) < KEEP_CLOSED);
+            if !kept {
+                let keys = job_store::all_keys(name, job.head.parts, job.listed.groups());
+                removals.push_back((now + REMOVE_AFTER, keys));
+            }
+            kept
+        });
+        let mut keys: Vec<String> = Vec::new();
+        while removals.front().is_some_and(|(due, next)| {
+            *due <= now && (keys.is_empty() || keys.len() + next.len() <= MAX_REMOVES)
+        }) {
+            keys.extend(removals.pop_front().map(|(_, next)| next).unwrap_or_default());
+        }
+        drop(removals);
+        if !keys.is_empty() {
+            tokio::spawn(self.clone().remove(keys));
+        }
+    }
+
+    async fn remove(self: Arc<Self>, keys: Vec<String>) {
+        for some in keys.chunks(MAX_REMOVES) {
+            let removes = some.to_vec();
+            let transaction = Transaction { removes, ..Transaction::default() };
+            if let Err(error) = self.node.store.commit(&transaction).await {
+                // They stay until the operators remove them; nothing depends on it.
+                warn!(self.node.log, "old jobs not removed"; "keys" => keys.len(), "error" => %error);
+            }
+        }
+    }
+
     /// Cancels items at targets where online requests need their places.
     fn make_way(&self) {
         let now = self.node.now();
         let leaving: Vec<(u32, u32)> = {
             let state = self.node.state();
             let own = &self.node.machine.instance;
+            let room = self.room();
             state
                 .targets
                 .iter()
-                .map(|target| (target.key, self.room.leaving(own, target, &state.peers, now)))
+                .map(|target| (target.key, room.leaving(own, target, &state.peers, now)))
                 .filter(|(_, count)| *count > 0)
                 .collect()
         };
@@ -210,301 +241,111 @@
         }
     }
 
-    /// Claims unclaimed jobs. The worker with the highest hash of job and name goes first, so that
-    /// workers rarely race.
+    /// Claims the known jobs that nobody has: those that were handed over, and those whose claims ended
+    /// with the own lease.
     fn claim(self: &Arc<Self>) {
         let now = self.node.now();
         let Some(lease) = self.lease.valid(now) else { return };
         if self.node.is_draining() {
             return;
         }
-        let own = self.node.machine.instance.clone();
-        let others: Vec<_> = {
-            let state = self.node.state();
-            let workers = state.peers.contacts(now).filter(|contact| contact.beacon.worker);
-            workers
-                .filter(|contact| !contact.beacon.draining)
-                .map(|contact| contact.beacon.instance.clone())
-                .collect()
-        };
-        for (id, job) in self.jobs().iter_mut() {
-            let Claim::Free { since } = job.claim else { continue };
-            if !job.open() {
-                continue;
-            }
-            let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), 0) ^ hash(id);
-            let mine = score(own.as_str()).wrapping_mul(MIX);
-            let ahead =
-                others.iter().filter(|name| score(name.as_str()).wrapping_mul(MIX) > mine).count();
-            if now.since(since) < CLAIM_STEP * ahead as u32 {
-                continue;
-            }
-            // The claim of another worker may not have come with the watch yet.
-            if self.node.state().peers.job_groups(job_key(id), now).is_some() {
-                continue;
+        for (name, job) in self.jobs().iter_mut() {
+            let Claim::Free { since, revision } = job.claim else { continue };
+            if job.open() && since <= now {
+                job.claim = Claim::Pending;
+                tokio::spawn(self.clone().claim_job(name.clone(), lease, revision));
             }
-            job.claim = Claim::Pending;
-            tokio::spawn(self.clone().claim_job(id.clone(), lease));
         }
     }
 
-    /// Returns the value of the own claims: the process and its start.
+    /// Returns the value of the own claims and holds: the process and its start.
     pub(crate) fn claim_value(&self) -> Bytes {
         Bytes::from(format!("{} {:x}", self.node.machine.instance, self.node.boot))
     }
 
-    async fn claim_job(self: Arc<Self>, id: JobId, lease: u64) {
-        let key = JobKey::Claim.of(&id);
+    async fn claim_job(self: Arc<Self>, name: JobName, lease: u64, former: u64) {
+        let key = JobKey::Claim.of(&name);
         let value = self.claim_value();
         let transaction = Transaction {
-            expect: vec![(key.clone(), 0), (JobKey::End.of(&id), 0)],
+            expect: vec![
+                (key.clone(), former),
+                (JobKey::End.of(&name), 0),
+                (JobKey::Complete.of(&name), 0),
+            ],
             writes: vec![StoreWrite { key, value, lease }],
             removes: Vec::new(),
         };
-        let until = self.node.now() + Duration::from_millis(1500);
-        let result = job_store::commit_once(&self.node, &transaction, until).await;
-        info!(self.node.log, "job claimed"; "job" => %id, "end" => format!("{result:?}"));
+        let until = self.node.now() + CLAIM_TIME;
+        let result = job_store::commit_once(&self.node, &transaction, 0, until).await;
+        info!(self.node.log, "job claimed"; "job" => %name, "former" => former,
+            "end" => format!("{result:?}"));
         let now = self.node.now();
         let claim = match result {
             Ok(Written::Done(revision)) => Claim::Own { revision, lease },
-            Ok(Written::Refused) => Claim::Other,
-            Err(_) => Claim::Free { since: now },
+            Ok(Written::Taken | Written::Refused) => {
+                // Another worker has it, or it is over.
+                if let Some(mut job) = self.jobs().remove(&name) {
+                    job.stop();
+                }
+                return;
+            }
+            Err(_) => Claim::Free { since: now + CLAIM_TIME / 3, revision: former },
         };
         let parts = {
             let mut jobs = self.jobs();
-            let Some(job) = jobs.get_mut(&id) else { return };
-            if job.claim != Claim::Pending && !matches!(claim, Claim::Own { .. }) {
-                return;
-            }
+            let Some(job) = jobs.get_mut(&name) else { return };
             job.claim = claim;
-            if claim == Claim::Other {
-                job.stop();
-            }
-            job.head.as_ref().map(|head| head.parts)
+            job.head.parts
         };
-        if let (Claim::Own { .. }, Some(parts)) = (claim, parts)
-            && let Err(error) = self.load(&id, parts, claim).await
-        {
-            warn!(self.node.log, "job cannot be loaded"; "job" => %id, "error" => %error);
-            self.release(&id, claim);
-        }
-    }
-
-    /// Forgets a claim that could not be used; the key stays until the lease ends or a retry.
-    fn release(&self, id: &JobId, claim: Claim) {
-        let mut jobs = self.jobs();
-        if let Some(job) = jobs.get_mut(id)
-            && job.claim == claim
+        if let Claim::Own { .. } = claim
+            && let Err(error) = self.load(&name, parts, claim).await
         {
-            job.stop();
-            job.claim = Claim::Free { since: self.node.now() };
+            warn!(self.node.log, "job cannot be loaded"; "job" => %name, "error" => %error);
+            // The key stays until the lease ends; the next look reads it again.
+            let since = self.node.now() + CLAIM_TIME;
+            if let (Some(job), Claim::Own { revision, .. }) = (self.jobs().get_mut(&name), claim) {
+                job.stop();
+                job.claim = Claim::Free { since, revision };
+            }
         }
     }
 
-    async fn load(&self, id: &JobId, parts: usize, claim: Claim) -> Result<(), StoreError> {
+    async fn load(&self, name: &JobName, parts: usize, claim: Claim) -> Result<(), StoreError> {
+        let (tries, pause) = LOAD_TRIES;
+        let known = self.jobs().get(name).and_then(|job| job.work.spec.clone());
         let mut attempts = 0;
         let (spec, results) = loop {
             attempts += 1;
             let mut results = ResultList::default();
             let read = async {
-                let spec = job_store::spec(&self.node, id, parts).await?;
-                job_store::refresh(&self.node, id, &mut results).await?;
+                let spec = match &known {
+                    Some(spec) => Some((**spec).clone()),
+                    None => job_store::spec(&self.node, name, parts).await?,
+                };
+                job_store::refresh(&self.node, name, &mut results).await?;
                 Ok::<_, StoreError>(spec)
             };
             match read.await {
                 Ok(spec) => break (spec, results),
-                Err(error) if attempts >= 20 => return Err(error),
-                Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
+                Err(error) if attempts >= tries => return Err(error),
+                Err(_) => tokio::time::sleep(pause).await,
             }
         };
         let Some(spec) = spec else {
-            warn!(self.node.log, "job without a specification"; "job" => %id);
+            warn!(self.node.log, "job without a specification"; "job" => %name);
             return Ok(());
         };
         let mut jobs = self.jobs();
-        let Some(job) = jobs.get_mut(id) else { return Ok(()) };
+        let Some(job) = jobs.get_mut(name) else { return Ok(()) };
         if job.claim != claim || !job.open() {
             return Ok(());
         }
-        let committed = results.ended();
-        let work = &mut job.work;
-        work.results.retain(|result| !committed.contains(&result.id));
-        work.waiting.retain(|item| !committed.contains(&item.spec.id));
-        // Items from before a lost lease keep what they have.
-        let mut known = committed.clone();
-        known.extend(work.running.keys().cloned());
-        known.extend(work.results.iter().map(|result| result.id.clone()));
-        known.extend(work.waiting.iter().map(|item| item.spec.id.clone()));
-        let new = spec.items.iter().filter(|item| !known.contains(&item.id));
-        work.waiting.extend(
-            new.map(|item| Item {
-                spec: Arc::new(item.clone()),
-                progress: ItemProgress::default(),
-            }),
-        );
-        work.groups = results.groups();
-        work.committed = committed;
-        work.spec = Some(Arc::new(spec));
+        job.listed = results;
+        job.load(spec);
+        self.queues().set_left(&job.queue(), &name.id, job.left());
         drop(jobs);
         self.wake.notify_one();
+        self.listed.notify_waiters();
         Ok(())
     }
-
-    /// Starts waiting items, the oldest jobs first, as far as there is room.
-    fn start_items(self: &Arc<Self>) {
-        let now = self.node.now();
-        if self.lease.valid(now).is_none() || self.node.is_draining() {
-            return;
-        }
-        let Some(catalog) = self.node.catalog() else { return };
-        let times = self.times().clone();
-        let mut jobs = self.jobs();
-        let mut order: Vec<(ItemRank, Duration, JobId, ItemId)> = Vec::new();
-        for (id, job) in jobs.iter().filter(|(_, job)| job.open()) {
-            let due = job.learned + job.due;
-            let ready = job.work.waiting.iter().filter(|item| item.progress.not_before() <= now);
-            order.extend(ready.map(|item| {
-                let left = times.left(item.progress.events());
-                (ItemRank::new(due, left, now), left, id.clone(), item.spec.id.clone())
-            }));
-        }
-        order.sort();
-        let places = match order.is_empty() {
-            true => Places::default(),
-            false => self.places(now),
-        };
-        for (_, _, id, item) in order {
-            let Some(job) = jobs.get_mut(&id) else { continue };
-            if !self.start_item(&catalog, &id, job, &item, &places, now) {
-                break;
-            }
-        }
-        for (id, job) in jobs.iter_mut() {
-            self.commit_soon(id, job);
-        }
-    }
-
-    fn places(&self, now: Time) -> Places {
-        let state = self.node.state();
-        let in_service =
-            state.targets.iter().filter(|target| state.targets.in_service(target, now));
-        let slots = in_service.map(|target| target.entry.slots).sum();
-        let free = self.room.free(state.peers.online_total(), slots);
-        let own = &self.node.machine.instance;
-        let targets = self.room.own_targets(own, &state.targets, &state.peers, now);
-        Places { free, targets }
-    }
-
-    /// Starts an item. Returns false if there is no room.
-    fn start_item(
-        self: &Arc<Self>,
-        catalog: &Catalog,
-        id: &JobId,
-        job: &mut Job,
-        item: &ItemId,
-        places: &Places,
-        now: Time,
-    ) -> bool {
-        let Claim::Own { .. } = job.claim else { return true };
-        let Some(spec) = job.work.spec.clone() else { return true };
-        let Some(index) = job.work.waiting.iter().position(|waiting| waiting.spec.id == *item)
-        else {
-            return true;
-        };
-        let Some(call) = ItemCall::new(catalog, &spec, job.work.waiting[index].spec.clone()) else {
-            info!(self.node.log, "item given up"; "job" => %id, "item" => %item,
-                "cause" => "its route is gone", "version" => catalog.version);
-            job.work.waiting.remove(index);
-            let state = ResultState::GivenUp;
-            job.work.results.push(ItemResult { id: item.clone(), state, output: Vec::new() });
-            return true;
-        };
-        job.due = call.due();
-        let ask = Ask {
-            service: call.service(),
-            regions: call.regions(),
-            domain: &self.node.machine.domain,
-            prefix: call.prefix(),
-            exclude: &[],
-            among: Some(&places.targets),
-            leave_free: Some(places.free),
-        };
-        let Ok(chosen) = choose(&self.node, &ask) else { return false };
-        let progress = job.work.waiting.remove(index).progress;
-        let cancel = CancellationToken::new();
-        let number = self.started.fetch_add(1, Ordering::Relaxed);
-        let running = Running {
-            number,
-            due: job.learned + job.due,
-            from: progress.events(),
-            key: chosen.key,
-            started: now,
-            cancel: cancel.clone(),
-        };
-        job.work.running.insert(item.clone(), running);
-        // The count is taken here, so that the next choice sees it.
-        let held = Held::new(&self.node, chosen.key, true);
-        let task = self.clone().run_item(id.clone(), number, call, chosen, progress, held, cancel);
-        tokio::spawn(task);
-        true
-    }
-
-    async fn run_item(
-        self: Arc<Self>,
-        id: JobId,
-        number: u64,
-        call: ItemCall,
-        chosen: sesamewall_fleet::Chosen,
-        mut progress: ItemProgress,
-        held: Held,
-        cancel: CancellationToken,
-    ) {
-        let before = progress.events();
-        let end = tokio::select! {
-            end = call.run(&self.node, &chosen, &mut progress, held) => end,
-            () = cancel.cancelled() => ItemEnd::MadeWay,
-        };
-        let now = self.node.now();
-        let label = format!("{end:?}");
-        self.node.metrics.items.with_label_values(&[&label]).inc();
-        info!(self.node.log, "item attempt"; "job" => %id, "item" => %call.item().id,
-            "target" => %chosen.name, "end" => label, "from" => before,
-            "events" => progress.events());
-        let mut jobs = self.jobs();
-        let Some(job) = jobs.get_mut(&id) else { return };
-        // The work may have been stopped, and begun anew, while this attempt ran.
-        let running = job.work.running.get(&call.item().id);
-        if running.is_none_or(|running| running.number != number) {
-            return;
-        }
-        if let Some(running) = job.work.running.remove(&call.item().id)
-            && end == ItemEnd::Whole
-            && before == 0
-        {
-            self.times().on_whole(now.since(running.started), progress.events());
-        }
-        match progress.on_end(&self.items, end, call.attempts(), now) {
-            Some(state) => {
-                let output = match state {
-                    ResultState::Completed => progress.into_output(),
-                    ResultState::GivenUp => Vec::new(),
-                };
-                let result = ItemResult { id: call.item().id.clone(), state, output };
-                job.work.results.push(result);
-                self.commit_soon(&id, job);
-            }
-            None => {
-                job.work.waiting.insert(0, Item { spec: call.into_item(), progress });
-            }
-        }
-        drop(jobs);
-        self.wake.notify_one();
-    }
-}
-
-/// Spreads the hashes of names and jobs.
-const MIX: u64 = 0x9E37_79B9_7F4A_7C15;
-
-fn hash(id: &JobId) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes())
 }
--- /dev/null
+++ b/crates/sesamewall-fleet/src/account_queue.rs
@@ -0,0 +1,168 @@
+//! The limit of tokens that wait on a batch route, by client account.
+//!
+//! One worker holds an account's queue on a route. Its hold is a key in the store, and every acceptance
+//! carries the revision of that key as a condition, so that a former holder accepts nothing. A new
+//! holder reads the open jobs after it has taken the key; what they leave unfinished counts in full
+//! until it is known better.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::JobId;
+use sesamewall_protocol::Time;
+
+/// Time over which the speed of an account's items is averaged.
+const SPEED_WINDOW: Duration = Duration::from_secs(5);
+
+/// Shortest and longest time after which a refused caller should come back.
+const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(30));
+
+/// The jobs of an account on a route.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct QueueName {
+    /// The route's name.
+    pub route: Arc<str>,
+    /// The account; `None` on public routes.
+    pub account: Option<AccountName>,
+}
+
+/// Why a job is not accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueFull {
+    /// Tokens that wait.
+    pub waiting: u64,
+    /// Tokens that may wait.
+    pub limit: u64,
+    /// Time after which the job may fit, from the speed at which items end.
+    pub retry: Duration,
+}
+
+/// What a holder may do with a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Accept it under the condition that the hold still has this revision. Its tokens count from now on.
+    Accept {
+        /// Store revision of the hold.
+        hold: u64,
+    },
+    /// The job is counted already: it was accepted, or its acceptance is under way.
+    Known,
+    /// It does not fit.
+    Full(QueueFull),
+    /// The queue is held by another worker, or nobody holds it yet.
+    NotHeld,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Queue {
+    hold: u64,
+    /// Tokens that are not finished, by job.
+    left: HashMap<JobId, u64>,
+    /// Tokens finished lately and since when, for the speed.
+    finished: f64,
+    since: Time,
+}
+
+impl Queue {
+    fn waiting(&self) -> u64 {
+        self.left.values().sum()
+    }
+
+    fn retry(&self, missing: u64, now: Time) -> Duration {
+        let (shortest, longest) = RETRY_BOUNDS;
+        let seconds = now.since(self.since).as_secs_f64().max(1.0);
+        let speed = self.finished / seconds;
+        if speed <= 0.0 {
+            return longest;
+        }
+        Duration::from_secs_f64((missing as f64 / speed).min(longest.as_secs_f64())).max(shortest)
+    }
+
+    fn on_finished(&mut self, tokens: u64, now: Time) {
+        let elapsed = now.since(self.since);
+        if elapsed > SPEED_WINDOW {
+            // The older half fades, so that the speed follows the load.
+            self.finished *= SPEED_WINDOW.as_secs_f64() / elapsed.as_secs_f64() / 2.0;
+            self.since = now - SPEED_WINDOW / 2;
+        }
+        self.finished += tokens as f64;
+    }
+}
+
+/// The queues that a worker holds.
+#[derive(Clone, Debug, Default)]
+pub struct AccountQueues {
+    queues: HashMap<QueueName, Queue>,
+}
+
+impl AccountQueues {
+    /// Takes over a queue at store revision `hold`. `open` are the account's open jobs on the route with
+    /// their unfinished tokens, read after the hold was taken.
+    pub fn on_hold(&mut self, name: &QueueName, hold: u64, open: Vec<(JobId, u64)>, now: Time) {
+        let queue = Queue { hold, left: open.into_iter().collect(), finished: 0.0, since: now };
+        self.queues.insert(name.clone(), queue);
+    }
+
+    /// Notes that another worker holds the queue.
+    pub fn on_lost(&mut self, name: &QueueName) {
+        self.queues.remove(name);
+    }
+
+    /// Decides about a submission of `tokens`. Zero for `limit` means that there is none.
+    pub fn admit(
+        &mut self,
+        name: &QueueName,
+        job: &JobId,
+        tokens: u64,
+        limit: u64,
+        now: Time,
+    ) -> Admission {
+        let Some(queue) = self.queues.get_mut(name) else { return Admission::NotHeld };
+        if queue.left.contains_key(job) {
+            return Admission::Known;
+        }
+        let waiting = queue.waiting();
+        if limit > 0 && waiting + tokens > limit {
+            let retry = queue.retry(waiting + tokens - limit, now);
+            return Admission::Full(QueueFull { waiting, limit, retry });
+        }
+        queue.left.insert(job.clone(), tokens);
+        Admission::Accept { hold: queue.hold }
+    }
+
+    /// Notes that an item ended, whatever its result.
+    pub fn on_finished(&mut self, name: &QueueName, job: &JobId, tokens: u64, now: Time) {
+        let Some(queue) = self.queues.get_mut(name) else { return };
+        if let Some(left) = queue.left.get_mut(job) {
+            *left = left.saturating_sub(tokens);
+            queue.on_finished(tokens, now);
+        }
+    }
+
+    /// Sets what a job has left, as its worker knows it after it has read the results.
+    pub fn set_left(&mut self, name: &QueueName, job: &JobId, tokens: u64) {
+        let Some(queue) = self.queues.get_mut(name) else { return };
+        if let Some(left) = queue.left.get_mut(job) {
+            *left = tokens;
+        }
+    }
+
+    /// Forgets a job that is complete, was ended, or surely was not accepted.
+    pub fn on_closed(&mut self, name: &QueueName, job: &JobId) {
+        if let Some(queue) = self.queues.get_mut(name) {
+            queue.left.remove(job);
+        }
+    }
+
+    /// Returns the jobs that count in a queue.
+    pub fn jobs(&self, name: &QueueName) -> Vec<JobId> {
+        self.queues.get(name).map(|queue| queue.left.keys().cloned().collect()).unwrap_or_default()
+    }
+
+    /// Returns the tokens that wait in a queue; `None` if it is not held here.
+    pub fn waiting(&self, name: &QueueName) -> Option<u64> {
+        self.queues.get(name).map(Queue::waiting)
+    }
+}
--- a/crates/sesamewall-fleet/src/batch_room.rs
+++ b/crates/sesamewall-fleet/src/batch_room.rs
@@ -1,7 +1,9 @@
 //! How much of the fleet batch items may use, and which of them make way for online requests.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -9,6 +11,7 @@
 use crate::Peers;
 use crate::TargetState;
 use crate::TargetTable;
+use crate::message::domain_key;
 
 /// Settings of the room for batch items.
 #[derive(Clone, Debug)]
@@ -16,62 +19,98 @@
     /// Slots that new items leave free at each target while online load is high: what gets free then is
     /// needed again within a moment, and an item that makes way soon has run for little.
     pub peak_free: u32,
-    /// Slots that new items leave free at each target otherwise. Items make way within milliseconds.
-    pub calm_free: u32,
     /// Part of the slots in use by online requests from which their load counts as high.
     pub peak_part: f64,
+    /// Time in which an item makes way, beyond the age of the counts: the target notices that its
+    /// connection has ended.
+    pub yield_time: Duration,
+    /// Time for which a rate of online requests is expected to come back.
+    pub peak_memory: Duration,
+    /// Weight of a worker at targets of its own failure domain. Results that cross domains are paid for.
+    pub near_weight: f64,
 }
 
 impl Default for RoomSettings {
     fn default() -> Self {
-        Self { peak_free: 2, calm_free: 0, peak_part: 0.4 }
+        Self {
+            peak_free: 2,
+            peak_part: 0.4,
+            yield_time: Duration::from_millis(30),
+            peak_memory: Duration::from_secs(8),
+            near_weight: 4.0,
+        }
     }
 }
 
-/// Decides how many own batch items have to make way at a target.
+/// Decides where batch items start, and how many own ones have to make way at a target.
 #[derive(Clone, Debug, Default)]
 pub struct BatchRoom {
     settings: RoomSettings,
+    /// Highest rate of starts a second at one target, and when it was seen.
+    peak: (f64, Time),
 }
 
 impl BatchRoom {
     /// Creates the decision.
     pub fn new(settings: RoomSettings) -> Self {
-        Self { settings }
+        Self { settings, peak: (0.0, Time::ZERO) }
+    }
+
+    /// Notes the starts in the last second at each target, in the mean.
+    pub fn on_starts(&mut self, rate: f64, now: Time) {
+        let (peak, at) = self.peak;
+        if rate >= peak || now.since(at) > self.settings.peak_memory {
+            self.peak = (rate, now);
+        }
     }
 
     /// Returns the slots that a new item leaves free at its target. `online` requests are in flight over
-    /// all targets, which have `slots` together.
-    pub fn free(&self, online: u32, slots: u32) -> u32 {
+    /// all targets, which have `slots` together; `staleness` is the age of the counts. Between peaks
+    /// there has to be room for the online requests that come before items have made way.
+    pub fn free(&self, online: u32, slots: u32, staleness: Duration) -> u32 {
+        let reaction = (staleness + self.settings.yield_time).as_secs_f64();
+        let unseen = (self.peak.0 * reaction).round() as u32;
         match f64::from(online) >= self.settings.peak_part * f64::from(slots) {
-            true => self.settings.peak_free,
-            false => self.settings.calm_free,
+            true => self.settings.peak_free.max(unseen),
+            false => unseen,
         }
     }
 
     /// Returns the numbers of the targets at which the own worker starts items now. The targets are shared
-    /// out among the workers that have waiting items, so that two of them never fill the same place.
+    /// out among the workers that have waiting items, so that two of them never fill the same place:
+    /// each target goes to one of them with a probability by their backlogs, and workers of the target's
+    /// own failure domain count more.
     pub fn own_targets(
         &self,
-        own: &InstanceName,
+        own: &OwnBacklog<'_>,
         table: &TargetTable,
         peers: &Peers,
         now: Time,
     ) -> HashSet<u32> {
         let others: Vec<_> = peers
-            .contacts(now)
-            .map(|contact| &contact.beacon)
-            .filter(|beacon| beacon.worker && !beacon.draining && beacon.backlog > 0)
-            .map(|beacon| &beacon.instance)
+            .workers(now)
+            .into_iter()
+            .filter(|worker| !worker.draining && worker.backlog > 0)
+            .map(|worker| (domain_key(&worker.domain), worker.backlog, &worker.name))
             .collect();
-        let score = |name: &InstanceName, target: u32| {
-            xxh3_64_with_seed(name.as_str().as_bytes(), u64::from(target))
-        };
-        let is_own = |key: &u32| {
-            let mine = score(own, *key);
-            others.iter().all(|other| score(other, *key) <= mine)
+        let own_domain = domain_key(own.domain);
+        let is_own = |target: &TargetState| {
+            let mine = self.score(own.name, own.backlog, own_domain, target);
+            others
+                .iter()
+                .all(|(domain, backlog, name)| self.score(name, *backlog, *domain, target) <= mine)
         };
-        table.iter().map(|target| target.key).filter(is_own).collect()
+        table.iter().filter(|target| is_own(target)).map(|target| target.key).collect()
+    }
+
+    /// Scores a worker at a target by weighted rendezvous hashing (Thaler and Ravishankar 1998, with
+    /// the weights of Schindelhauer and Schomaker 2005). Weights are rounded to powers of two, so that
+    /// few targets change hands when backlogs change a little.
+    fn score(&self, name: &InstanceName, backlog: u32, domain: u32, target: &TargetState) -> f64 {
+        let hash = xxh3_64_with_seed(name.as_str().as_bytes(), u64::from(target.key));
+        let unit = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        let near = if domain == target.domain { self.settings.near_weight } else { 1.0 };
+        -near * f64::from(backlog.max(1).next_power_of_two()) / unit.ln()
     }
 
     /// Returns how many own items have to leave a target now. All workers compute the same order
@@ -83,18 +122,31 @@
         peers: &Peers,
         now: Time,
     ) -> u32 {
-        let total = peers.at_target(target.key);
-        let used = u32::from(total.online) + u32::from(total.batch);
-        let mut excess = used.saturating_sub(target.entry.slots).min(u32::from(total.batch));
         let mine = u32::from(peers.own_at(target.key).batch);
+        if mine == 0 {
+            return 0;
+        }
+        let (online, batch) = peers.at_target(target.key);
+        let excess = (online + batch).saturating_sub(target.entry.slots).min(batch);
         let before = peers
-            .contacts(now)
-            .filter(|contact| contact.beacon.instance < *own)
-            .flat_map(|contact| contact.beacon.targets.iter())
-            .filter(|count| count.key == target.key)
-            .map(|count| u32::from(count.batch))
+            .workers(now)
+            .into_iter()
+            .filter(|worker| worker.name < *own)
+            .flat_map(|worker| worker.batch.iter())
+            .filter(|(key, _)| *key == target.key)
+            .map(|(_, batch)| u32::from(*batch))
             .sum::<u32>();
-        excess = excess.saturating_sub(before);
-        excess.min(mine)
+        excess.saturating_sub(before).min(mine)
     }
 }
+
+/// The own worker, as the share of targets depends on it.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnBacklog<'a> {
+    /// Its name.
+    pub name: &'a InstanceName,
+    /// Its failure domain.
+    pub domain: &'a DomainName,
+    /// Its waiting items.
+    pub backlog: u32,
+}
--- a/crates/sesamewall-fleet/src/catalog.rs
+++ b/crates/sesamewall-fleet/src/catalog.rs
@@ -60,6 +60,8 @@
     pub due: Duration,
     /// Time from the first submission of a job after which items may be given up.
     pub keep: Duration,
+    /// Most tokens of an account's unfinished items; 0 for no limit.
+    pub max_waiting: u64,
 }
 
 impl RouteSpec {
@@ -214,7 +216,7 @@
     }
 }
 
-/// Returns the number under which beacons name an account.
-pub(crate) fn account_key(name: &AccountName) -> u32 {
+/// Returns the number under which messages name an account.
+pub fn account_key(name: &AccountName) -> u32 {
     xxh3_64(name.as_str().as_bytes()) as u32
 }
--- /dev/null
+++ b/crates/sesamewall-fleet/src/counts.rs
@@ -0,0 +1,296 @@
+//! Requests of all instances at targets, and their starts in the last second.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::Time;
+
+use crate::DomainLoads;
+use crate::TargetCount;
+use crate::TargetLoad;
+
+/// Window of the bound on starts at a cold target.
+const START_WINDOW: Duration = Duration::from_secs(1);
+
+/// Time for which a report lists a target without requests: several reports, so that none of its starts
+/// is missed when some are lost.
+const LISTED_TIME: Duration = Duration::from_millis(1500);
+
+/// Reports that are remembered until a digest names them: more than two seconds of them.
+const KEPT_REPORTS: usize = 128;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    online: u32,
+    batch: u32,
+}
+
+/// What another instance or group said last.
+#[derive(Clone, Debug, Default)]
+struct Source {
+    boot: u64,
+    targets: Vec<TargetCount>,
+    started: HashMap<u32, u32>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Own {
+    count: TargetCount,
+    used: Time,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    sequence: u64,
+    targets: Vec<TargetCount>,
+}
+
+/// Counts at targets: the own ones, and those of all others either from their own words (in a hub) or
+/// from the home's digests (in a member).
+#[derive(Clone, Debug, Default)]
+pub struct Counts {
+    own: HashMap<u32, Own>,
+    others: HashMap<u32, Load>,
+    sources: HashMap<InstanceName, Source>,
+    /// Starts of the own group since the start of the process.
+    group_started: HashMap<u32, u32>,
+    starts: HashMap<u32, VecDeque<(Time, u32)>>,
+    /// Loads by failure domain, from digests.
+    digest: HashMap<u32, Vec<TargetLoad>>,
+    recent: HashMap<u32, u32>,
+    sequence: u64,
+    sent: VecDeque<Sent>,
+    /// Own starts that no digest includes yet, with the report that tells them.
+    pending: VecDeque<(u64, u32)>,
+}
+
+impl Counts {
+    /// Counts an own request that is about to be sent.
+    pub fn start(&mut self, key: u32, batch: bool, now: Time) {
+        let own = self.own.entry(key).or_default();
+        own.count.key = key;
+        own.used = now;
+        own.count.started += 1;
+        match batch {
+            true => own.count.batch += 1,
+            false => own.count.online += 1,
+        }
+        *self.group_started.entry(key).or_default() += 1;
+        self.starts.entry(key).or_default().push_back((now, 1));
+        self.pending.push_back((self.sequence + 1, key));
+        if self.pending.len() > 4 * KEPT_REPORTS {
+            self.pending.pop_front();
+        }
+    }
+
+    /// Ends the counting of an own request.
+    pub fn end(&mut self, key: u32, batch: bool) {
+        if let Some(own) = self.own.get_mut(&key) {
+            match batch {
+                true => own.count.batch = own.count.batch.saturating_sub(1),
+                false => own.count.online = own.count.online.saturating_sub(1),
+            }
+        }
+    }
+
+    /// Takes over what another instance or group says about itself. `in_group` tells that its starts
+    /// count as those of the own group.
+    pub fn on_source(
+        &mut self,
+        name: &InstanceName,
+        boot: u64,
+        targets: &[TargetCount],
+        in_group: bool,
+        now: Time,
+    ) {
+        let mut source = self.sources.remove(name).unwrap_or_default();
+        subtract(&mut self.others, &source.targets);
+        let known = source.boot == boot;
+        if !known {
+            source.started.clear();
+        }
+        for count in targets {
+            let load = self.others.entry(count.key).or_default();
+            load.online += u32::from(count.online);
+            load.batch += u32::from(count.batch);
+            // The first word of a start says nothing about the last second: all may be recent, but
+            // no more than what is still running is likely.
+            let before = match source.started.insert(count.key, count.started) {
+                Some(before) => before,
+                None if known => 0,
+                None => count.started.saturating_sub(u32::from(count.online + count.batch)),
+            };
+            let news = count.started.saturating_sub(before);
+            if news > 0 {
+                self.starts.entry(count.key).or_default().push_back((now, news));
+                if in_group {
+                    *self.group_started.entry(count.key).or_default() += news;
+                }
+            }
+        }
+        source.boot = boot;
+        source.targets = targets.to_vec();
+        self.sources.insert(name.clone(), source);
+    }
+
+    /// Forgets what another instance or group said.
+    pub fn drop_source(&mut self, name: &InstanceName) {
+        if let Some(source) = self.sources.remove(name) {
+            subtract(&mut self.others, &source.targets);
+        }
+    }
+
+    /// Takes over loads from a digest that includes the own report `acked`.
+    pub fn on_loads(&mut self, acked: u64, domains: &[DomainLoads]) {
+        while self.sent.front().is_some_and(|sent| sent.sequence < acked) {
+            self.sent.pop_front();
+        }
+        while self.pending.front().is_some_and(|(sequence, _)| *sequence <= acked) {
+            self.pending.pop_front();
+        }
+        let included = self.sent.front().filter(|sent| sent.sequence == acked);
+        let included: Vec<TargetCount> =
+            included.map(|sent| sent.targets.clone()).unwrap_or_default();
+        for domain in domains {
+            for load in self.digest.remove(&domain.domain).unwrap_or_default() {
+                self.others.remove(&load.key);
+                self.recent.remove(&load.key);
+            }
+            for load in &domain.loads {
+                let mine = included.iter().find(|count| count.key == load.key);
+                let mine = mine.copied().unwrap_or_default();
+                let others = Load {
+                    online: u32::from(load.online.saturating_sub(mine.online)),
+                    batch: u32::from(load.batch.saturating_sub(mine.batch)),
+                };
+                self.others.insert(load.key, others);
+                self.recent.insert(load.key, u32::from(load.recent));
+            }
+            self.digest.insert(domain.domain, domain.loads.clone());
+        }
+    }
+
+    /// Forgets all others: the instance becomes a hub or a member.
+    pub fn reset_others(&mut self) {
+        self.others.clear();
+        self.sources.clear();
+        self.digest.clear();
+        self.recent.clear();
+    }
+
+    /// Returns the own counts for report `sequence`, and remembers them until a digest names it.
+    pub fn report(&mut self, sequence: u64, now: Time) -> Vec<TargetCount> {
+        self.sequence = sequence;
+        let targets = self.own_counts(now);
+        self.sent.push_back(Sent { sequence, targets: targets.clone() });
+        if self.sent.len() > KEPT_REPORTS {
+            self.sent.pop_front();
+        }
+        targets
+    }
+
+    fn own_counts(&self, now: Time) -> Vec<TargetCount> {
+        let listed = |own: &&Own| {
+            own.count.online > 0 || own.count.batch > 0 || now.since(own.used) < LISTED_TIME
+        };
+        self.own.values().filter(listed).map(|own| own.count).collect()
+    }
+
+    /// Returns the counts of the own instance and the members `names`, for a beacon.
+    pub fn group<'a>(
+        &self,
+        names: impl Iterator<Item = &'a InstanceName>,
+        now: Time,
+    ) -> Vec<TargetCount> {
+        let mut sums: HashMap<u32, TargetCount> = HashMap::new();
+        let own = self.own_counts(now);
+        let members = names.filter_map(|name| self.sources.get(name));
+        for count in own.iter().chain(members.flat_map(|source| source.targets.iter())) {
+            let sum = sums.entry(count.key).or_default();
+            sum.key = count.key;
+            sum.online = sum.online.saturating_add(count.online);
+            sum.batch = sum.batch.saturating_add(count.batch);
+            sum.started = self.group_started.get(&count.key).copied().unwrap_or_default();
+        }
+        sums.into_values().collect()
+    }
+
+    /// Returns the requests of all instances at a target: online and batch.
+    pub fn at(&self, key: u32) -> (u32, u32) {
+        let own = self.own.get(&key).map(|own| own.count).unwrap_or_default();
+        let others = self.others.get(&key).copied().unwrap_or_default();
+        (others.online + u32::from(own.online), others.batch + u32::from(own.batch))
+    }
+
+    /// Returns what the own instance has at a target.
+    pub fn own_at(&self, key: u32) -> TargetCount {
+        self.own.get(&key).map(|own| own.count).unwrap_or_default()
+    }
+
+    /// Returns the batch items of the own instance by target.
+    pub fn own_batch(&self) -> Vec<(u32, u16)> {
+        let counts = self.own.values().map(|own| own.count);
+        counts.filter(|count| count.batch > 0).map(|count| (count.key, count.batch)).collect()
+    }
+
+    /// Returns the online requests of the own instance.
+    pub fn own_online(&self) -> u32 {
+        self.own.values().map(|own| u32::from(own.count.online)).sum()
+    }
+
+    /// Returns the online requests of all instances, by their own words.
+    pub fn online(&self) -> u32 {
+        self.own_online() + self.others.values().map(|load| load.online).sum::<u32>()
+    }
+
+    /// Returns the starts of all instances at a target in the last second.
+    pub fn recent_starts(&self, key: u32, now: Time) -> u32 {
+        if !self.digest.is_empty() {
+            let own = self.pending.iter().filter(|(_, started)| *started == key).count() as u32;
+            return self.recent.get(&key).copied().unwrap_or_default() + own;
+        }
+        let recent = |(at, _): &&(Time, u32)| now.since(*at) < START_WINDOW;
+        self.starts
+            .get(&key)
+            .map_or(0, |starts| starts.iter().filter(recent).map(|(_, count)| count).sum())
+    }
+
+    /// Returns the load of a target for a digest; `None` if there is none.
+    pub fn load(&self, key: u32, now: Time) -> Option<TargetLoad> {
+        let small = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+        let (online, batch) = self.at(key);
+        let recent = self.recent_starts(key, now);
+        let load =
+            TargetLoad { key, online: small(online), batch: small(batch), recent: small(recent) };
+        (online + batch + recent > 0).then_some(load)
+    }
+
+    /// Forgets old starts, and own counts of targets that `keep` does not name and that have no request.
+    pub fn on_tick(&mut self, keep: impl Fn(u32) -> bool, now: Time) {
+        for starts in self.starts.values_mut() {
+            while starts.front().is_some_and(|(at, _)| now.since(*at) >= START_WINDOW) {
+                starts.pop_front();
+            }
+        }
+        self.starts.retain(|_, starts| !starts.is_empty());
+        self.own.retain(|key, own| own.count.online > 0 || own.count.batch > 0 || keep(*key));
+        self.group_started.retain(|key, _| keep(*key));
+        for source in self.sources.values_mut() {
+            source.started.retain(|key, _| keep(*key));
+        }
+    }
+}
+
+fn subtract(others: &mut HashMap<u32, Load>, counts: &[TargetCount]) {
+    for count in counts {
+        if let Some(load) = others.get_mut(&count.key) {
+            load.online = load.online.saturating_sub(u32::from(count.online));
+            load.batch = load.batch.saturating_sub(u32::from(count.batch));
+            if load.online == 0 && load.batch == 0 {
+                others.remove(&count.key);
+            }
+        }
+    }
+}
--- a/crates/sesamewall-fleet/src/job.rs
+++ b/crates/sesamewall-fleet/src/job.rs
@@ -8,12 +8,6 @@
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::JobId;
-use xxhash_rust::xxh3::xxh3_64;
-
-/// Returns the number under which beacons name a job.
-pub fn job_key(job: &JobId) -> u32 {
-    xxh3_64(job.as_str().as_bytes()) as u32
-}
 
 /// An item of a job.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +22,8 @@
     /// Body of the request.
     #[serde(with = "byte_text")]
     pub body: Vec<u8>,
+    /// Tokens of the prompt and the longest output together.
+    pub tokens: u64,
 }
 
 /// A job as it was accepted.
@@ -46,6 +42,13 @@
     pub items: Vec<ItemSpec>,
 }
 
+impl JobSpec {
+    /// Returns the tokens of all items.
+    pub fn tokens(&self) -> u64 {
+        self.items.iter().map(|item| item.tokens).sum()
+    }
+}
+
 /// How an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -73,13 +76,14 @@
 #[derive(Clone, Debug, Default)]
 pub struct ResultList {
     results: Vec<Arc<ItemResult>>,
-    groups: u64,
+    /// Position after each group.
+    ends: Vec<usize>,
 }
 
 impl ResultList {
     /// Returns the number of groups that have been appended.
     pub fn groups(&self) -> u64 {
-        self.groups
+        self.ends.len() as u64
     }
 
     /// Returns the number of results.
@@ -94,14 +98,32 @@
 
     /// Appends group `number`. A group out of order is ignored: a reader that missed one reads again.
     pub fn append(&mut self, number: u64, group: Vec<ItemResult>) -> bool {
-        if number != self.groups {
+        if number != self.groups() {
             return false;
         }
-        self.groups += 1;
         self.results.extend(group.into_iter().map(Arc::new));
+        self.ends.push(self.results.len());
         true
     }
 
+    /// Returns the groups from `first` on, at least one if there is one, and at most `max_bytes` of output
+    /// beyond it.
+    pub fn groups_from(&self, first: u64, max_bytes: usize) -> Vec<Vec<Arc<ItemResult>>> {
+        let first = usize::try_from(first).unwrap_or(usize::MAX);
+        let start = |group: usize| group.checked_sub(1).map_or(0, |before| self.ends[before]);
+        let mut bytes = 0;
+        let mut groups = Vec::new();
+        for group in first..self.ends.len() {
+            let results = &self.results[start(group)..self.ends[group]];
+            bytes += results.iter().map(|result| result.output.len()).sum::<usize>();
+            if bytes > max_bytes && !groups.is_empty() {
+                break;
+            }
+            groups.push(results.to_vec());
+        }
+        groups
+    }
+
     /// Returns the results from a position on: at least one if there is one, and at most
     /// `max_bytes` of output beyond the first.
     pub fn page(&self, after: usize, max_bytes: usize) -> &[Arc<ItemResult>] {
--- /dev/null
+++ b/crates/sesamewall-fleet/src/job_owner.rs
@@ -0,0 +1,37 @@
+//! Which worker accepts and runs the jobs of an account.
+
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::InstanceName;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::catalog::account_key;
+
+/// Workers of the fleet that look for jobs without a worker. Two bear the loss of one.
+const SWEEPERS: usize = 2;
+
+fn score(worker: &InstanceName, seed: u64) -> u64 {
+    xxh3_64_with_seed(worker.as_str().as_bytes(), seed)
+}
+
+/// Orders workers by their claim on the jobs of an account, the owner first. All instances that hear the
+/// same workers return the same order, and a worker that comes or goes moves only its own accounts.
+pub fn job_owners<'a, T>(
+    account: Option<&AccountName>,
+    workers: impl IntoIterator<Item = T>,
+    name: impl Fn(&T) -> &'a InstanceName,
+) -> Vec<T> {
+    let seed = account.map_or(0, |account| u64::from(account_key(account)));
+    let mut ranked: Vec<T> = workers.into_iter().collect();
+    ranked.sort_by_key(|worker| std::cmp::Reverse(score(name(worker), seed)));
+    ranked
+}
+
+/// Tells whether `own` is one of the workers that look after jobs without a worker. `others` are the
+/// workers in contact that the store serves.
+pub fn is_sweeper<'a>(
+    own: &InstanceName,
+    others: impl IntoIterator<Item = &'a InstanceName>,
+) -> bool {
+    let mine = score(own, 0);
+    others.into_iter().filter(|other| score(other, 0) > mine).count() < SWEEPERS
+}
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -1,311 +1,514 @@
-//! What an instance has heard of the others: their counts at targets and who is in contact.
+//! What an instance has heard of the others, as a hub or as a member of a hub's group.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::time::Duration;
 
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
 
 use crate::Beacon;
+use crate::Census;
+use crate::CensusSettings;
+use crate::Counts;
+use crate::Digest;
+use crate::DomainLoads;
+use crate::HubWord;
+use crate::Member;
+use crate::Parts;
+use crate::Report;
 use crate::TargetCount;
-use crate::beacon::instance_key;
+use crate::TargetTable;
+use crate::WorkerWord;
+use crate::message::domain_key;
+use crate::message::instance_key;
 
 /// Settings of the view of the other instances.
 #[derive(Clone, Debug)]
 pub struct PeerSettings {
-    /// Silence after which an instance is not in contact: several beacon intervals.
-    pub contact_time: Duration,
-    /// Age up to which a worker's word about its jobs is trusted. A result that one reader has seen
-    /// has to be visible to all within a second.
-    pub hint_time: Duration,
-    /// Silence after which the counts of an instance are forgotten.
+    /// Which instances exist, and which are heard.
+    pub census: CensusSettings,
+    /// Silence after which the counts of an instance or group are forgotten.
     pub forget_time: Duration,
+    /// Silence of the home after which a member's word about workers and hubs is too old.
+    pub stale_time: Duration,
+    /// Shortest time between two beacons or digests of a hub, for each instance of the fleet: the
+    /// datagrams of a second stay about the same in fleets of any size.
+    pub interval: Duration,
+    /// Bounds of that time.
+    pub interval_bounds: (Duration, Duration),
+    /// Shortest time between two reports of a member.
+    pub report_interval: Duration,
 }
 
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
-            contact_time: Duration::from_millis(700),
-            hint_time: Duration::from_millis(500),
+            census: CensusSettings::default(),
             forget_time: Duration::from_millis(1500),
+            stale_time: Duration::from_secs(3),
+            interval: Duration::from_micros(200),
+            interval_bounds: (Duration::from_millis(8), Duration::from_millis(60)),
+            report_interval: Duration::from_millis(10),
         }
     }
 }
 
-/// Window of the bound on starts at a cold target.
-const START_WINDOW: Duration = Duration::from_secs(1);
+/// Who the own instance is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// It takes callers' requests.
+    pub front: bool,
+}
 
-/// What was heard of an instance.
+/// What was heard of a hub.
 #[derive(Clone, Debug)]
-pub struct Contact {
+pub struct HubContact {
     /// The last beacon.
     pub beacon: Beacon,
     /// When it came.
     pub heard: Time,
-    /// When the last one came from the instance itself and not through another one.
+    /// When the last one came from the hub itself and not through another one.
     pub direct: Option<Time>,
 }
 
-/// Counts of all instances.
-#[derive(Clone, Debug, Default)]
+/// What was heard of a member of the own group.
+#[derive(Clone, Debug)]
+struct MemberContact {
+    report: Report,
+    heard: Time,
+}
+
+/// What the home said last.
+#[derive(Clone, Debug)]
+struct Home {
+    digest: Digest,
+    heard: Time,
+}
+
+/// The view of all other instances.
+#[derive(Clone, Debug)]
 pub struct Peers {
     settings: PeerSettings,
-    heard: BTreeMap<InstanceName, Contact>,
-    registered: BTreeSet<InstanceName>,
+    own: Identity,
+    hub: bool,
+    counts: Counts,
+    census: Census,
+    hubs: BTreeMap<InstanceName, HubContact>,
     last_direct: HashMap<InstanceName, Time>,
-    own: HashMap<u32, TargetCount>,
-    others: HashMap<u32, TargetCount>,
-    starts: HashMap<u32, VecDeque<(Time, u32)>>,
+    members: BTreeMap<InstanceName, MemberContact>,
+    home: Option<Home>,
+    workers: Vec<WorkerWord>,
+    known_hubs: Vec<HubWord>,
 }
 
 impl Peers {
-    /// Creates an empty view.
-    pub fn new(settings: PeerSettings) -> Self {
-        Self { settings, ..Self::default() }
+    /// Creates the view of a process that has heard nobody.
+    pub fn new(settings: PeerSettings, own: Identity) -> Self {
+        Self {
+            census: Census::new(settings.census.clone()),
+            settings,
+            own,
+            hub: false,
+            counts: Counts::default(),
+            hubs: BTreeMap::new(),
+            last_direct: HashMap::new(),
+            members: BTreeMap::new(),
+            home: None,
+            workers: Vec::new(),
+            known_hubs: Vec::new(),
+        }
     }
 
-    /// Takes over a beacon, which came from the instance itself if `direct`. Returns false for one
+    /// Tells whether the own instance is a hub.
+    pub fn is_hub(&self) -> bool {
+        self.hub
+    }
+
+    /// Becomes a hub, or a member again. What was known about the others is learned anew.
+    pub fn set_hub(&mut self, hub: bool) {
+        if self.hub != hub {
+            self.hub = hub;
+            self.counts.reset_others();
+            self.hubs.clear();
+            self.members.clear();
+            self.home = None;
+        }
+    }
+
+    /// Takes over the size of the fleet as the store has it: fronts and all instances.
+    pub fn on_size(&mut self, fronts: u32, all: u32) {
+        self.census.on_size(fronts, all);
+    }
+
+    /// Takes over a hub's beacon, which came from the hub itself if `direct`. Returns false for one
     /// that is older than the last one.
     pub fn on_beacon(&mut self, beacon: Beacon, direct: bool, now: Time) -> bool {
-        let name = beacon.instance.clone();
-        if let Some(known) = self.heard.get_mut(&name)
-            && direct
+        let name = beacon.hub.name.clone();
+        if direct {
+            self.last_direct.insert(name.clone(), now);
+        }
+        let direct = self.last_direct.get(&name).copied();
+        if let Some(known) = self.hubs.get_mut(&name) {
+            known.direct = direct;
+            if known.beacon.boot == beacon.boot && known.beacon.sequence >= beacon.sequence {
+                return false;
+            }
+        }
+        let own_key = instance_key(&self.own.name);
+        let others: Vec<Member> =
+            beacon.members.iter().filter(|member| member.key != own_key).copied().collect();
+        self.census.on_heard(&others, now);
+        let missing: Vec<_> =
+            beacon.missing.iter().filter(|word| word.member.key != own_key).copied().collect();
+        self.census.on_missing(&missing, now);
+        for key in &beacon.gone {
+            self.census.on_gone(*key, now);
+        }
+        self.counts.on_source(&name, beacon.boot, &beacon.targets, false, now);
+        self.hubs.insert(name, HubContact { beacon, heard: now, direct });
+        true
+    }
+
+    /// Takes over a member's report. Returns false for one that is older than the last one.
+    pub fn on_report(&mut self, report: Report, now: Time) -> bool {
+        let name = report.instance.clone();
+        let key = instance_key(&name);
+        if report.leaving {
+            self.counts.drop_source(&name);
+            self.members.remove(&name);
+            self.census.left(key, now);
+            return true;
+        }
+        if let Some(known) = self.members.get(&name)
+            && known.report.boot == report.boot
+            && known.report.sequence >= report.sequence
         {
-            known.direct = Some(now);
+            return false;
         }
-        let former = self.heard.get(&name);
-        let same_start = former.filter(|known| known.beacon.boot == beacon.boot);
-        if same_start.is_some_and(|known| known.beacon.sequence >= beacon.sequence) {
+        self.census.on_heard(&[Member { key, front: report.front }], now);
+        self.counts.on_source(&name, report.boot, &report.targets, true, now);
+        self.members.insert(name, MemberContact { report, heard: now });
+        true
+    }
+
+    /// Notes that another hub says that it ends.
+    pub fn on_hub_gone(&mut self, name: &InstanceName, now: Time) {
+        self.counts.drop_source(name);
+        self.hubs.remove(name);
+        self.census.left(instance_key(name), now);
+    }
+
+    /// Takes over the home's digest. Returns false if it is old or does not include the own reports.
+    pub fn on_digest(&mut self, digest: Digest, now: Time) -> bool {
+        let key = instance_key(&self.own.name);
+        let acked = digest.acked.iter().find(|(member, _)| *member == key);
+        let Some((_, acked)) = acked.copied() else { return false };
+        let former = self.home.as_ref().map(|home| &home.digest);
+        let same = former
+            .filter(|former| former.hub.name == digest.hub.name && former.boot == digest.boot);
+        if self.hub || same.is_some_and(|former| former.sequence >= digest.sequence) {
             return false;
         }
-        let earlier: HashMap<u32, u32> = same_start
-            .map(|known| known.beacon.targets.iter().map(|count| (count.key, count.started)))
-            .map(Iterator::collect)
-            .unwrap_or_default();
-        let known_start = same_start.is_some();
-        if let Some(known) = self.heard.remove(&name) {
-            self.subtract(&known.beacon.targets);
+        if same.is_none() {
+            self.counts.reset_others();
         }
-        for count in &beacon.targets {
-            let total = self.others.entry(count.key).or_default();
-            total.online += count.online;
-            total.batch += count.batch;
-            // The first beacon of a start says nothing about the last second: all may be recent,
-            // but no more than what is still running is likely.
-            let before = match earlier.get(&count.key) {
-                Some(before) => *before,
-                None if known_start => 0,
-                None => count.started.saturating_sub(u32::from(count.online + count.batch)),
-            };
-            let news = count.started.saturating_sub(before);
-            if news > 0 {
-                self.starts.entry(count.key).or_default().push_back((now, news));
-            }
+        self.counts.on_loads(acked, &digest.loads);
+        if let Some(workers) = &digest.workers {
+            self.workers = workers.clone();
+            self.workers.retain(|worker| worker.name != self.own.name);
         }
-        let direct_at = match direct {
-            true => Some(now),
-            false => self.last_direct.get(&name).copied(),
-        };
-        if let Some(at) = direct_at {
-            self.last_direct.insert(name.clone(), at);
+        if let Some(hubs) = &digest.hubs {
+            self.known_hubs = hubs.clone();
         }
-        self.heard.insert(name, Contact { beacon, heard: now, direct: direct_at });
+        self.home = Some(Home { digest, heard: now });
         true
     }
 
-    fn subtract(&mut self, counts: &[TargetCount]) {
-        for count in counts {
-            if let Some(total) = self.others.get_mut(&count.key) {
-                total.online = total.online.saturating_sub(count.online);
-                total.batch = total.batch.saturating_sub(count.batch);
-                if total.online == 0 && total.batch == 0 {
-                    self.others.remove(&count.key);
-                }
+    /// Takes over hubs that the store or another instance names.
+    pub fn on_hubs(&mut self, hubs: &[HubWord]) {
+        for hub in hubs.iter().filter(|hub| hub.name != self.own.name) {
+            match self.known_hubs.iter_mut().find(|known| known.name == hub.name) {
+                Some(known) => *known = hub.clone(),
+                None => self.known_hubs.push(hub.clone()),
             }
         }
     }
 
-    /// Forgets the counts of silent instances and old starts.
-    pub fn on_tick(&mut self, now: Time) {
+    /// Forgets silent groups and members and old starts. `keep` names the targets that exist.
+    pub fn on_tick(&mut self, keep: impl Fn(u32) -> bool, now: Time) {
         let limit = self.settings.forget_time;
-        let silent: Vec<_> = self
-            .heard
-            .iter()
-            .filter(|(_, known)| now.since(known.heard) > limit)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in silent {
-            if let Some(known) = self.heard.remove(&name) {
-                self.subtract(&known.beacon.targets);
-            }
+        let silent = |heard: Time| now.since(heard) > limit;
+        let hubs = self.hubs.iter().filter(|(_, known)| silent(known.heard));
+        let members = self.members.iter().filter(|(_, known)| silent(known.heard));
+        let lost: Vec<InstanceName> =
+            hubs.map(|(name, _)| name).chain(members.map(|(name, _)| name)).cloned().collect();
+        for name in lost {
+            self.counts.drop_source(&name);
+            self.hubs.remove(&name);
+            self.members.remove(&name);
         }
-        for starts in self.starts.values_mut() {
-            while starts.front().is_some_and(|(at, _)| now.since(*at) >= START_WINDOW) {
-                starts.pop_front();
-            }
+        self.counts.on_tick(keep, now);
+        self.census.on_tick(now);
+    }
+
+    fn contact_time(&self) -> Duration {
+        self.settings.census.contact_time
+    }
+
+    /// Returns the parts of the fleet that are heard.
+    pub fn parts(&self, now: Time) -> Parts {
+        if self.hub {
+            return self.census.parts(self.own.front, now);
+        }
+        let Some(home) = &self.home else { return self.census.parts(self.own.front, now) };
+        let count = home.digest.fronts.max(1);
+        match now.since(home.heard) <= self.contact_time() {
+            true => Parts {
+                fronts: f64::from(home.digest.front_part),
+                fleet: f64::from(home.digest.fleet_part),
+                front_count: count,
+                complete: home.digest.complete,
+            },
+            // Without its home a member knows only itself.
+            false => Parts {
+                fronts: 1.0 / f64::from(count),
+                fleet: 1.0 / f64::from(count),
+                front_count: count,
+                complete: false,
+            },
         }
-        self.starts.retain(|_, starts| !starts.is_empty());
     }
 
-    /// Takes over the list of registered instances, without the own one.
-    pub fn set_registered(&mut self, names: BTreeSet<InstanceName>) {
-        self.registered = names;
+    /// Returns the fronts and all instances that are heard.
+    pub fn live(&self, now: Time) -> (u32, u32) {
+        self.census.live(self.own.front, now)
     }
 
-    /// Tells whether a list of registered instances is known and all of them are in contact.
-    pub fn all_heard(&self, now: Time) -> bool {
-        let in_contact = |name: &InstanceName| {
-            let known = self.heard.get(name);
-            known.is_some_and(|known| now.since(known.heard) <= self.settings.contact_time)
+    /// Returns the shortest time between two beacons or digests.
+    pub fn interval(&self, now: Time) -> Duration {
+        let all = match (self.hub, &self.home) {
+            (false, Some(home)) => home.digest.fronts,
+            _ => self.live(now).1,
         };
-        !self.registered.is_empty() && self.registered.iter().all(in_contact)
+        let (shortest, longest) = self.settings.interval_bounds;
+        (self.settings.interval * all).clamp(shortest, longest)
     }
 
-    /// Returns the random number of the last known start of an instance.
-    pub fn boot(&self, name: &InstanceName) -> Option<u64> {
-        self.heard.get(name).map(|known| known.beacon.boot)
-    }
-
-    /// Returns the part of the registered instances that is in contact, itself included.
-    pub fn heard_part(&self, now: Time, of_role: impl Fn(&Beacon) -> bool) -> f64 {
-        let live = |known: &&Contact| now.since(known.heard) <= self.settings.contact_time;
-        let heard = self.heard.values().filter(live).filter(|known| of_role(&known.beacon)).count();
-        // A registered instance that was never heard may have any role.
-        let missing = self
-            .registered
-            .iter()
-            .filter(|name| match self.heard.get(*name) {
-                Some(known) => {
-                    of_role(&known.beacon) && now.since(known.heard) > self.settings.contact_time
-                }
-                None => true,
-            })
-            .count();
-        (heard + 1) as f64 / (heard + missing + 1) as f64
+    /// Returns the shortest time between two reports.
+    pub fn report_interval(&self) -> Duration {
+        self.settings.report_interval
+    }
+
+    /// Returns the usual age of what is known of the others in the own failure domain: a hub hears its
+    /// members and the other hubs, a member hears them through its home.
+    pub fn staleness(&self, now: Time) -> Duration {
+        match self.hub {
+            true => self.interval(now),
+            false => self.settings.report_interval / 2 + self.interval(now) * 3 / 2,
+        }
+    }
+
+    /// Returns the hubs in contact, as a hub hears them.
+    pub fn hub_contacts(&self, now: Time) -> impl Iterator<Item = &HubContact> {
+        let limit = self.contact_time();
+        self.hubs.values().filter(move |known| now.since(known.heard) <= limit)
     }
 
-    /// Returns the instances that are heard directly. Others in contact may be heard through a third one
+    /// Returns the hubs that are heard directly. Others in contact may be heard through a third one
     /// while they cannot be reached.
-    pub fn direct_contacts(&self, now: Time) -> impl Iterator<Item = &Contact> {
-        let limit = self.settings.contact_time;
-        let fresh = move |known: &&Contact| known.direct.is_some_and(|at| now.since(at) <= limit);
-        self.heard.values().filter(fresh)
-    }
-
-    /// Returns the numbers of the instances that are heard directly.
-    pub fn direct_keys(&self, now: Time) -> Vec<u32> {
-        self.direct_contacts(now).map(|known| instance_key(&known.beacon.instance)).collect()
-    }
-
-    /// Returns the instances to which the own one passes a beacon of `sender` on: those that hear the
-    /// own instance but not the sender, as far as no instance with a lower name can do it.
-    pub fn pass_on_to(
-        &self,
-        own: &InstanceName,
-        sender: &InstanceName,
-        now: Time,
-    ) -> Vec<InstanceName> {
-        let sender_key = instance_key(sender);
-        let hears = |contact: &Contact, key: u32| contact.beacon.heard.contains(&key);
-        let lacking = self.contacts(now).filter(|contact| {
-            contact.beacon.instance != *sender
+    pub fn direct_hubs(&self, now: Time) -> impl Iterator<Item = &HubContact> {
+        let limit = self.contact_time();
+        let fresh =
+            move |known: &&HubContact| known.direct.is_some_and(|at| now.since(at) <= limit);
+        self.hubs.values().filter(fresh)
+    }
+
+    /// Returns the random number of the last known start of a hub.
+    pub fn boot(&self, name: &InstanceName) -> Option<u64> {
+        self.hubs.get(name).map(|known| known.beacon.boot)
+    }
+
+    /// Returns the hubs to which the own one passes a beacon of `sender` on: those that hear the own
+    /// hub but not the sender, as far as no hub with a lower name can do it.
+    pub fn pass_on_to(&self, sender: &InstanceName, now: Time) -> Vec<InstanceName> {
+        let (own, sender_key) = (&self.own.name, instance_key(sender));
+        let hears = |contact: &HubContact, key: u32| contact.beacon.heard.contains(&key);
+        let lacking = self.hub_contacts(now).filter(|contact| {
+            contact.beacon.hub.name != *sender
                 && !hears(contact, sender_key)
                 && hears(contact, instance_key(own))
         });
         lacking
             .filter(|contact| {
-                !self.contacts(now).any(|other| {
-                    other.beacon.instance < *own
-                        && other.beacon.instance != contact.beacon.instance
+                !self.hub_contacts(now).any(|other| {
+                    other.beacon.hub.name < *own
+                        && other.beacon.hub.name != contact.beacon.hub.name
                         && hears(other, sender_key)
-                        && hears(contact, instance_key(&other.beacon.instance))
+                        && hears(contact, instance_key(&other.beacon.hub.name))
                 })
             })
-            .map(|contact| contact.beacon.instance.clone())
+            .map(|contact| contact.beacon.hub.name.clone())
             .collect()
     }
 
-    /// Returns the instances in contact.
-    pub fn contacts(&self, now: Time) -> impl Iterator<Item = &Contact> {
-        let limit = self.settings.contact_time;
-        self.heard.values().filter(move |known| now.since(known.heard) <= limit)
-    }
-
-    /// Returns the groups of results that the worker of a job has committed, if one says that it runs
-    /// the job. Without an answer the store has to be read.
-    pub fn job_groups(&self, job: u32, now: Time) -> Option<u32> {
-        let fresh = self.settings.hint_time;
-        self.heard
-            .values()
-            .filter(|known| now.since(known.heard) <= fresh)
-            .flat_map(|known| known.beacon.jobs.iter())
-            .filter(|(key, _)| *key == job)
-            .map(|(_, groups)| *groups)
-            .max()
-    }
-
-    /// Returns the requests of all instances at a target.
-    pub fn at_target(&self, key: u32) -> TargetCount {
-        let own = self.own.get(&key).copied().unwrap_or_default();
-        let others = self.others.get(&key).copied().unwrap_or_default();
-        TargetCount {
-            key,
-            online: own.online + others.online,
-            batch: own.batch + others.batch,
-            started: own.started,
+    /// Returns the hubs that the instance knows, heard or not.
+    pub fn hubs(&self, now: Time) -> Vec<HubWord> {
+        match self.hub {
+            true => self.hub_contacts(now).map(|contact| contact.beacon.hub.clone()).collect(),
+            false => self.known_hubs.clone(),
         }
     }
 
-    /// Returns the online requests of all instances, by target key.
-    pub fn online_total(&self) -> u32 {
-        let own: u32 = self.own.values().map(|count| u32::from(count.online)).sum();
-        own + self.others.values().map(|count| u32::from(count.online)).sum::<u32>()
+    /// Returns the hubs that were named at some time, heard or not.
+    pub fn named_hubs(&self) -> &[HubWord] {
+        &self.known_hubs
+    }
+
+    /// Returns the other workers that are heard.
+    pub fn workers(&self, now: Time) -> Vec<&WorkerWord> {
+        if self.hub {
+            let limit = self.contact_time();
+            let members = self.members.values().filter(|known| now.since(known.heard) <= limit);
+            let own = members.filter_map(|known| known.report.worker.as_ref());
+            return self
+                .hub_contacts(now)
+                .flat_map(|contact| contact.beacon.workers.iter())
+                .chain(own)
+                .filter(|worker| worker.name != self.own.name)
+                .collect();
+        }
+        let fresh = self
+            .home
+            .as_ref()
+            .is_some_and(|home| now.since(home.heard) <= self.settings.stale_time);
+        if fresh { self.workers.iter().collect() } else { Vec::new() }
+    }
+
+    /// Returns the last digest of the home and the time since it came.
+    pub fn home(&self, now: Time) -> Option<(&Digest, Duration)> {
+        self.home.as_ref().map(|home| (&home.digest, now.since(home.heard)))
+    }
+
+    /// Returns the requests of all instances at a target: online and batch.
+    pub fn at_target(&self, key: u32) -> (u32, u32) {
+        self.counts.at(key)
     }
 
     /// Returns what the own instance has at a target.
     pub fn own_at(&self, key: u32) -> TargetCount {
-        self.own.get(&key).copied().unwrap_or_default()
+        self.counts.own_at(key)
+    }
+
+    /// Returns the batch items of the own instance by target.
+    pub fn own_batch(&self) -> Vec<(u32, u16)> {
+        self.counts.own_batch()
+    }
+
+    /// Returns the online requests of all instances.
+    pub fn online_total(&self) -> u32 {
+        match (self.hub, &self.home) {
+            (false, Some(home)) => home.digest.online.max(self.counts.own_online()),
+            _ => self.counts.online(),
+        }
     }
 
     /// Returns the starts of all instances at a target in the last second.
     pub fn recent_starts(&self, key: u32, now: Time) -> u32 {
-        let recent = |(at, _): &&(Time, u32)| now.since(*at) < START_WINDOW;
-        self.starts
-            .get(&key)
-            .map_or(0, |starts| starts.iter().filter(recent).map(|(_, count)| count).sum())
+        self.counts.recent_starts(key, now)
     }
 
     /// Counts an own request that is about to be sent.
     pub fn start(&mut self, key: u32, batch: bool, now: Time) {
-        let count = self.own.entry(key).or_insert(TargetCount { key, ..TargetCount::default() });
-        count.started += 1;
-        match batch {
-            true => count.batch += 1,
-            false => count.online += 1,
-        }
-        self.starts.entry(key).or_default().push_back((now, 1));
+        self.counts.start(key, batch, now);
     }
 
     /// Ends the counting of an own request.
     pub fn end(&mut self, key: u32, batch: bool) {
-        if let Some(count) = self.own.get_mut(&key) {
-            match batch {
-                true => count.batch = count.batch.saturating_sub(1),
-                false => count.online = count.online.saturating_sub(1),
-            }
+        self.counts.end(key, batch);
+    }
+
+    /// Returns the own counts for report `sequence`.
+    pub fn report_counts(&mut self, sequence: u64, now: Time) -> Vec<TargetCount> {
+        self.counts.report(sequence, now)
+    }
+
+    /// Returns the group's part of a beacon. The caller adds the hub's own state.
+    pub fn group(&self, now: Time) -> GroupPart {
+        let limit = self.contact_time();
+        let live: Vec<_> =
+            self.members.values().filter(|known| now.since(known.heard) <= limit).collect();
+        let own = Member { key: instance_key(&self.own.name), front: self.own.front };
+        let others = live.iter().map(|known| Member {
+            key: instance_key(&known.report.instance),
+            front: known.report.front,
+        });
+        GroupPart {
+            members: std::iter::once(own).chain(others).collect(),
+            missing: self.census.missing(now),
+            gone: self.census.gone(),
+            targets: self.counts.group(self.members.keys(), now),
+            workers: live.iter().filter_map(|known| known.report.worker.clone()).collect(),
+            heard: self
+                .direct_hubs(now)
+                .map(|known| instance_key(&known.beacon.hub.name))
+                .collect(),
         }
     }
 
-    /// Returns the own counts for the next beacon.
-    pub fn own_counts(&self) -> Vec<TargetCount> {
-        self.own.values().copied().collect()
+    /// Returns the members with their last reports, for a digest.
+    pub fn acked(&self) -> Vec<(u32, u64)> {
+        let reports = self.members.values().map(|known| &known.report);
+        reports.map(|report| (instance_key(&report.instance), report.sequence)).collect()
+    }
+
+    /// Returns the addresses of the members; with `true` for workers.
+    pub fn member_addresses(&self) -> Vec<(IpAddr, bool)> {
+        let reports = self.members.values().map(|known| &known.report);
+        reports.map(|report| (report.address, report.worker.is_some())).collect()
+    }
+
+    /// Returns the names of the members.
+    pub fn member_names(&self) -> Vec<InstanceName> {
+        self.members.keys().cloned().collect()
     }
 
-    /// Forgets own counts of targets that `keep` does not name and that have no request.
-    pub fn retain_own(&mut self, keep: impl Fn(u32) -> bool) {
-        self.own.retain(|key, count| count.online > 0 || count.batch > 0 || keep(*key));
+    /// Returns the loads of the own failure domain's targets and of `other`, one of the others in turn.
+    pub fn loads(&self, table: &TargetTable, other: Option<u32>, now: Time) -> Vec<DomainLoads> {
+        let own = domain_key(&self.own.domain);
+        let wanted = std::iter::once(own).chain(other.filter(|other| *other != own));
+        wanted
+            .map(|domain| DomainLoads {
+                domain,
+                loads: table
+                    .iter()
+                    .filter(|target| target.domain == domain)
+                    .filter_map(|target| self.counts.load(target.key, now))
+                    .collect(),
+            })
+            .collect()
     }
 }
+
+/// The part of a beacon that speaks for the group.
+#[derive(Clone, Debug)]
+pub struct GroupPart {
+    /// The group, the hub first.
+    pub members: Vec<Member>,
+    /// Instances that are not heard.
+    pub missing: Vec<crate::Missing>,
+    /// Instances that ended in order.
+    pub gone: Vec<u32>,
+    /// Counts at targets.
+    pub targets: Vec<TargetCount>,
+    /// Workers, without the hub itself.
+    pub workers: Vec<WorkerWord>,
+    /// Numbers of the hubs that are heard directly.
+    pub heard: Vec<u32>,
+}
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::TargetName;
@@ -13,6 +14,7 @@
 use crate::Peers;
 use crate::TargetState;
 use crate::TargetTable;
+use crate::message::domain_key;
 
 /// Settings of placement.
 #[derive(Clone, Debug)]
@@ -28,11 +30,23 @@
     pub failure_cost: f64,
     /// Load cost of a target whose slots are all taken.
     pub full_cost: f64,
+    /// Cost up to which a target of the own failure domain is taken without a look at the others.
+    pub near_enough: f64,
+    /// Targets that are compared at least, however old the counts are.
+    pub least_compared: usize,
 }
 
 impl Default for PlaceSettings {
     fn default() -> Self {
-        Self { queue: 2, domain_cost: 0.5, cache_cost: 0.5, failure_cost: 1.0, full_cost: 4.0 }
+        Self {
+            queue: 2,
+            domain_cost: 0.5,
+            cache_cost: 0.5,
+            failure_cost: 1.0,
+            full_cost: 4.0,
+            near_enough: 1.0,
+            least_compared: 2,
+        }
     }
 }
 
@@ -62,7 +76,7 @@
     pub name: TargetName,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its number in beacons.
+    /// Its number in messages.
     pub key: u32,
     /// Requests that it runs at once.
     pub slots: u32,
@@ -87,82 +101,186 @@
     StartRate,
 }
 
-/// Returns the starts a second that an instance lets a target have, counted over all instances that it
-/// hears; 0 for no bound. A cold target bears `rate`, and the platform allows `factor` times as much and
-/// `extra` more, which is left for counts under way. `part` is the part of the fleet that is heard: the
-/// parts of a split fleet together stay below what the platform allows.
-pub fn start_bound(rate: f64, factor: f64, extra: f64, part: f64) -> f64 {
-    rate.min(part * (rate * factor + extra))
+/// Bounds on the starts a second that one target gets from all instances together; 0 for none.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StartBounds {
+    /// For targets that said that they are cold.
+    pub cold: f64,
+    /// For all others: they may have turned cold a moment ago.
+    pub warm: f64,
+}
+
+/// Part of what the platform lets a cold target have that other targets get; the rest is for counts
+/// under way.
+const WARM_PART: f64 = 0.75;
+
+impl StartBounds {
+    /// Returns the bounds of an instance. A cold target bears `rate`, and the platform allows `factor`
+    /// times as much and `extra` more. `part` is the part of the fleet that is heard: the parts of a
+    /// split fleet together stay below what the platform allows.
+    pub fn new(rate: f64, factor: f64, extra: f64, part: f64) -> Self {
+        if rate <= 0.0 {
+            return Self::default();
+        }
+        let allowed = part * (rate * factor + extra);
+        Self {
+            cold: rate.min(allowed),
+            warm: rate.max(WARM_PART * (rate * factor + extra)).min(allowed),
+        }
+    }
+
+    fn of(&self, target: &TargetState, now: Time) -> f64 {
+        if target.cold(now) { self.cold } else { self.warm }
+    }
+}
+
+/// What a choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Scene<'a> {
+    /// The known targets.
+    pub table: &'a TargetTable,
+    /// The counts of all instances.
+    pub peers: &'a Peers,
+    /// Region of each failure domain.
+    pub regions: &'a HashMap<DomainName, Arc<str>>,
+    /// Bounds on starts.
+    pub starts: StartBounds,
+    /// The time.
+    pub now: Time,
+    /// Usual age of the counts of other instances.
+    pub staleness: Duration,
+    /// Random number that breaks ties.
+    pub draw: u64,
+}
+
+/// A target with room, and what it costs.
+#[derive(Clone, Copy, Debug)]
+struct Offer<'a> {
+    cost: f64,
+    target: &'a TargetState,
+    online: u32,
+    batch: u32,
 }
 
 /// Chooses the target with the lowest cost. Load counts by the square of its part of the slots, so
 /// that failure domain and cache decide between lightly loaded targets and load between full ones.
-/// `starts` is the bound on starts a second at one target, 0 for none; `draw` is a random number that
-/// breaks ties.
-#[allow(clippy::too_many_arguments)]
+/// Targets of other failure domains are looked at only if all of the own one are well loaded.
+///
+/// Counts are as old as the messages between instances. When many choices are made in that time, all of
+/// them would fall on the same target, so only some targets, drawn at random, are compared (Mitzenmacher,
+/// "How useful is old information?", 2000).
 pub fn place(
     settings: &PlaceSettings,
     ask: &Ask<'_>,
-    table: &TargetTable,
-    peers: &Peers,
-    regions: &HashMap<DomainName, Arc<str>>,
-    starts: f64,
-    now: Time,
-    draw: u64,
+    scene: &Scene<'_>,
 ) -> Result<Chosen, NoPlace> {
+    let own = domain_key(ask.domain);
+    let mut reason = NoPlace::NoTarget;
+    let near = offers(settings, ask, scene, &mut reason, |target| target.domain == own);
+    let mut best = draw_best(settings, scene, &near);
+    let enough = best.is_some_and(|best| best.cost <= settings.near_enough);
+    if !enough {
+        let far = offers(settings, ask, scene, &mut reason, |target| target.domain != own);
+        let other = draw_best(settings, scene, &far);
+        best = match (best, other) {
+            (Some(near), Some(far)) if near.cost <= far.cost => Some(near),
+            (near, far) => far.or(near),
+        };
+    }
+    let Offer { target, online, batch, .. } = best.ok_or(reason)?;
+    Ok(Chosen {
+        name: target.entry.name.clone(),
+        address: target.entry.address,
+        key: target.key,
+        slots: target.entry.slots,
+        online,
+        batch,
+    })
+}
+
+/// Returns the targets with room among those `within`.
+fn offers<'a>(
+    settings: &PlaceSettings,
+    ask: &Ask<'_>,
+    scene: &Scene<'a>,
+    reason: &mut NoPlace,
+    within: impl Fn(&TargetState) -> bool,
+) -> Vec<Offer<'a>> {
+    let Scene { table, peers, now, .. } = *scene;
     let allowed = |target: &&TargetState| {
-        let region = regions.get(&target.entry.domain);
-        let here = ask.regions.is_none_or(|set| region.is_some_and(|region| set.contains(region)));
+        let here = ask.regions.is_none_or(|set| {
+            scene.regions.get(&target.entry.domain).is_some_and(|region| set.contains(region))
+        });
         let among = ask.among.is_none_or(|set| set.contains(&target.key));
         here && among && table.in_service(target, now) && !ask.exclude.contains(&target.entry.name)
     };
-    let candidates: Vec<_> = table.of_service(ask.service).filter(allowed).collect();
+    let candidates =
+        || table.of_service(ask.service).filter(|target| within(target)).filter(allowed);
     let home = ask.prefix.and_then(|prefix| {
-        let score = |target: &&&TargetState| {
-            xxh3_64_with_seed(target.entry.name.as_str().as_bytes(), prefix)
-        };
-        candidates.iter().max_by_key(score).map(|target| target.key)
+        let score = |target: &&TargetState| xxh3_64_with_seed(&target.key.to_le_bytes(), prefix);
+        candidates().max_by_key(score).map(|target| target.key)
     });
-    let mut reason = NoPlace::NoTarget;
-    let mut best: Option<(f64, Chosen)> = None;
-    for target in candidates {
-        let count = peers.at_target(target.key);
-        let (online, batch) = (u32::from(count.online), u32::from(count.batch));
+    let mut offers = Vec::new();
+    for target in candidates() {
+        let (online, batch) = peers.at_target(target.key);
         let room = match ask.leave_free {
             Some(free) => online + batch + free < target.entry.slots,
             None => online < target.entry.slots + settings.queue,
         };
         if !room {
-            reason = NoPlace::Full;
+            *reason = NoPlace::Full;
             continue;
         }
+        let starts = scene.starts.of(target, now);
         let recent = peers.recent_starts(target.key, now);
         if starts > 0.0 && f64::from(recent + 1) > starts.max(1.0) {
-            reason = NoPlace::StartRate;
+            *reason = NoPlace::StartRate;
             continue;
         }
-        let load = load_cost(settings, online, batch, target.entry.slots);
         let far = target.entry.domain != *ask.domain;
         let uncached = home.is_some_and(|home| home != target.key);
-        let jitter = (xxh3_64_with_seed(&target.key.to_le_bytes(), draw) % 1024) as f64 / 10_240.0;
-        let cost = load
+        let jitter = (draw(scene, target.key) % 1024) as f64 / 10_240.0;
+        let cost = load_cost(settings, online, batch, target.entry.slots)
             + if far { settings.domain_cost } else { 0.0 }
             + if uncached { settings.cache_cost } else { 0.0 }
             + if target.failed() { settings.failure_cost } else { 0.0 }
             + jitter;
-        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-            let chosen = Chosen {
-                name: target.entry.name.clone(),
-                address: target.entry.address,
-                key: target.key,
-                slots: target.entry.slots,
-                online,
-                batch,
-            };
-            best = Some((cost, chosen));
+        offers.push(Offer { cost, target, online, batch });
+    }
+    offers
+}
+
+fn draw(scene: &Scene<'_>, key: u32) -> u64 {
+    xxh3_64_with_seed(&key.to_le_bytes(), scene.draw)
+}
+
+/// Returns the best of as many offers as should be compared.
+fn draw_best<'a>(
+    settings: &PlaceSettings,
+    scene: &Scene<'a>,
+    offers: &[Offer<'a>],
+) -> Option<Offer<'a>> {
+    let starts: u32 =
+        offers.iter().map(|offer| scene.peers.recent_starts(offer.target.key, scene.now)).sum();
+    let unseen = f64::from(starts) * scene.staleness.as_secs_f64();
+    let count = (offers.len() as f64 / unseen.max(1.0)).ceil().max(settings.least_compared as f64);
+    let best = |offers: &mut dyn Iterator<Item = &Offer<'a>>| {
+        offers.min_by(|a, b| a.cost.total_cmp(&b.cost)).copied()
+    };
+    if count >= offers.len() as f64 {
+        return best(&mut offers.iter());
+    }
+    let mut drawn: Vec<&Offer<'a>> = offers.iter().collect();
+    drawn.sort_unstable_by_key(|offer| draw(scene, offer.target.key));
+    let (first, rest) = drawn.split_at(count as usize);
+    match best(&mut first.iter().copied()) {
+        // All that were drawn are full.
+        Some(full) if full.cost >= settings.full_cost => {
+            let other = best(&mut rest.iter().take(count as usize).copied());
+            other.filter(|other| other.cost < full.cost).or(Some(full))
         }
+        found => found,
     }
-    best.map(|(_, chosen)| chosen).ok_or(reason)
 }
 
 /// Returns the cost of load: below the slots by the square, then higher for each request that would
--- a/crates/sesamewall-fleet/src/suspects.rs
+++ b/crates/sesamewall-fleet/src/suspects.rs
@@ -1,6 +1,7 @@
 //! Requests that were running when targets crashed, over all instances.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use sesamewall_protocol::InstanceName;
@@ -26,6 +27,8 @@
 pub struct Suspects {
     own: HashMap<u64, Own>,
     others: HashMap<InstanceName, HashMap<u64, u8>>,
+    /// Sums over the fleet, as the home says them.
+    totals: HashMap<u64, u8>,
 }
 
 impl Suspects {
@@ -55,11 +58,38 @@
         };
     }
 
+    /// Takes over the sums of the home's digest.
+    pub fn on_totals(&mut self, totals: &[(u64, u8)]) {
+        self.totals = totals.iter().copied().collect();
+    }
+
     /// Returns the crashes of a request over all instances.
     pub fn crashes(&self, hash: u64) -> u32 {
         let own = self.own.get(&hash).map_or(0, |own| u32::from(own.crashes));
         let others = self.others.values().filter_map(|counts| counts.get(&hash));
-        own + others.map(|count| u32::from(*count)).sum::<u32>()
+        let heard = own + others.map(|count| u32::from(*count)).sum::<u32>();
+        heard.max(self.totals.get(&hash).copied().map_or(0, u32::from))
+    }
+
+    /// Returns the sums over the own instance and those of `group`.
+    pub fn group_report(&self, group: &[InstanceName]) -> Vec<(u64, u8)> {
+        let mut sums: HashMap<u64, u8> = self.report().into_iter().collect();
+        for counts in group.iter().filter_map(|name| self.others.get(name)) {
+            for (hash, crashes) in counts {
+                let sum = sums.entry(*hash).or_default();
+                *sum = sum.saturating_add(*crashes);
+            }
+        }
+        sums.into_iter().collect()
+    }
+
+    /// Returns the sums over all instances.
+    pub fn totals(&self) -> Vec<(u64, u8)> {
+        let own = self.own.keys();
+        let others = self.others.values().flat_map(|counts| counts.keys());
+        let hashes: HashSet<u64> = own.chain(others).copied().collect();
+        let small = |count: u32| u8::try_from(count).unwrap_or(u8::MAX);
+        hashes.into_iter().map(|hash| (hash, small(self.crashes(hash)))).collect()
     }
 
     /// Tells whether a request must not run again.
@@ -67,7 +97,7 @@
         self.crashes(hash) >= REFUSE_AT
     }
 
-    /// Returns the own counts for the next beacon.
+    /// Returns the own counts for the next report.
     pub fn report(&self) -> Vec<(u64, u8)> {
         self.own.iter().map(|(hash, own)| (*hash, own.crashes)).collect()
     }
--- a/crates/sesamewall-fleet/src/targets.rs
+++ b/crates/sesamewall-fleet/src/targets.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::message::domain_key;
+
 /// Time after the return of the store within which lapsed entries of live targets are back. It is
 /// the platform's promise.
 const LAPSE_GRACE: Duration = Duration::from_millis(2000);
@@ -22,13 +27,14 @@
 /// Longest time for which a target is avoided after failures in a row.
 const MAX_AVOID: Duration = Duration::from_millis(4800);
 
-/// Returns the number under which beacons name a target.
+/// Returns the number under which messages name a target.
 pub fn target_key(name: &TargetName) -> u32 {
     xxh3_64(name.as_str().as_bytes()) as u32
 }
 
 /// What a target says about itself.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Name of this start of the target.
     pub name: TargetName,
@@ -44,6 +50,8 @@
     pub draining: bool,
     /// Unix milliseconds of its start, 0 if unknown. It only tells starts apart.
     pub born: u64,
+    /// Time for which it stays cold, as of the entry.
+    pub cold: Duration,
 }
 
 /// A known target.
@@ -51,8 +59,13 @@
 pub struct TargetState {
     /// What it said last.
     pub entry: TargetEntry,
-    /// The number under which beacons name it.
+    /// The number under which messages name it.
     pub key: u32,
+    /// The number under which messages name its failure domain.
+    pub domain: u32,
+    /// Store revision of the entry, for those that read it through another instance.
+    pub revision: u64,
+    cold_until: Time,
     avoid_until: Time,
     failures: u32,
     misdirected: bool,
@@ -65,6 +78,11 @@
         !self.entry.draining && !self.misdirected && self.avoid_until <= now
     }
 
+    /// Tells whether the target said that it is cold now. Others may be cold without having said so.
+    pub fn cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
     /// Tells whether the target has failed and has not answered since.
     pub fn failed(&self) -> bool {
         self.failures > 0
@@ -82,7 +100,10 @@
 
 impl TargetTable {
     /// Returns the targets of a service.
-    pub fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a TargetState> {
+    pub fn of_service<'a, 's>(
+        &'a self,
+        service: &'s str,
+    ) -> impl Iterator<Item = &'a TargetState> + use<'a, 's> {
         self.targets.values().filter(move |target| &*target.entry.service == service)
     }
 
@@ -107,11 +128,13 @@
     }
 
     /// Takes over an entry. A new start under the same name forgets the failures of the former one.
-    pub fn upsert(&mut self, entry: TargetEntry) {
-        let key = target_key(&entry.name);
+    pub fn upsert(&mut self, entry: TargetEntry, revision: u64, now: Time) {
         let fresh = TargetState {
+            key: target_key(&entry.name),
+            domain: domain_key(&entry.domain),
+            revision,
+            cold_until: now + entry.cold,
             entry: entry.clone(),
-            key,
             avoid_until: Time::ZERO,
             failures: 0,
             misdirected: false,
@@ -121,6 +144,10 @@
         match known.entry.born != entry.born || known.entry.address != entry.address {
             true => *known = fresh,
             false => {
+                if known.entry != entry {
+                    known.cold_until = now + entry.cold;
+                    known.revision = revision;
+                }
                 known.entry = entry;
                 known.lapsed = None;
             }
@@ -142,11 +169,19 @@
         }
     }
 
-    /// Replaces the whole list after a complete read.
-    pub fn replace(&mut self, entries: Vec<TargetEntry>, now: Time) {
-        let listed: BTreeSet<_> = entries.iter().map(|entry| entry.name.clone()).collect();
-        for entry in entries {
-            self.upsert(entry);
+    /// Drops the targets that `present` does not name: the instance that said so has waited for lapsed
+    /// entries. Returns how many there were.
+    pub fn keep_only(&mut self, present: &HashSet<u32>) -> usize {
+        let before = self.targets.len();
+        self.targets.retain(|_, target| present.contains(&target.key));
+        before - self.targets.len()
+    }
+
+    /// Replaces the whole list after a complete read. Entries come with their store revisions.
+    pub fn replace(&mut self, entries: Vec<(TargetEntry, u64)>, now: Time) {
+        let listed: BTreeSet<_> = entries.iter().map(|(entry, _)| entry.name.clone()).collect();
+        for (entry, revision) in entries {
+            self.upsert(entry, revision, now);
         }
         let known: Vec<_> = self.targets.keys().cloned().collect();
         for name in known.into_iter().filter(|name| !listed.contains(name)) {
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -4,10 +4,14 @@
 mod account_rate;
 #[path = "decisions/batch.rs"]
 mod batch;
+#[path = "decisions/homing.rs"]
+mod homing;
 #[path = "decisions/peers.rs"]
 mod peers;
 #[path = "decisions/placement.rs"]
 mod placement;
+#[path = "decisions/queue.rs"]
+mod queue;
 #[path = "decisions/silence.rs"]
 mod silence;
 #[path = "decisions/streams.rs"]
--- a/crates/sesamewall-fleet/tests/decisions/account_rate.rs
+++ b/crates/sesamewall-fleet/tests/decisions/account_rate.rs
@@ -128,7 +128,7 @@
             }
         }
         for n in (0..INSTANCES).filter(|n| !down(*n)) {
-            let (boot, report) = (fronts[n].boot, fronts[n].rates.report());
+            let (boot, report) = (fronts[n].boot, fronts[n].rates.report(now / STEP_MS, at(now)));
             for other in (0..INSTANCES).filter(|other| *other != n && !apart(n, *other)) {
                 if !rng.random_bool(0.05) {
                     let due = now + rng.random_range(1..20);
@@ -205,6 +205,93 @@
     rates.take(&account, 1.0, at(0) + wait).expect("a token has come");
 }
 
+/// Plays `per_second` requests a second at the members of three hubs: reports every 10 ms, digests and
+/// beacons every 40 ms. Member 0 has no home from 5 to 7 s, and hub 0 is new at 9 s.
+fn play_groups(seed: u64, per_second: f64, length_ms: u64) -> Run {
+    const HUBS: usize = 3;
+    const MEMBERS: usize = 9;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let account = AccountName::from("acme");
+    let hub_names: Vec<_> = (0..HUBS).map(|n| InstanceName::from(format!("h{n}"))).collect();
+    let names: Vec<_> = (0..MEMBERS).map(|n| InstanceName::from(format!("m{n}"))).collect();
+    let mut hubs: Vec<AccountRates> = (0..HUBS).map(|_| front(true, 0)).collect();
+    let mut boots = [1u64; HUBS];
+    let mut members: Vec<AccountRates> = (0..MEMBERS).map(|_| front(true, 0)).collect();
+    let mut run = Run { admitted: Vec::new(), asked: 0 };
+    for now in (0..length_ms).step_by(STEP_MS as usize) {
+        let (time, sequence) = (at(now), 1 + now / STEP_MS);
+        let cut = |member: usize| member == 0 && (5000..7000).contains(&now);
+        if now == 9000 {
+            hubs[0] = front(false, now);
+            boots[0] += 1;
+        }
+        for (n, member) in members.iter_mut().enumerate().filter(|(n, _)| !cut(*n)) {
+            let report = member.own_report(sequence, time);
+            if now % 10 == 0 {
+                hubs[n % HUBS].on_member(&names[n], 1, &report, time);
+            }
+            if now % 40 == 0 {
+                let (known, hot) = hubs[n % HUBS].hot(1.0, time);
+                member.on_digest(sequence, known, &hot, 1.0, time);
+            }
+        }
+        if now % 40 == 20 {
+            let reports: Vec<_> = hubs.iter().map(|hub| hub.report(sequence, time)).collect();
+            for (to, hub) in hubs.iter_mut().enumerate() {
+                for from in (0..HUBS).filter(|from| *from != to) {
+                    hub.on_report(&hub_names[from], boots[from], &reports[from], 1.0, time);
+                }
+            }
+        }
+        if rng.random_bool((per_second * STEP_MS as f64 / 1000.0).min(1.0)) {
+            run.asked += 1;
+            let n = rng.random_range(0..MEMBERS);
+            let part = if cut(n) { 1.0 / MEMBERS as f64 } else { 1.0 };
+            if members[n].take(&account, part, time).is_ok() {
+                run.admitted.push(now);
+            }
+        }
+    }
+    run
+}
+
+/// Guards against an account that gets more than its rate and burst through the members of several hubs,
+/// and against refusals within the rate there.
+#[test]
+fn the_bound_holds_over_hubs_and_members() {
+    for seed in 0..20 {
+        let most = busiest(&play_groups(seed, 180.0, 15_000).admitted);
+        assert!(most <= BOUND, "seed {seed}: {most} in a window, bound {BOUND}");
+        assert!(most >= 40 * 5, "seed {seed}: {most} in a window: less than the rate");
+        let run = play_groups(seed, 25.0, 15_000);
+        assert_eq!(run.admitted.len() as u64, run.asked, "seed {seed}");
+    }
+}
+
+/// Guards against tokens that are lost when a request that no target ran gives its one back.
+#[test]
+fn a_token_that_is_given_back_counts_nowhere() {
+    let account = AccountName::from("acme");
+    let (mut hub, mut other, mut member) = (front(true, 0), front(true, 0), front(true, 0));
+    let (name, own) = (InstanceName::from("m1"), InstanceName::from("h1"));
+    for step in 1..200u64 {
+        let now = at(step);
+        member.take(&account, 1.0, now).expect("the bucket is full but for one token");
+        hub.on_member(&name, 1, &member.own_report(2 * step, now), now);
+        other.on_report(&own, 1, &hub.report(step, now), 1.0, now);
+        member.give_back(&account, now);
+        hub.on_member(&name, 1, &member.own_report(2 * step + 1, now), now);
+        other.on_report(&own, 1, &hub.report(step, now), 1.0, now);
+    }
+    for rates in [&hub, &other, &member] {
+        assert!(
+            rates.level(&account).is_some_and(|level| level > 39.0),
+            "{:?}",
+            rates.level(&account)
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
 
--- a/crates/sesamewall-fleet/tests/decisions/batch.rs
+++ b/crates/sesamewall-fleet/tests/decisions/batch.rs
@@ -1,6 +1,7 @@
 //! Room for batch items, their order, and the list of results.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use sesamewall_fleet::BatchRoom;
@@ -9,10 +10,11 @@
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemTimes;
-use sesamewall_fleet::PeerSettings;
-use sesamewall_fleet::Peers;
+use sesamewall_fleet::OwnBacklog;
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::ResultState;
+use sesamewall_fleet::TargetTable;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::TargetName;
@@ -21,7 +23,9 @@
 use crate::support::beacon;
 use crate::support::count;
 use crate::support::hear;
+use crate::support::hub;
 use crate::support::table;
+use crate::support::worker;
 
 /// Guards against online requests behind batch items, and against workers that all cancel for the same
 /// request: together they free as many places as are missing.
@@ -33,13 +37,16 @@
     for online in 0..=10u16 {
         let mut leaving = 0;
         for (own, mine) in workers {
-            let mut peers = Peers::new(PeerSettings::default());
+            let mut peers = hub(own);
             for _ in 0..mine {
                 peers.start(target.key, true, at(0));
             }
             hear(&mut peers, "f1", 1, &[count("t1", online, 0, online.into())], at(0));
             for (name, batch) in workers.iter().filter(|(name, _)| *name != own) {
-                hear(&mut peers, name, 1, &[count("t1", 0, *batch, (*batch).into())], at(0));
+                let counts = vec![count("t1", 0, *batch, (*batch).into())];
+                let word = worker(name, "a", 0, &[(target.key, *batch)]);
+                let beacon = Beacon { targets: counts, workers: vec![word], ..beacon(name, 1) };
+                assert!(peers.on_beacon(beacon, true, at(0)));
             }
             let room = BatchRoom::default();
             leaving += room.leaving(&InstanceName::from(own), target, &peers, at(1));
@@ -49,6 +56,27 @@
     }
 }
 
+/// Returns the targets of each worker, by the workers' backlogs.
+fn shares(table: &TargetTable, workers: &[(&str, &str, u32)]) -> Vec<HashSet<u32>> {
+    let view = |own: &str| {
+        let mut peers = hub(own);
+        for (name, domain, backlog) in workers.iter().filter(|(name, ..)| *name != own) {
+            let words = vec![worker(name, domain, *backlog, &[])];
+            assert!(peers.on_beacon(Beacon { workers: words, ..beacon(name, 1) }, true, at(0)));
+        }
+        peers
+    };
+    let share = |(name, domain, backlog): &(&str, &str, u32)| {
+        let (own, domain) = (InstanceName::from(*name), DomainName::from(*domain));
+        let own = OwnBacklog { name: &own, domain: &domain, backlog: *backlog };
+        match backlog {
+            0 => HashSet::new(),
+            _ => BatchRoom::default().own_targets(&own, table, &view(name), at(1)),
+        }
+    };
+    workers.iter().map(share).collect()
+}
+
 /// Guards against workers that all fill the same free place, and then cancel each other's items: each
 /// target belongs to one of the workers with waiting items, also when these come and go.
 #[test]
@@ -56,33 +84,53 @@
     let names: Vec<String> = (0..12).map(|n| format!("t{n}")).collect();
     let entries: Vec<_> = names.iter().map(|name| (&**name, "a")).collect();
     let table = table(&entries);
-    let workers = ["w1", "w2", "w3", "w4"];
     for waiting in 1..16u32 {
-        let backlog = |index: usize| u32::from(waiting & (1 << index) != 0);
+        let backlog = |index: u32| if waiting & (1 << index) != 0 { 3 + 9 * index } else { 0 };
+        let names = ["w1", "w2", "w3", "w4"];
+        let workers: Vec<_> =
+            (0..4).map(|index| (names[index as usize], "a", backlog(index))).collect();
         let mut owners: HashMap<u32, u32> = HashMap::new();
-        for (own, name) in workers.iter().enumerate().filter(|(own, _)| backlog(*own) > 0) {
-            let mut peers = Peers::new(PeerSettings::default());
-            for (other, name) in workers.iter().enumerate().filter(|(other, _)| *other != own) {
-                let beacon = Beacon { worker: true, backlog: backlog(other), ..beacon(name, 1) };
-                assert!(peers.on_beacon(beacon, true, at(0)));
-            }
-            let room = BatchRoom::default();
-            for key in room.own_targets(&InstanceName::from(*name), &table, &peers, at(1)) {
-                *owners.entry(key).or_default() += 1;
-            }
+        for key in shares(&table, &workers).into_iter().flatten() {
+            *owners.entry(key).or_default() += 1;
         }
         assert_eq!(owners.len(), 12, "{waiting:b}: a target without a worker");
         assert!(owners.values().all(|count| *count == 1), "{waiting:b}: {owners:?}");
     }
 }
 
-/// Guards against batch items that start into a peak and make way at once, and against places that stay
-/// empty between peaks although items make way fast.
+/// Guards against a worker with a long backlog that gets as few places as one with a single item, and
+/// against results that cross failure domains without need. Load: one account with most of the items.
+#[test]
+fn places_follow_backlogs_and_failure_domains() {
+    let names: Vec<String> = (0..200).map(|n| format!("t{n}")).collect();
+    let domain = |n: usize| if n.is_multiple_of(2) { "a" } else { "b" };
+    let entries: Vec<_> = names.iter().enumerate().map(|(n, name)| (&**name, domain(n))).collect();
+    let table = table(&entries);
+    let share = shares(&table, &[("w1", "a", 64), ("w2", "a", 4)]);
+    assert!(share[0].len() > 4 * share[1].len(), "{} and {}", share[0].len(), share[1].len());
+    let share = shares(&table, &[("w1", "a", 8), ("w2", "b", 8)]);
+    let own = |n: usize, domain: &str| {
+        let here = table.iter().filter(|target| target.entry.domain.as_str() == domain);
+        here.filter(|target| share[n].contains(&target.key)).count()
+    };
+    assert!(own(0, "a") > 70 && own(1, "b") > 70, "of 100 targets in each domain");
+}
+
+/// Guards against batch items that start into a peak and make way at once, against places that stay
+/// empty between peaks although items make way fast, and against peaks whose first requests queue because
+/// items make way too late. Load: peaks of eight requests a second at each target.
 #[test]
 fn room_for_batch_follows_online_load() {
-    let room = BatchRoom::default();
-    assert_eq!(room.free(10, 96), 0);
-    assert!(room.free(60, 96) > 0);
+    let mut room = BatchRoom::default();
+    let (fast, slow) = (Duration::from_millis(8), Duration::from_millis(100));
+    assert_eq!(room.free(10, 96, fast), 0);
+    assert!(room.free(60, 96, fast) > 0);
+    room.on_starts(8.0, at(0));
+    room.on_starts(1.0, at(1000));
+    assert_eq!(room.free(10, 96, fast), 0);
+    assert_eq!(room.free(10, 96, slow), 1, "one request comes before items have made way");
+    room.on_starts(1.0, at(60_000));
+    assert_eq!(room.free(10, 96, slow), 0, "peaks have ended");
 }
 
 /// Guards against results that come in time and are listed too late, whenever they come: the wait for
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use sesamewall_fleet::Beacon;
+use sesamewall_fleet::Datagram;
+use sesamewall_fleet::Member;
+use sesamewall_fleet::Missing;
 use sesamewall_fleet::PeerSettings;
-use sesamewall_fleet::Peers;
+use sesamewall_fleet::Report;
 use sesamewall_fleet::Suspects;
 use sesamewall_fleet::instance_key;
 use sesamewall_protocol::InstanceName;
@@ -12,75 +15,175 @@
 use crate::support::at;
 use crate::support::beacon;
 use crate::support::count;
+use crate::support::digest;
 use crate::support::hear;
+use crate::support::hub;
+use crate::support::hub_word;
+use crate::support::member;
+use crate::support::report;
+use crate::support::table;
+use crate::support::worker;
 
 /// Guards against calls to an instance that is heard only through another one: it cannot be reached.
 #[test]
 fn direct_contact_ends_although_others_pass_beacons_on() {
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     assert!(peers.on_beacon(beacon("f1", 1), true, at(0)));
-    assert_eq!(peers.direct_contacts(at(100)).count(), 1);
+    assert_eq!(peers.direct_hubs(at(100)).count(), 1);
     assert!(peers.on_beacon(beacon("f1", 2), false, at(900)));
-    assert_eq!(peers.contacts(at(1000)).count(), 1);
-    assert_eq!(peers.direct_contacts(at(1000)).count(), 0);
+    assert_eq!(peers.hub_contacts(at(1000)).count(), 1);
+    assert_eq!(peers.direct_hubs(at(1000)).count(), 0);
 }
 
-/// Guards against an instance that takes its fleet for complete while it has not read who belongs to it,
-/// or has not heard one of them for a while.
+/// Guards against an instance that takes its fleet for complete while it does not know its size, or has
+/// not heard one of its instances for a while.
 #[test]
-fn a_fleet_is_complete_when_all_registered_are_heard() {
-    let mut peers = Peers::new(PeerSettings::default());
+fn a_fleet_is_complete_when_all_of_it_is_heard() {
+    let mut peers = hub("own");
     hear(&mut peers, "f1", 1, &[], at(0));
-    assert!(!peers.all_heard(at(0)), "no list was read");
-    let names = ["f1", "f2"].map(InstanceName::from);
-    peers.set_registered(names.into_iter().collect());
-    assert!(!peers.all_heard(at(0)), "f2 was never heard");
+    assert!(!peers.parts(at(0)).complete, "the size is not known");
+    peers.on_size(3, 3);
+    assert!(!peers.parts(at(0)).complete, "f2 was never heard");
     hear(&mut peers, "f2", 1, &[], at(600));
-    assert!(peers.all_heard(at(600)));
-    assert!(!peers.all_heard(at(800)), "f1 is silent");
+    assert!(peers.parts(at(600)).complete);
+    assert!(!peers.parts(at(800)).complete, "f1 is silent");
 }
 
 /// Guards against counts that add up when beacons come twice or out of order.
 #[test]
 fn old_and_repeated_beacons_change_nothing() {
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     hear(&mut peers, "f1", 2, &[count("t1", 3, 1, 9)], at(0));
     let old = Beacon { targets: vec![count("t1", 8, 8, 20)], ..beacon("f1", 1) };
     assert!(!peers.on_beacon(old, true, at(1)));
-    let total = peers.at_target(count("t1", 0, 0, 0).key);
-    assert_eq!((total.online, total.batch), (3, 1));
+    assert_eq!(peers.at_target(count("t1", 0, 0, 0).key), (3, 1));
 }
 
 /// Guards against counts of a dead instance that block targets for ever.
 #[test]
 fn counts_of_a_silent_instance_are_forgotten() {
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     hear(&mut peers, "f1", 1, &[count("t1", 8, 0, 8)], at(0));
-    peers.on_tick(at(0) + PeerSettings::default().forget_time + Duration::from_millis(1));
-    assert_eq!(peers.at_target(count("t1", 0, 0, 0).key).online, 0);
+    let later = at(0) + PeerSettings::default().forget_time + Duration::from_millis(1);
+    peers.on_tick(|_| true, later);
+    assert_eq!(peers.at_target(count("t1", 0, 0, 0).key), (0, 0));
 }
 
 /// Guards against counts of a former start that stay beside those of the new one.
 #[test]
 fn a_restart_replaces_the_counts() {
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     hear(&mut peers, "f1", 50, &[count("t1", 8, 0, 80)], at(0));
     let fresh = Beacon { boot: 2, targets: vec![count("t1", 1, 0, 1)], ..beacon("f1", 1) };
     assert!(peers.on_beacon(fresh, true, at(10)));
-    assert_eq!(peers.at_target(count("t1", 0, 0, 0).key).online, 1);
+    assert_eq!(peers.at_target(count("t1", 0, 0, 0).key), (1, 0));
 }
 
-/// Guards against a full rate in each part of a split fleet: registered instances that are not heard
-/// make the own part smaller.
+/// Guards against a full rate in each part of a split fleet: instances that exist and are not heard make
+/// the own part smaller, whether they were heard once, named by another hub, or only counted by the
+/// store.
 #[test]
 fn missing_instances_shrink_the_own_part() {
-    let mut peers = Peers::new(PeerSettings::default());
-    peers.set_registered(["f1", "f2", "f3"].map(InstanceName::from).into());
+    let mut peers = hub("own");
+    peers.on_size(4, 4);
     hear(&mut peers, "f1", 1, &[], at(0));
-    assert_eq!(peers.heard_part(at(10), |beacon| beacon.front), 0.5);
+    assert_eq!(peers.parts(at(10)).fronts, 0.5);
     hear(&mut peers, "f2", 1, &[], at(10));
     hear(&mut peers, "f3", 1, &[], at(10));
-    assert_eq!(peers.heard_part(at(20), |beacon| beacon.front), 1.0);
+    assert_eq!(peers.parts(at(20)).fronts, 1.0);
+    assert_eq!(peers.parts(at(2000)).fronts, 0.25, "all are silent");
+    let member = Member { key: 77, front: true };
+    let missing = vec![Missing { member, silent_ms: 5000 }];
+    let beacon = Beacon { missing, ..beacon("f1", 2) };
+    assert!(peers.on_beacon(beacon, true, at(2000)));
+    assert_eq!(peers.parts(at(2000)).fronts, 0.4, "two of five are heard");
+}
+
+/// Guards against a smaller part of a split fleet that takes itself for the whole after a while, and
+/// against a machine that was taken away and shrinks the rates of the others for ever.
+#[test]
+fn only_the_larger_part_forgets_missing_instances() {
+    let later = |settings: &PeerSettings| at(0) + settings.census.missing_time * 2;
+    let settings = PeerSettings::default();
+    for (heard, part) in [(4, 1.0), (1, 2.0 / 6.0)] {
+        let mut peers = hub("own");
+        for n in 0..5 {
+            hear(&mut peers, &format!("f{n}"), 1, &[], at(0));
+        }
+        for n in 0..heard {
+            hear(&mut peers, &format!("f{n}"), 2, &[], later(&settings));
+        }
+        peers.on_tick(|_| true, later(&settings));
+        assert!((peers.parts(later(&settings)).fronts - part).abs() < 1e-9, "{heard} heard");
+    }
+}
+
+/// Guards against rates that shrink after a planned stop: who says that it ends is not missing.
+#[test]
+fn an_instance_that_ends_in_order_is_not_missing() {
+    let mut peers = hub("own");
+    for name in ["f1", "f2"] {
+        hear(&mut peers, name, 1, &[], at(0));
+    }
+    assert!(peers.on_report(report("m1", 1, &[]), at(0)));
+    peers.on_hub_gone(&InstanceName::from("f2"), at(100));
+    let leaving = Report { leaving: true, ..report("m1", 2, &[]) };
+    assert!(peers.on_report(leaving, at(100)));
+    hear(&mut peers, "f1", 2, &[], at(2000));
+    assert_eq!(peers.parts(at(2000)).fronts, 1.0);
+    assert!(peers.group(at(2000)).gone.len() == 2, "others learn of it");
+}
+
+/// Guards against work at full targets that a member does not see, and against its own requests counted
+/// twice: a digest includes them as of the report that it names.
+#[test]
+fn a_member_sees_others_and_itself_once() {
+    let table = table(&[("t1", "a"), ("t2", "b")]);
+    let key = count("t1", 0, 0, 0).key;
+    let (mut home, mut own) = (hub("h1"), member("m1"));
+    hear(&mut home, "h2", 1, &[count("t1", 3, 1, 4)], at(0));
+    own.start(key, false, at(0));
+    assert!(home.on_report(report("m1", 1, &own.report_counts(1, at(0))), at(1)));
+    assert_eq!(home.at_target(key), (4, 1));
+    // One more request starts before the digest comes.
+    own.start(key, false, at(2));
+    assert!(own.on_digest(digest("h1", 1, &home, &table, at(3)), at(4)));
+    assert_eq!(own.at_target(key), (5, 1));
+    // The four of h2 may be recent: the home had not heard it before.
+    assert_eq!(own.recent_starts(key, at(4)), 6);
+    own.end(key, false);
+    own.end(key, false);
+    assert_eq!(own.at_target(key), (3, 1));
+    let counts = own.report_counts(2, at(5));
+    assert!(home.on_report(report("m1", 2, &counts), at(6)));
+    assert!(own.on_digest(digest("h1", 2, &home, &table, at(7)), at(8)));
+    assert_eq!(own.at_target(key), (3, 1));
+}
+
+/// Guards against digests that do not include the own reports, are old, or come from another hub before
+/// it knows the member.
+#[test]
+fn only_digests_that_name_the_member_count() {
+    let table = table(&[("t1", "a")]);
+    let (mut home, mut own) = (hub("h1"), member("m1"));
+    assert!(!own.on_digest(digest("h1", 1, &home, &table, at(0)), at(0)));
+    assert!(home.on_report(report("m1", 1, &own.report_counts(1, at(0))), at(0)));
+    assert!(own.on_digest(digest("h1", 2, &home, &table, at(0)), at(0)));
+    assert!(!own.on_digest(digest("h1", 2, &home, &table, at(0)), at(0)), "repeated");
+}
+
+/// Guards against a member that goes on with the whole rate while no hub is heard.
+#[test]
+fn a_member_without_its_home_is_alone() {
+    let table = table(&[("t1", "a")]);
+    let (mut home, mut own) = (hub("h1"), member("m1"));
+    for n in 0..6 {
+        hear(&mut home, &format!("h{}", n + 2), 1, &[], at(0));
+    }
+    assert!(home.on_report(report("m1", 1, &own.report_counts(1, at(0))), at(0)));
+    assert!(own.on_digest(digest("h1", 1, &home, &table, at(0)), at(0)));
+    assert_eq!(own.parts(at(100)).fronts, 1.0);
+    assert_eq!(own.parts(at(1000)).fronts, 1.0 / 8.0);
 }
 
 /// Guards against online requests behind batch items that their front does not see: an instance
@@ -99,44 +202,18 @@
         keys(&list)
     };
     let view = |own: &str| {
-        let mut peers = Peers::new(PeerSettings::default());
+        let mut peers = hub(own);
         for name in names.iter().filter(|name| **name != own) {
             let beacon = Beacon { heard: heard(name), ..beacon(name, 1) };
             peers.on_beacon(beacon, true, at(0));
         }
         peers
     };
-    let to = |own: &str| {
-        let (own_name, sender) = (InstanceName::from(own), InstanceName::from("w1"));
-        view(own).pass_on_to(&own_name, &sender, at(1))
-    };
+    let to = |own: &str| view(own).pass_on_to(&InstanceName::from("w1"), at(1));
     assert_eq!(to("f1"), vec![InstanceName::from("f3")]);
     assert_eq!(to("f2"), Vec::<InstanceName>::new());
 }
 
-/// Guards against stale words about results: a worker's word counts while it is fresh.
-#[test]
-fn the_word_about_a_job_gets_old() {
-    let mut peers = Peers::new(PeerSettings::default());
-    let beacon = Beacon { jobs: vec![(7, 3)], ..beacon("w1", 1) };
-    peers.on_beacon(beacon, true, at(0));
-    assert_eq!(peers.job_groups(7, at(100)), Some(3));
-    assert_eq!(peers.job_groups(8, at(100)), None);
-    assert_eq!(peers.job_groups(7, at(900)), None);
-}
-
-/// Guards against results that disappear: a former worker that is heard again after a cut knows fewer
-/// groups than the present one.
-#[test]
-fn the_word_of_the_worker_that_knows_most_counts() {
-    let mut peers = Peers::new(PeerSettings::default());
-    for (name, groups) in [("w1", 1), ("w2", 6), ("w3", 0)] {
-        let beacon = Beacon { jobs: vec![(7, groups)], ..beacon(name, 1) };
-        peers.on_beacon(beacon, true, at(0));
-    }
-    assert_eq!(peers.job_groups(7, at(100)), Some(6));
-}
-
 /// Guards against requests that crash one target after the other: crashes seen by different instances
 /// add up, and an innocent request is forgotten after it ended well.
 #[test]
@@ -152,10 +229,22 @@
     assert_eq!(suspects.crashes(2), 0);
 }
 
-/// Guards against beacons that peers cannot read.
+/// Guards against datagrams that peers cannot read.
 #[test]
-fn beacons_survive_the_wire() {
-    let sent = Beacon { targets: vec![count("t1", 3, 1, 9)], ..beacon("f1", 5) };
-    assert_eq!(Beacon::decode(&sent.encode()), Some(sent));
-    assert_eq!(Beacon::decode(b"noise"), None);
+fn datagrams_survive_the_wire() {
+    let beacon = Beacon { targets: vec![count("t1", 3, 1, 9)], ..beacon("f1", 5) };
+    let report = Report { worker: Some(worker("w1", "a", 3, &[(7, 2)])), ..report("w1", 1, &[]) };
+    let table = table(&[("t1", "a")]);
+    let digest = digest("h1", 1, &hub("h1"), &table, at(0));
+    let all = [
+        Datagram::Hello("127.0.0.1".parse().expect("a constant address")),
+        Datagram::Hubs(vec![hub_word("h1", "a")]),
+        Datagram::Beacon(Box::new(beacon)),
+        Datagram::Report(Box::new(report)),
+        Datagram::Digest(Box::new(digest)),
+    ];
+    for sent in all {
+        assert_eq!(Datagram::decode(&sent.encode()), Some(sent));
+    }
+    assert_eq!(Datagram::decode(b"noise"), None);
 }
