--- a/crates/sesamewall-fleet/tests/decisions/placement.rs
+++ b/crates/sesamewall-fleet/tests/decisions/placement.rs
@@ -8,19 +8,23 @@
 use sesamewall_fleet::Ask;
 use sesamewall_fleet::Chosen;
 use sesamewall_fleet::NoPlace;
-use sesamewall_fleet::PeerSettings;
 use sesamewall_fleet::Peers;
 use sesamewall_fleet::PlaceSettings;
+use sesamewall_fleet::Scene;
+use sesamewall_fleet::StartBounds;
+use sesamewall_fleet::TargetCount;
+use sesamewall_fleet::TargetEntry;
 use sesamewall_fleet::TargetTable;
 use sesamewall_fleet::place;
-use sesamewall_fleet::start_bound;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 
 use crate::support::at;
 use crate::support::count;
+use crate::support::entry;
 use crate::support::hear;
+use crate::support::hub;
 use crate::support::table;
 
 fn ask(domain: &DomainName) -> Ask<'_> {
@@ -36,8 +40,11 @@
 }
 
 fn choose(ask: &Ask<'_>, table: &TargetTable, peers: &Peers, now: Time) -> Result<Chosen, NoPlace> {
-    let settings = PlaceSettings::default();
-    place(&settings, ask, table, peers, &HashMap::new(), 17.0, now, 7)
+    let regions = HashMap::new();
+    let starts = StartBounds { cold: 17.0, warm: 17.0 };
+    let staleness = Duration::from_millis(8);
+    let scene = Scene { table, peers, regions: &regions, starts, now, staleness, draw: 7 };
+    place(&PlaceSettings::default(), ask, &scene)
 }
 
 fn name(chosen: Result<Chosen, NoPlace>) -> String {
@@ -49,7 +56,7 @@
 fn the_own_failure_domain_comes_first() {
     let table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("b");
-    let peers = Peers::new(PeerSettings::default());
+    let peers = hub("own");
     assert_eq!(name(choose(&ask(&domain), &table, &peers, at(0))), "t2");
 }
 
@@ -58,7 +65,7 @@
 fn load_goes_before_the_failure_domain() {
     let table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("b");
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     hear(&mut peers, "f1", 1, &[count("t2", 7, 0, 7)], at(0));
     assert_eq!(name(choose(&ask(&domain), &table, &peers, at(1000))), "t1");
 }
@@ -69,7 +76,7 @@
 fn batch_makes_way_before_online_requests_queue() {
     let table = table(&[("t1", "a"), ("t2", "a")]);
     let domain = DomainName::from("a");
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     let counts = [count("t1", 8, 0, 8), count("t2", 2, 6, 8)];
     hear(&mut peers, "f1", 1, &counts, at(0));
     assert_eq!(name(choose(&ask(&domain), &table, &peers, at(1000))), "t2");
@@ -81,7 +88,7 @@
 fn a_full_fleet_refuses_at_once() {
     let table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("a");
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     let counts = [count("t1", 10, 0, 10), count("t2", 10, 0, 10)];
     hear(&mut peers, "f1", 1, &counts, at(0));
     assert_eq!(choose(&ask(&domain), &table, &peers, at(1000)), Err(NoPlace::Full));
@@ -92,7 +99,7 @@
 fn batch_leaves_places_free() {
     let table = table(&[("t1", "a")]);
     let domain = DomainName::from("a");
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     hear(&mut peers, "f1", 1, &[count("t1", 7, 0, 7)], at(0));
     let batch = Ask { leave_free: Some(1), ..ask(&domain) };
     assert_eq!(choose(&batch, &table, &peers, at(1000)), Err(NoPlace::Full));
@@ -106,7 +113,7 @@
     let table = table(&[("t1", "a")]);
     let domain = DomainName::from("a");
     let key = count("t1", 0, 0, 0).key;
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     let mut started = Vec::new();
     for millis in (0..4000).step_by(5) {
         // Another instance sends seven requests a second.
@@ -120,7 +127,7 @@
             peers.end(key, false);
             started.push(millis);
         }
-        peers.on_tick(at(millis));
+        peers.on_tick(|_| true, at(millis));
     }
     let window = |from: &u64| started.iter().filter(|t| (*from..*from + 1000).contains(t)).count();
     let most = started.iter().map(window).max().unwrap_or_default();
@@ -136,11 +143,88 @@
     let whole = 17.0 * 1.5 + 5.0;
     for parts in [vec![1.0], vec![0.5, 0.5], vec![0.25, 0.75], vec![0.25; 4], vec![1.0 / 12.0; 12]]
     {
-        let sum: f64 = parts.iter().map(|part| start_bound(17.0, 1.5, 5.0, *part)).sum();
-        assert!(sum <= whole + 1e-9, "{parts:?}: {sum}");
+        let bounds = || parts.iter().map(|part| StartBounds::new(17.0, 1.5, 5.0, *part));
+        for sum in [bounds().map(|b| b.cold).sum::<f64>(), bounds().map(|b| b.warm).sum::<f64>()] {
+            assert!(sum <= whole + 1e-9, "{parts:?}: {sum}");
+        }
     }
-    assert_eq!(start_bound(17.0, 1.5, 5.0, 1.0), 17.0);
-    assert!(start_bound(17.0, 1.5, 5.0, 0.25) > 7.0);
+    assert_eq!(StartBounds::new(17.0, 1.5, 5.0, 1.0).cold, 17.0);
+    assert!(StartBounds::new(17.0, 1.5, 5.0, 0.25).cold > 7.0);
+    assert_eq!(StartBounds::new(0.0, 1.5, 5.0, 1.0), StartBounds::default());
+}
+
+/// Guards against a warm fleet that refuses at its peak what only cold targets cannot bear. Load: eight
+/// starts a second at each target, which bear seven while they are cold.
+#[test]
+fn only_cold_targets_have_the_cold_bound() {
+    let mut table = table(&[("t1", "a")]);
+    let cold = TargetEntry { cold: Duration::from_secs(3), ..entry("t2", "a") };
+    table.upsert(cold, 2, at(0));
+    let peers = hub("own");
+    let bounds = StartBounds::new(6.9, 1.5, 5.0, 1.0);
+    assert!(bounds.cold < 7.0 && bounds.warm > 10.0, "{bounds:?}");
+    let domain = DomainName::from("a");
+    let count = |now: u64| {
+        let mut peers = peers.clone();
+        let mut starts: HashMap<String, u32> = HashMap::new();
+        let regions = HashMap::new();
+        for draw in 0..60 {
+            let scene = Scene {
+                table: &table,
+                peers: &peers,
+                regions: &regions,
+                starts: bounds,
+                now: at(now),
+                staleness: Duration::from_millis(8),
+                draw,
+            };
+            let Ok(chosen) = place(&PlaceSettings::default(), &ask(&domain), &scene) else { break };
+            peers.start(chosen.key, false, at(now));
+            peers.end(chosen.key, false);
+            *starts.entry(chosen.name.to_string()).or_default() += 1;
+        }
+        (starts["t1"], starts["t2"])
+    };
+    let (warm, cold) = count(0);
+    assert!(warm > 8 && cold < 7, "{warm} and {cold}");
+    let (warm, former) = count(3500);
+    assert!(warm > 8 && former > 8, "{warm} and {former}");
+}
+
+/// Guards against a herd: many instances choose with the same old counts, and all of them take the target
+/// that was the least loaded. Load: fourteen choices in a failure domain of 17 targets before the next
+/// counts come.
+#[test]
+fn old_counts_send_no_herd_to_one_target() {
+    let names: Vec<String> = (0..17).map(|n| format!("t{n}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (&**name, "a")).collect();
+    let table = table(&entries);
+    let domain = DomainName::from("a");
+    let mut peers = hub("own");
+    let counts: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(n, name)| count(name, if n == 3 { 1 } else { 4 }, 0, 0))
+        .collect();
+    hear(&mut peers, "f1", 1, &counts, at(0));
+    let later: Vec<_> = counts.iter().map(|count| TargetCount { started: 16, ..*count }).collect();
+    hear(&mut peers, "f1", 2, &later, at(100));
+    let regions = HashMap::new();
+    let most = |staleness: Duration| {
+        let mut chosen: HashMap<String, u32> = HashMap::new();
+        for draw in 0..14 {
+            let starts = StartBounds::default();
+            let now = at(150);
+            let (table, peers, regions) = (&table, &peers, &regions);
+            let scene = Scene { table, peers, regions, starts, now, staleness, draw };
+            let place = place(&PlaceSettings::default(), &ask(&domain), &scene);
+            *chosen.entry(name(place)).or_default() += 1;
+        }
+        chosen.into_values().max().unwrap_or_default()
+    };
+    assert_eq!(most(Duration::ZERO), 14, "fresh counts: the least loaded");
+    let old = most(Duration::from_millis(60));
+    assert!(old <= 5, "{old} of 14 choices on one target");
 }
 
 /// Guards against use of a failure domain that the operators have taken out.
@@ -149,7 +233,7 @@
     let mut table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("a");
     table.set_evacuated([DomainName::from("a")].into());
-    let peers = Peers::new(PeerSettings::default());
+    let peers = hub("own");
     assert_eq!(name(choose(&ask(&domain), &table, &peers, at(0))), "t2");
     table.set_evacuated([DomainName::from("a"), DomainName::from("b")].into());
     assert_eq!(choose(&ask(&domain), &table, &peers, at(0)), Err(NoPlace::NoTarget));
@@ -160,14 +244,21 @@
 fn regions_bind() {
     let table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("a");
-    let peers = Peers::new(PeerSettings::default());
+    let peers = hub("own");
     let regions: HashMap<DomainName, Arc<str>> =
         [(DomainName::from("a"), "north".into()), (DomainName::from("b"), "south".into())].into();
     let allowed: HashSet<Arc<str>> = [Arc::from("south")].into();
     let ask = Ask { regions: Some(&allowed), ..ask(&domain) };
-    let settings = PlaceSettings::default();
-    let chosen = place(&settings, &ask, &table, &peers, &regions, 0.0, at(0), 1);
-    assert_eq!(name(chosen), "t2");
+    let scene = Scene {
+        table: &table,
+        peers: &peers,
+        regions: &regions,
+        starts: StartBounds::default(),
+        now: at(0),
+        staleness: Duration::ZERO,
+        draw: 1,
+    };
+    assert_eq!(name(place(&PlaceSettings::default(), &ask, &scene)), "t2");
 }
 
 /// Guards against a retry at the target that just failed, and against use of a target that fell silent.
@@ -175,7 +266,7 @@
 fn failed_targets_are_left_out_for_a_while() {
     let mut table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("a");
-    let peers = Peers::new(PeerSettings::default());
+    let peers = hub("own");
     let tried = [TargetName::from("t1")];
     let again = Ask { exclude: &tried, ..ask(&domain) };
     assert_eq!(name(choose(&again, &table, &peers, at(0))), "t2");
@@ -191,7 +282,7 @@
 fn a_shared_prefix_stays_on_one_target_while_it_is_light() {
     let table = table(&[("t1", "a"), ("t2", "a"), ("t3", "a")]);
     let domain = DomainName::from("a");
-    let mut peers = Peers::new(PeerSettings::default());
+    let mut peers = hub("own");
     let ask = Ask { prefix: Some(42), ..ask(&domain) };
     let home = name(choose(&ask, &table, &peers, at(0)));
     hear(&mut peers, "f1", 1, &[count(&home, 2, 0, 2)], at(0));
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/queue.rs
@@ -0,0 +1,227 @@
+//! The limit of waiting tokens over several workers, a store, and lost answers.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prelude::proptest;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sesamewall_fleet::AccountQueues;
+use sesamewall_fleet::Admission;
+use sesamewall_fleet::QueueName;
+use sesamewall_fleet::is_sweeper;
+use sesamewall_fleet::job_owners;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::JobId;
+
+use crate::support::at;
+
+const LIMIT: u64 = 1000;
+
+fn name() -> QueueName {
+    QueueName { route: "jobs".into(), account: Some(AccountName::from("acme")) }
+}
+
+/// A store with the hold of one queue and the accepted jobs.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    hold: u64,
+    /// Accepted jobs with their unfinished tokens.
+    jobs: BTreeMap<JobId, u64>,
+}
+
+impl Store {
+    fn take(&mut self) -> u64 {
+        self.revision += 1;
+        self.hold = self.revision;
+        self.hold
+    }
+
+    fn open(&self) -> Vec<(JobId, u64)> {
+        self.jobs.iter().map(|(job, left)| (job.clone(), *left)).collect()
+    }
+}
+
+/// A write of an acceptance that is under way.
+struct Write {
+    due: u64,
+    worker: usize,
+    job: JobId,
+    tokens: u64,
+    hold: u64,
+}
+
+/// Which part of the mechanism is left out, to see that the check reports it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Without {
+    Nothing,
+    /// The write does not carry the revision of the hold.
+    Condition,
+    /// The new holder does not read the open jobs.
+    Read,
+    /// Tokens count only once the write has been answered.
+    Reservation,
+}
+
+/// Plays submissions at random workers, some of which think that they own the account, with writes that
+/// take effect late, and returns the most tokens that waited after an acceptance.
+fn play(seed: u64, without: Without) -> u64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut store = Store::default();
+    let mut workers: Vec<AccountQueues> = vec![AccountQueues::default(); 3];
+    let mut under_way: Vec<Write> = Vec::new();
+    let mut most = 0;
+    let mut number = 0;
+    for now in (0..20_000u64).step_by(5) {
+        under_way.sort_by_key(|write| write.due);
+        while under_way.first().is_some_and(|write| write.due <= now) {
+            let write = under_way.remove(0);
+            let holds = write.hold == store.hold || without == Without::Condition;
+            if holds {
+                store.jobs.insert(write.job.clone(), write.tokens);
+                most = most.max(store.jobs.values().sum());
+                if without == Without::Reservation {
+                    let queue = &mut workers[write.worker];
+                    queue.admit(&name(), &write.job, write.tokens, 0, at(now));
+                }
+            } else {
+                workers[write.worker].on_lost(&name());
+            }
+        }
+        if rng.random_bool(0.3) {
+            // Mostly one worker is asked; around changes of the fleet any of them.
+            let worker = if rng.random_bool(0.9) { 0 } else { rng.random_range(0..3) };
+            number += 1;
+            let job = JobId::from(format!("j{number}"));
+            let tokens = rng.random_range(50..200);
+            let queue = &mut workers[worker];
+            if queue.waiting(&name()).is_none() {
+                let hold = store.take();
+                let open = if without == Without::Read { Vec::new() } else { store.open() };
+                queue.on_hold(&name(), hold, open, at(now));
+            }
+            if let Admission::Accept { hold } = queue.admit(&name(), &job, tokens, LIMIT, at(now)) {
+                if without == Without::Reservation {
+                    queue.on_closed(&name(), &job);
+                }
+                let slow = if rng.random_bool(0.1) { 3000 } else { 8 };
+                let due = now + rng.random_range(1..slow);
+                under_way.push(Write { due, worker, job, tokens, hold });
+            }
+        }
+        // A job of any worker ends, and its worker, usually the holder, knows it.
+        if rng.random_bool(0.1)
+            && let Some((job, left)) = store.jobs.pop_first()
+        {
+            let worker = if rng.random_bool(0.9) { 0 } else { 1 };
+            workers[worker].on_finished(&name(), &job, left, at(now));
+            workers[worker].on_closed(&name(), &job);
+        }
+    }
+    most
+}
+
+/// Guards against more waiting tokens than the limit allows, at the moment of any acceptance, over
+/// several workers of which more than one thinks that it owns the account.
+#[test]
+fn the_limit_holds_over_all_workers() {
+    for seed in 0..40 {
+        let most = play(seed, Without::Nothing);
+        assert!((LIMIT / 2..=LIMIT).contains(&most), "seed {seed}: {most} of {LIMIT}");
+    }
+}
+
+/// Shows that the check reports each part of the mechanism that is left out.
+#[test]
+fn the_check_notices_missing_parts() {
+    for without in [Without::Condition, Without::Read, Without::Reservation] {
+        let breaches = (0..40).filter(|seed| play(*seed, without) > LIMIT).count();
+        assert!(breaches > 10, "{without:?}: {breaches} of 40 seeds breach");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 32, ..ProptestConfig::default() })]
+
+    /// Guards against schedules nobody wrote down.
+    #[test]
+    fn no_schedule_breaks_the_limit(seed in any::<u64>()) {
+        assert!(play(seed, Without::Nothing) <= LIMIT);
+    }
+}
+
+/// Guards against a repeat of an accepted job that is refused because the queue is full, or counted
+/// twice.
+#[test]
+fn a_repeat_is_known() {
+    let mut queues = AccountQueues::default();
+    let (queue, job) = (name(), JobId::from("j1"));
+    queues.on_hold(&queue, 7, Vec::new(), at(0));
+    let first = queues.admit(&queue, &job, 900, LIMIT, at(0));
+    assert_eq!(first, Admission::Accept { hold: 7 });
+    assert_eq!(queues.admit(&queue, &job, 900, LIMIT, at(1)), Admission::Known);
+    assert_eq!(queues.waiting(&queue), Some(900));
+}
+
+/// Guards against a refusal that sends the caller back too early or for no reason: the time follows from
+/// the speed at which the account's items end.
+#[test]
+fn a_full_queue_names_the_time_until_the_job_fits() {
+    let mut queues = AccountQueues::default();
+    let (queue, first, next) = (name(), JobId::from("j1"), JobId::from("j2"));
+    queues.on_hold(&queue, 7, Vec::new(), at(0));
+    queues.admit(&queue, &first, 1000, LIMIT, at(0));
+    for second in 1..=4 {
+        queues.on_finished(&queue, &first, 100, at(second * 1000));
+    }
+    let Admission::Full(full) = queues.admit(&queue, &next, 600, LIMIT, at(4000)) else {
+        panic!("the job does not fit");
+    };
+    assert_eq!((full.waiting, full.limit), (600, LIMIT));
+    let retry = Duration::from_secs(2);
+    assert!(full.retry > retry.mul_f64(0.5) && full.retry < retry.mul_f64(2.0), "{full:?}");
+    for _ in 0..2 {
+        queues.on_finished(&queue, &first, 100, at(6000));
+    }
+    assert_eq!(queues.admit(&queue, &next, 600, LIMIT, at(6000)), Admission::Accept { hold: 7 });
+}
+
+/// Guards against jobs of an account that move between workers without need: all instances name the same
+/// owner, and the loss of a worker moves only its own accounts.
+#[test]
+fn the_loss_of_a_worker_moves_only_its_accounts() {
+    let workers: Vec<InstanceName> = (0..6).map(|n| InstanceName::from(format!("w{n}"))).collect();
+    let owner = |account: &str, workers: &[InstanceName]| {
+        let account = AccountName::from(account);
+        job_owners(Some(&account), workers.iter(), |name| *name)[0].clone()
+    };
+    let mut owners = BTreeSet::new();
+    for account in (0..60).map(|n| format!("account-{n}")) {
+        let before = owner(&account, &workers);
+        let mut turned: Vec<_> = workers.iter().rev().cloned().collect();
+        assert_eq!(owner(&account, &turned), before, "the order of the list");
+        turned.retain(|name| name.as_str() != "w2");
+        let after = owner(&account, &turned);
+        assert!(before == after || before.as_str() == "w2", "{account}: {before} to {after}");
+        owners.insert(before);
+    }
+    assert_eq!(owners.len(), 6, "accounts spread over all workers");
+}
+
+/// Guards against jobs that nobody looks after, and against a watch of the store by every worker.
+#[test]
+fn two_workers_look_after_jobs() {
+    let workers: Vec<InstanceName> = (0..9).map(|n| InstanceName::from(format!("w{n}"))).collect();
+    for count in 1..9 {
+        let live = &workers[..count];
+        let on_duty =
+            live.iter().filter(|own| is_sweeper(own, live.iter().filter(|other| other != own)));
+        assert_eq!(on_duty.count(), count.min(2), "{count} workers");
+    }
+}
--- a/crates/sesamewall-fleet/tests/decisions/silence.rs
+++ b/crates/sesamewall-fleet/tests/decisions/silence.rs
@@ -28,6 +28,7 @@
         regions: Vec::new(),
         due: Duration::ZERO,
         keep: Duration::ZERO,
+        max_waiting: 0,
     }
 }
 
--- a/crates/sesamewall-fleet/tests/decisions/support.rs
+++ b/crates/sesamewall-fleet/tests/decisions/support.rs
@@ -5,11 +5,20 @@
 use sesamewall_fleet::AccountSpec;
 use sesamewall_fleet::Beacon;
 use sesamewall_fleet::Catalog;
+use sesamewall_fleet::Digest;
+use sesamewall_fleet::HubWord;
+use sesamewall_fleet::Identity;
 use sesamewall_fleet::Limits;
+use sesamewall_fleet::Member;
+use sesamewall_fleet::PeerSettings;
 use sesamewall_fleet::Peers;
+use sesamewall_fleet::Report;
 use sesamewall_fleet::TargetCount;
 use sesamewall_fleet::TargetEntry;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::Versions;
+use sesamewall_fleet::WorkerWord;
+use sesamewall_fleet::instance_key;
 use sesamewall_fleet::target_key;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::DomainName;
@@ -31,36 +40,107 @@
         slots: 8,
         draining: false,
         born: 1,
+        cold: Duration::ZERO,
     }
 }
 
 pub fn table(entries: &[(&str, &str)]) -> TargetTable {
     let mut table = TargetTable::default();
     for (name, domain) in entries {
-        table.upsert(entry(name, domain));
+        table.upsert(entry(name, domain), 1, at(0));
     }
     table
 }
 
+/// Returns the view of the hub `own` in failure domain a.
+pub fn hub(own: &str) -> Peers {
+    let mut peers = member(own);
+    peers.set_hub(true);
+    peers
+}
+
+/// Returns the view of the member `own` in failure domain a.
+pub fn member(own: &str) -> Peers {
+    let own =
+        Identity { name: InstanceName::from(own), domain: DomainName::from("a"), front: true };
+    Peers::new(PeerSettings::default(), own)
+}
+
+pub fn hub_word(name: &str, domain: &str) -> HubWord {
+    HubWord {
+        name: InstanceName::from(name),
+        address: "127.0.0.1".parse().expect("a constant address"),
+        domain: DomainName::from(domain),
+        store: true,
+        draining: false,
+    }
+}
+
 pub fn beacon(name: &str, sequence: u64) -> Beacon {
     Beacon {
+        hub: hub_word(name, "a"),
+        boot: 1,
+        sequence,
+        heard: Vec::new(),
+        versions: Versions::default(),
+        members: vec![Member { key: instance_key(&InstanceName::from(name)), front: true }],
+        missing: Vec::new(),
+        gone: Vec::new(),
+        targets: Vec::new(),
+        accounts: Vec::new(),
+        workers: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+pub fn worker(name: &str, domain: &str, backlog: u32, batch: &[(u32, u16)]) -> WorkerWord {
+    WorkerWord {
+        name: InstanceName::from(name),
+        address: "127.0.0.1".parse().expect("a constant address"),
+        domain: DomainName::from(domain),
+        boot: 1,
+        draining: false,
+        store: true,
+        backlog,
+        batch: batch.to_vec(),
+    }
+}
+
+pub fn report(name: &str, sequence: u64, counts: &[TargetCount]) -> Report {
+    Report {
         instance: InstanceName::from(name),
         address: "127.0.0.1".parse().expect("a constant address"),
-        domain: DomainName::from("a"),
         boot: 1,
         sequence,
         front: true,
-        worker: false,
-        draining: false,
-        store: true,
-        heard: Vec::new(),
-        config: 1,
-        notices: 0,
-        targets: Vec::new(),
+        leaving: false,
+        targets: counts.to_vec(),
         accounts: Vec::new(),
-        jobs: Vec::new(),
-        backlog: 0,
+        worker: None,
+        suspects: Vec::new(),
+    }
+}
+
+/// Returns the digest that the hub `name` with the view `peers` sends, as far as counts go.
+pub fn digest(name: &str, sequence: u64, peers: &Peers, table: &TargetTable, now: Time) -> Digest {
+    let parts = peers.parts(now);
+    Digest {
+        hub: hub_word(name, "a"),
+        boot: 1,
+        sequence,
+        acked: peers.acked(),
+        versions: Versions::default(),
+        loads: peers.loads(table, None, now),
+        online: peers.online_total(),
+        front_part: parts.fronts as f32,
+        fleet_part: parts.fleet as f32,
+        fronts: parts.front_count,
+        complete: parts.complete,
+        levels_known: true,
+        hot: Vec::new(),
         suspects: Vec::new(),
+        workers: None,
+        hubs: None,
     }
 }
 
--- a/crates/sesamewall-fleet/tests/decisions/targets.rs
+++ b/crates/sesamewall-fleet/tests/decisions/targets.rs
@@ -15,7 +15,7 @@
 #[test]
 fn draining_and_removed_targets_get_nothing() {
     let mut table = table(&[("t1", "a"), ("t2", "a")]);
-    table.upsert(TargetEntry { draining: true, ..entry("t1", "a") });
+    table.upsert(TargetEntry { draining: true, ..entry("t1", "a") }, 2, at(0));
     table.remove(&TargetName::from("t2"), at(0));
     assert!(!in_service(&table, "t1", 0));
     assert!(!in_service(&table, "t2", 0));
@@ -31,7 +31,7 @@
     table.remove(&TargetName::from("t1"), at(5010));
     table.remove(&TargetName::from("t2"), at(5010));
     assert!(in_service(&table, "t1", 5020));
-    table.upsert(entry("t2", "a"));
+    table.upsert(entry("t2", "a"), 2, at(6000));
     assert!(table.on_tick(at(6900)).is_empty());
     assert_eq!(table.on_tick(at(7000)), vec![TargetName::from("t1")]);
     assert!(in_service(&table, "t2", 7000));
@@ -41,7 +41,7 @@
 #[test]
 fn a_draining_target_goes_also_in_an_outage() {
     let mut table = table(&[("t1", "a")]);
-    table.upsert(TargetEntry { draining: true, ..entry("t1", "a") });
+    table.upsert(TargetEntry { draining: true, ..entry("t1", "a") }, 2, at(0));
     table.on_store(false, at(0));
     table.remove(&TargetName::from("t1"), at(10));
     assert!(table.is_empty());
@@ -52,8 +52,8 @@
 fn a_new_start_forgets_the_failures_of_the_former_one() {
     let mut table = table(&[("t1", "a")]);
     table.on_misdirected(&TargetName::from("t1"));
-    table.upsert(entry("t1", "a"));
+    table.upsert(entry("t1", "a"), 2, at(0));
     assert!(!in_service(&table, "t1", 10));
-    table.upsert(TargetEntry { born: 2, ..entry("t1", "a") });
+    table.upsert(TargetEntry { born: 2, ..entry("t1", "a") }, 3, at(0));
     assert!(in_service(&table, "t1", 10));
 }
--- a/crates/sesamewall-ports/src/lease_store.rs
+++ b/crates/sesamewall-ports/src/lease_store.rs
@@ -108,6 +108,10 @@
     /// Returns a page of the items whose keys start with `prefix` and are greater than `after`.
     async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError>;
 
+    /// Returns the first page of a prefix as it was some seconds ago at most. It costs a part of a
+    /// usual read.
+    async fn stale_page(&self, prefix: &str) -> Result<Page, StoreError>;
+
     /// Waits at most `wait` for changes after `revision` of keys that start with `prefix`.
     async fn changes(
         &self,
--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -99,6 +99,16 @@
         /// What the rule saw.
         numbers: Numbers,
     },
+    /// Too many tokens of the account's unfinished batch items wait on the route.
+    #[display("the batch items of account `{account}` that wait have too many tokens")]
+    TokensWaiting {
+        /// The account.
+        account: String,
+        /// Milliseconds until the job may fit.
+        retry_ms: u64,
+        /// What the rule saw.
+        numbers: Numbers,
+    },
     /// The leads that hold the account's rate cannot be reached.
     #[display("the rate of account `{account}` cannot be checked at the moment")]
     RateUnavailable {
@@ -329,6 +339,7 @@
             Self::OperatorDenied => 2003,
             Self::RateExceeded { .. } => 3001,
             Self::RateUnavailable { .. } => 3002,
+            Self::TokensWaiting { .. } => 3003,
             Self::QueueFull { .. } => 4001,
             Self::QueueTimeout { .. } => 4002,
             Self::NoTarget { .. } => 4003,
@@ -368,7 +379,7 @@
             1008 | 1009 | 1011 | 6003 | 7002 => 409,
             1000..=1999 | 6001 | 6002 | 7001 | 7003 => 400,
             2000..=2999 => 401,
-            3001 | 4001 => 429,
+            3001 | 3003 | 4001 => 429,
             4005 => 422,
             4006 => 408,
             5002..=5004 => 502,
@@ -395,6 +406,9 @@
             2002 => "ask the operators for a new key",
             2003 => "send the operators' credential in the header `authorization: Bearer TOKEN`",
             3001 => "wait for the time in Retry-After, or ask the operators for a higher rate",
+            3003 => {
+                "wait until items of earlier jobs have ended, or ask the operators for a higher limit"
+            }
             3002 | 4001..=4004 | 4007 | 5001 | 5005 | 8001..=8003 => "send the request again later",
             4005 => "change the request; it makes targets crash",
             4006 => "send the request again and keep the connection open until its end",
@@ -434,6 +448,7 @@
         match self {
             Self::RateExceeded { numbers, .. }
             | Self::RateUnavailable { numbers, .. }
+            | Self::TokensWaiting { numbers, .. }
             | Self::QueueFull { numbers, .. }
             | Self::QueueTimeout { numbers, .. } => numbers.clone(),
             _ => Vec::new(),
@@ -443,7 +458,9 @@
     /// Returns the milliseconds after which a repeated request can succeed, where that is known.
     pub fn retry_after_ms(&self) -> Option<u64> {
         match self {
-            Self::RateExceeded { retry_ms, .. } => Some(*retry_ms),
+            Self::RateExceeded { retry_ms, .. } | Self::TokensWaiting { retry_ms, .. } => {
+                Some(*retry_ms)
+            }
             _ => None,
         }
     }
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -50,10 +50,10 @@
     }
     let answer = world.client.submit(world.fronts[0].front(), "job1", &items(10)).await;
     assert_eq!(answer.expect("an answer").status, 202);
-    let claimed = || async { !world.store.keys("sesamewall/job/job1/claim").is_empty() };
+    let claimed = || async { world.claim("job1").is_some() };
     assert!(until(claimed).await);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let claim = world.store.value("sesamewall/job/job1/claim").expect("claimed");
+    let claim = world.claim("job1").expect("claimed");
     let holder = usize::from(String::from_utf8_lossy(&claim).starts_with("worker-2"));
     world.workers[holder].kill();
     check(&world.finished(0, "job1", 10).await, 10);
@@ -64,8 +64,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_is_accepted_beside_a_silent_store() {
     let world = World::start(3, 1).await;
-    // The instances hear each other after the second look at the list.
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    // The instances hear each other.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     world.store.cut_off(&[world.fronts[0].ip()]);
     let answer = world.client.submit(world.fronts[0].front(), "job1", &items(4)).await;
     assert_eq!(answer.expect("an answer").status, 202);
@@ -83,7 +83,7 @@
     let answer = world.client.submit(world.fronts[0].front(), "job1", &items(10)).await;
     assert_eq!(answer.expect("an answer").status, 202);
     let holder = || {
-        let claim = world.store.value("sesamewall/job/job1/claim")?;
+        let claim = world.claim("job1")?;
         Some(usize::from(String::from_utf8_lossy(&claim).starts_with("worker-2")))
     };
     assert!(until(|| async { holder().is_some() }).await);
@@ -103,7 +103,7 @@
     world.store.lose_answers(1);
     let answer = world.client.submit(world.fronts[0].front(), "job1", &items(6)).await;
     assert!(matches!(answer.expect("an answer").status, 202 | 504));
-    let claimed = || async { !world.store.keys("sesamewall/job/job1/claim").is_empty() };
+    let claimed = || async { world.claim("job1").is_some() };
     assert!(until(claimed).await);
     world.store.set_down(true);
     let refused = world.client.submit(world.fronts[0].front(), "job2", &items(2)).await;
@@ -124,11 +124,11 @@
     }
     let answer = world.client.submit(world.fronts[0].front(), "job1", &items(20)).await;
     assert_eq!(answer.expect("an answer").status, 202);
-    let claimed = || async { !world.store.keys("sesamewall/job/job1/claim").is_empty() };
+    let claimed = || async { world.claim("job1").is_some() };
     assert!(until(claimed).await);
     tokio::time::sleep(Duration::from_millis(300)).await;
     world.store.lose_answers(1);
-    let stored = || async { world.store.value("sesamewall/result/job1/000000").is_some() };
+    let stored = || async { !world.store_keys("sesamewall/result/", "/job1/000000").is_empty() };
     assert!(until(stored).await);
     tokio::time::sleep(Duration::from_millis(600)).await;
     for front in &world.fronts {
--- a/tests/platform/online.rs
+++ b/tests/platform/online.rs
@@ -132,8 +132,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_instance_without_the_store_learns_from_the_others() {
     let world = World::start(3, 0).await;
-    // The instances hear each other after the second look at the list.
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    // The instances hear each other.
+    tokio::time::sleep(Duration::from_secs(2)).await;
     world.store.turn_away(&[world.fronts[0].ip()]);
     let mut next = configuration(5, 1000.0, 1000.0);
     next["tenants"][0]["apiKeys"] = serde_json::json!(["key-5"]);
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -175,6 +175,18 @@
         until(ask).await
     }
 
+    /// Returns the store's keys that begin and end like this.
+    pub fn store_keys(&self, start: &str, end: &str) -> Vec<String> {
+        let keys = self.store.keys(start).into_iter();
+        keys.filter(|key| key.ends_with(end)).collect()
+    }
+
+    /// Returns the value of the claim on a job.
+    pub fn claim(&self, job: &str) -> Option<Vec<u8>> {
+        let key = self.store_keys("sesamewall/job/", &format!("/{job}/claim")).pop()?;
+        self.store.value(&key)
+    }
+
     pub async fn talk(&self, n: usize, path: &str, id: &str) -> Option<Answer> {
         let body = Bytes::from_static(b"hello");
         let front = self.fronts[n].front();
