Keep crowds off targets that come back cold

Change: who cannot open a connection to a target tells the others; a target that was not there, or whose failure domain comes back, counts as cold for the service's cold time. Cold targets get no batch items and nothing from other failure domains, and cost more with each start. Warm targets have a higher bound than cold ones, which binds no more at peaks; batch items keep the bound of cold ones.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -39,7 +39,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive_more::Display)]
 pub enum AttemptError {
-    /// There was no connection; nothing was sent.
+    /// No connection could be opened; nothing was sent.
+    #[display("no connection: {_0}")]
+    Unreached(String),
+    /// The connection ended before anything was sent.
     #[display("not sent: {_0}")]
     NotSent(String),
     /// The target said that it did not run the request.
@@ -62,12 +65,13 @@
 impl AttemptError {
     /// Tells whether the target surely did not run the request.
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::NotRun(_) | Self::Misdirected)
+        matches!(self, Self::Unreached(_) | Self::NotSent(_) | Self::NotRun(_) | Self::Misdirected)
     }
 
     /// Returns a short name for counters.
     pub fn label(&self) -> &'static str {
         match self {
+            Self::Unreached(_) => "unreached",
             Self::NotSent(_) => "not-sent",
             Self::NotRun(_) => "not-run",
             Self::Misdirected => "misdirected",
@@ -177,7 +181,8 @@
 
     /// Ends the exchange after the whole body was read, and keeps the connection.
     pub fn finish(mut self, node: &Node) {
-        node.state().targets.on_success(&self.target);
+        let now = node.now();
+        node.state().targets.on_success(&self.target, now);
         let closing = self
             .headers
             .get(http::header::CONNECTION)
@@ -235,6 +240,10 @@
             }
             AttemptError::Misdirected => state.targets.on_misdirected(&chosen.name),
             AttemptError::Mismatch => {}
+            AttemptError::Unreached(_) => {
+                state.targets.on_failure(&chosen.name, now);
+                state.targets.on_unreached(&chosen.name, now);
+            }
             _ => state.targets.on_failure(&chosen.name, now),
         }
     }
@@ -257,7 +266,7 @@
         Some(link) => link,
         None => {
             node.metrics.connections.inc();
-            node.pool.open(chosen.address).await.map_err(AttemptError::NotSent)?
+            node.pool.open(chosen.address).await.map_err(AttemptError::Unreached)?
         }
     };
     let mut request = Request::new(Full::new(outgoing.body.clone()));
--- a/crates/sesamewall-edge/src/control/receive.rs
+++ b/crates/sesamewall-edge/src/control/receive.rs
@@ -85,6 +85,7 @@
     let near = beacon.hub.domain == node.machine.domain;
     let address = beacon.hub.address;
     let (accounts, suspects) = (beacon.accounts.clone(), beacon.suspects.clone());
+    state.targets.on_others_unreached(&beacon.unreached, now);
     if state.peers.on_beacon(beacon, direct, now) {
         state.rates.on_report(&name, boot, &accounts, part, now);
         state.suspects.on_report(&name, &suspects);
@@ -140,6 +141,7 @@
     }
     let boot = report.boot;
     let (accounts, suspects) = (report.accounts.clone(), report.suspects.clone());
+    state.targets.on_others_unreached(&report.unreached, now);
     if state.peers.on_report(report, now) {
         state.rates.on_member(&name, boot, &accounts, now);
         state.suspects.on_report(&name, &suspects);
@@ -165,9 +167,11 @@
     }
     control.member.homing().on_digest(&hub.name, now);
     let (known, hot, suspects) = (digest.levels_known, digest.hot.clone(), digest.suspects.clone());
+    let unreached = digest.unreached.clone();
     if !state.peers.on_digest(digest, now) {
         return;
     }
+    state.targets.on_others_unreached(&unreached, now);
     let part = state.front_part(now);
     state.rates.on_digest(acked, known, &hot, part, now);
     state.suspects.on_totals(&suspects);
--- a/crates/sesamewall-edge/src/control/send.rs
+++ b/crates/sesamewall-edge/src/control/send.rs
@@ -209,6 +209,7 @@
         accounts: state.rates.report(sequence, now),
         workers: group.workers.into_iter().chain(own).collect(),
         suspects: state.suspects.group_report(&names),
+        unreached: state.peers.group_unreached(state.targets.unreached(now)),
     }
 }
 
@@ -280,6 +281,7 @@
         levels_known,
         hot,
         suspects: state.suspects.totals(),
+        unreached: state.peers.all_unreached(state.targets.unreached(now), now),
         workers,
         hubs,
     }
@@ -335,6 +337,7 @@
         accounts: state.rates.own_report(sequence, now),
         worker,
         suspects: state.suspects.report(),
+        unreached: state.targets.unreached(now),
     }
 }
 
--- a/crates/sesamewall-edge/src/feed.rs
+++ b/crates/sesamewall-edge/src/feed.rs
@@ -177,7 +177,7 @@
         let list: Vec<_> = notices.evacuated.iter().map(ToString::to_string).collect();
         info!(node.log, "evacuated failure domains"; "domains" => list.join(","),
             "revision" => revision);
-        state.targets.set_evacuated(notices.evacuated.clone());
+        state.targets.set_evacuated(notices.evacuated.clone(), node.now());
     }
     state.notices = notices;
     state.versions.notices = revision;
--- a/crates/sesamewall-edge/src/sync.rs
+++ b/crates/sesamewall-edge/src/sync.rs
@@ -290,6 +290,7 @@
     }
     info!(node.log, "configuration in force"; "version" => catalog.version, "before" => present);
     state.rates.configure(&catalog, node.machine.first_start, now);
+    state.targets.set_cold_time(catalog.cold_time());
     state.versions.config = catalog.version;
     state.catalog = Some(Arc::new(catalog));
     state.document = value.clone();
--- a/crates/sesamewall-fleet/src/catalog.rs
+++ b/crates/sesamewall-fleet/src/catalog.rs
@@ -103,6 +103,8 @@
     pub max_conns: u32,
     /// Requests a second that a cold target bears; 0 for no bound.
     pub cold_rate: f64,
+    /// Time for which a target is cold after its start.
+    pub cold_time: Duration,
 }
 
 /// Bounds on what callers may send.
@@ -201,6 +203,11 @@
         self.services.get(name)
     }
 
+    /// Returns the longest time for which a target of any service is cold.
+    pub fn cold_time(&self) -> Duration {
+        self.services.values().map(|service| service.cold_time).max().unwrap_or_default()
+    }
+
     /// Returns the regions in which a request may run, or `None` for all.
     pub fn regions(route: &RouteSpec, account: Option<&AccountSpec>) -> Option<HashSet<Arc<str>>> {
         let of_account = account.map_or(&[][..], |account| &account.regions);
--- a/crates/sesamewall-fleet/src/message.rs
+++ b/crates/sesamewall-fleet/src/message.rs
@@ -176,6 +176,8 @@
     pub workers: Vec<WorkerWord>,
     /// Hashes of requests that were running when targets crashed, with the crashes seen by the group.
     pub suspects: Vec<(u64, u8)>,
+    /// Targets that someone of the group could not reach.
+    pub unreached: Vec<u32>,
 }
 
 /// State of a member, for its home.
@@ -202,6 +204,8 @@
     pub worker: Option<WorkerWord>,
     /// Crashes that it saw, by hash of the request.
     pub suspects: Vec<(u64, u8)>,
+    /// Targets that it could not reach, as `target_key` numbers them.
+    pub unreached: Vec<u32>,
 }
 
 /// What a hub knows of the fleet, for its members.
@@ -236,6 +240,8 @@
     pub hot: Vec<(u32, f32)>,
     /// Crashes seen by the fleet, by hash of the request.
     pub suspects: Vec<(u64, u8)>,
+    /// Targets that someone could not reach.
+    pub unreached: Vec<u32>,
     /// All workers, now and then.
     pub workers: Option<Vec<WorkerWord>>,
     /// All hubs that are heard, now and then.
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -462,6 +462,19 @@
         }
     }
 
+    /// Returns `own` and the targets that members could not reach.
+    pub fn group_unreached(&self, own: Vec<u32>) -> Vec<u32> {
+        let members = self.members.values().flat_map(|known| known.report.unreached.iter());
+        distinct(own.into_iter().chain(members.copied()))
+    }
+
+    /// Returns `own` and the targets that anybody could not reach.
+    pub fn all_unreached(&self, own: Vec<u32>, now: Time) -> Vec<u32> {
+        let group = self.group_unreached(own).into_iter();
+        let hubs = self.hub_contacts(now).flat_map(|known| known.beacon.unreached.iter());
+        distinct(group.chain(hubs.copied()))
+    }
+
     /// Returns the members with their last reports, for a digest.
     pub fn acked(&self) -> Vec<(u32, u64)> {
         let reports = self.members.values().map(|known| &known.report);
@@ -512,3 +525,10 @@
     /// Numbers of the hubs that are heard directly.
     pub heard: Vec<u32>,
 }
+
+fn distinct(keys: impl Iterator<Item = u32>) -> Vec<u32> {
+    let mut keys: Vec<u32> = keys.collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys
+}
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -28,6 +28,11 @@
     pub cache_cost: f64,
     /// Cost of a target whose last answers failed.
     pub failure_cost: f64,
+    /// Cost of a cold target that has got all the starts that it bears; less for fewer.
+    pub cold_cost: f64,
+    /// Part of the starts that a cold target bears up to which batch items start at a target: online
+    /// requests need the rest, and a worker fills all free places at once.
+    pub batch_starts: f64,
     /// Load cost of a target whose slots are all taken.
     pub full_cost: f64,
     /// Cost up to which a target of the own failure domain is taken without a look at the others.
@@ -43,6 +48,8 @@
             domain_cost: 0.5,
             cache_cost: 0.5,
             failure_cost: 1.0,
+            cold_cost: 4.0,
+            batch_starts: 1.0,
             full_cost: 4.0,
             near_enough: 1.0,
             least_compared: 2,
@@ -128,10 +135,6 @@
             warm: rate.max(WARM_PART * (rate * factor + extra)).min(allowed),
         }
     }
-
-    fn of(&self, target: &TargetState, now: Time) -> f64 {
-        if target.cold(now) { self.cold } else { self.warm }
-    }
 }
 
 /// What a choice is made from.
@@ -231,19 +234,28 @@
             *reason = NoPlace::Full;
             continue;
         }
-        let starts = scene.starts.of(target, now);
-        let recent = peers.recent_starts(target.key, now);
-        if starts > 0.0 && f64::from(recent + 1) > starts.max(1.0) {
+        let far = target.entry.domain != *ask.domain;
+        let cold = target.cold(now);
+        let bound = if cold { scene.starts.cold } else { scene.starts.warm };
+        let recent = f64::from(peers.recent_starts(target.key, now));
+        // What others start meanwhile is not known, least of all in another failure domain.
+        let batch_bound = scene.starts.cold * settings.batch_starts;
+        let started = match ask.leave_free {
+            _ if bound <= 0.0 => false,
+            Some(_) => cold || recent + 1.0 > batch_bound.max(1.0),
+            None => (cold && far) || recent + 1.0 > bound.max(1.0),
+        };
+        if started {
             *reason = NoPlace::StartRate;
             continue;
         }
-        let far = target.entry.domain != *ask.domain;
         let uncached = home.is_some_and(|home| home != target.key);
         let jitter = (draw(scene, target.key) % 1024) as f64 / 10_240.0;
         let cost = load_cost(settings, online, batch, target.entry.slots)
             + if far { settings.domain_cost } else { 0.0 }
             + if uncached { settings.cache_cost } else { 0.0 }
             + if target.failed() { settings.failure_cost } else { 0.0 }
+            + if cold && bound > 0.0 { settings.cold_cost * recent / bound } else { 0.0 }
             + jitter;
         offers.push(Offer { cost, target, online, batch });
     }
--- a/crates/sesamewall-fleet/src/targets.rs
+++ b/crates/sesamewall-fleet/src/targets.rs
@@ -27,6 +27,10 @@
 /// Longest time for which a target is avoided after failures in a row.
 const MAX_AVOID: Duration = Duration::from_millis(4800);
 
+/// Time for which other instances are told of a target that could not be reached. Each further attempt
+/// begins it again.
+const UNREACHED_TIME: Duration = Duration::from_millis(2500);
+
 /// Returns the number under which messages name a target.
 pub fn target_key(name: &TargetName) -> u32 {
     xxh3_64(name.as_str().as_bytes()) as u32
@@ -66,6 +70,8 @@
     /// Store revision of the entry, for those that read it through another instance.
     pub revision: u64,
     cold_until: Time,
+    /// When the last attempt of the own instance found nobody there; `None` after an answer.
+    unreached: Option<Time>,
     avoid_until: Time,
     failures: u32,
     misdirected: bool,
@@ -78,9 +84,9 @@
         !self.entry.draining && !self.misdirected && self.avoid_until <= now
     }
 
-    /// Tells whether the target said that it is cold now. Others may be cold without having said so.
+    /// Tells whether the target may be cold: it said so, or it was not there a moment ago.
     pub fn cold(&self, now: Time) -> bool {
-        now < self.cold_until
+        now < self.cold_until || self.unreached.is_some()
     }
 
     /// Tells whether the target has failed and has not answered since.
@@ -96,9 +102,16 @@
     evacuated: BTreeSet<DomainName>,
     store_lost: Option<Time>,
     store_back: Option<Time>,
+    /// Time for which a target is cold after its start.
+    cold_time: Duration,
 }
 
 impl TargetTable {
+    /// Sets the time for which a target is cold after its start.
+    pub fn set_cold_time(&mut self, time: Duration) {
+        self.cold_time = time;
+    }
+
     /// Returns the targets of a service.
     pub fn of_service<'a, 's>(
         &'a self,
@@ -134,6 +147,7 @@
             domain: domain_key(&entry.domain),
             revision,
             cold_until: now + entry.cold,
+            unreached: None,
             entry: entry.clone(),
             avoid_until: Time::ZERO,
             failures: 0,
@@ -220,8 +234,14 @@
         gone
     }
 
-    /// Takes failure domains out of service.
-    pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>) {
+    /// Takes failure domains out of service. The targets of those that come back may have turned cold.
+    pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>, now: Time) {
+        for target in self.targets.values_mut() {
+            let domain = &target.entry.domain;
+            if self.evacuated.contains(domain) && !domains.contains(domain) {
+                target.cold_until = target.cold_until.max(now + self.cold_time);
+            }
+        }
         self.evacuated = domains;
     }
 
@@ -239,6 +259,31 @@
         }
     }
 
+    /// Notes that nobody was there: the target may be down, and is cold when it comes back.
+    pub fn on_unreached(&mut self, name: &TargetName, now: Time) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.unreached = Some(now);
+        }
+    }
+
+    /// Notes that some instance finds nobody at these targets.
+    pub fn on_others_unreached(&mut self, keys: &[u32], now: Time) {
+        if keys.is_empty() {
+            return;
+        }
+        for target in self.targets.values_mut().filter(|target| keys.contains(&target.key)) {
+            target.cold_until = target.cold_until.max(now + self.cold_time);
+        }
+    }
+
+    /// Returns the numbers of the targets at which the own instance found nobody a moment ago.
+    pub fn unreached(&self, now: Time) -> Vec<u32> {
+        let lost = |target: &&TargetState| {
+            target.unreached.is_some_and(|at| now.since(at) < UNREACHED_TIME)
+        };
+        self.targets.values().filter(lost).map(|target| target.key).collect()
+    }
+
     /// Notes that a target refused a request for its load or because it leaves, and for how long it
     /// gets no new work.
     pub fn on_refusal(&mut self, name: &TargetName, pause: Duration, now: Time) {
@@ -255,9 +300,12 @@
     }
 
     /// Notes an answer.
-    pub fn on_success(&mut self, name: &TargetName) {
+    pub fn on_success(&mut self, name: &TargetName, now: Time) {
         if let Some(target) = self.targets.get_mut(name) {
             target.failures = 0;
+            if target.unreached.take().is_some() {
+                target.cold_until = target.cold_until.max(now + self.cold_time);
+            }
         }
     }
 }
--- a/crates/sesamewall-fleet/tests/decisions/placement.rs
+++ b/crates/sesamewall-fleet/tests/decisions/placement.rs
@@ -232,10 +232,10 @@
 fn an_evacuated_failure_domain_gets_nothing() {
     let mut table = table(&[("t1", "a"), ("t2", "b")]);
     let domain = DomainName::from("a");
-    table.set_evacuated([DomainName::from("a")].into());
+    table.set_evacuated([DomainName::from("a")].into(), at(0));
     let peers = hub("own");
     assert_eq!(name(choose(&ask(&domain), &table, &peers, at(0))), "t2");
-    table.set_evacuated([DomainName::from("a"), DomainName::from("b")].into());
+    table.set_evacuated([DomainName::from("a"), DomainName::from("b")].into(), at(0));
     assert_eq!(choose(&ask(&domain), &table, &peers, at(0)), Err(NoPlace::NoTarget));
 }
 
@@ -273,7 +273,7 @@
     table.on_failure(&TargetName::from("t1"), at(0));
     assert_eq!(name(choose(&ask(&domain), &table, &peers, at(100))), "t2");
     let later = at(0) + Duration::from_secs(2);
-    table.on_success(&TargetName::from("t1"));
+    table.on_success(&TargetName::from("t1"), later);
     assert_eq!(name(choose(&ask(&domain), &table, &peers, later)), "t1");
 }
 
--- a/crates/sesamewall-fleet/tests/decisions/support.rs
+++ b/crates/sesamewall-fleet/tests/decisions/support.rs
@@ -90,6 +90,7 @@
         accounts: Vec::new(),
         workers: Vec::new(),
         suspects: Vec::new(),
+        unreached: Vec::new(),
     }
 }
 
@@ -118,6 +119,7 @@
         accounts: Vec::new(),
         worker: None,
         suspects: Vec::new(),
+        unreached: Vec::new(),
     }
 }
 
@@ -139,6 +141,7 @@
         levels_known: true,
         hot: Vec::new(),
         suspects: Vec::new(),
+        unreached: Vec::new(),
         workers: None,
         hubs: None,
     }
--- a/crates/sesamewall-fleet/tests/decisions/targets.rs
+++ b/crates/sesamewall-fleet/tests/decisions/targets.rs
@@ -1,6 +1,9 @@
 //! Which targets get new work.
 
+use std::time::Duration;
+
 use sesamewall_fleet::TargetEntry;
+use sesamewall_protocol::DomainName;
 use sesamewall_protocol::TargetName;
 
 use crate::support::at;
@@ -57,3 +60,36 @@
     table.upsert(TargetEntry { born: 2, ..entry("t1", "a") }, 3, at(0));
     assert!(in_service(&table, "t1", 10));
 }
+
+/// Guards against a crowd at a target that comes back cold after a crash before its entry says so: who
+/// found nobody there, or was told so by another instance, treats it as cold for a while.
+#[test]
+fn a_target_that_was_not_there_comes_back_cold() {
+    let mut table = table(&[("t1", "a"), ("t2", "a")]);
+    table.set_cold_time(Duration::from_secs(3));
+    let cold = |table: &sesamewall_fleet::TargetTable, name: &str, millis: u64| {
+        table.get(&TargetName::from(name)).is_some_and(|target| target.cold(at(millis)))
+    };
+    table.on_unreached(&TargetName::from("t1"), at(0));
+    let keys = table.unreached(at(100));
+    assert!(keys.len() == 1 && cold(&table, "t1", 60_000));
+    assert!(table.unreached(at(5000)).is_empty(), "others are not told for ever");
+    table.on_success(&TargetName::from("t1"), at(6000));
+    assert!(cold(&table, "t1", 8900) && !cold(&table, "t1", 9100));
+    let mut other = self::table(&[("t1", "a"), ("t2", "a")]);
+    other.set_cold_time(Duration::from_secs(3));
+    other.on_others_unreached(&keys, at(100));
+    assert!(cold(&other, "t1", 3000) && !cold(&other, "t1", 3200) && !cold(&other, "t2", 200));
+}
+
+/// Guards against full load on targets that turned cold while their failure domain was out.
+#[test]
+fn targets_of_a_domain_that_comes_back_are_cold() {
+    let mut table = table(&[("t1", "a"), ("t2", "b")]);
+    table.set_cold_time(Duration::from_secs(3));
+    table.set_evacuated([DomainName::from("a")].into(), at(0));
+    table.set_evacuated([].into(), at(9000));
+    let cold =
+        |name: &str| table.get(&TargetName::from(name)).is_some_and(|target| target.cold(at(9100)));
+    assert!(cold("t1") && !cold("t2"));
+}
