Follow the store only where it serves, and look after jobs without a gap

A hub without news sent beacons to near hubs only with news, since digests counted as beacons.

Change: a hub whose last call failed leaves the watch to others and takes their list; known jobs are dropped only together with the watch's revision, and then read again; digests and beacons have their own times; a service without room does not keep items of other services from starting.

Readers of the stand-in go through all pages.

--- a/crates/sesamewall-edge/src/control/send.rs
+++ b/crates/sesamewall-edge/src/control/send.rs
@@ -171,7 +171,6 @@
     }
     if changed || now.since(times.digest) >= QUIET_DIGEST {
         times.digest = now;
-        times.near = now;
         digests(control, times, now);
     }
 }
--- a/crates/sesamewall-edge/src/control/tick.rs
+++ b/crates/sesamewall-edge/src/control/tick.rs
@@ -84,13 +84,14 @@
 /// among those that the store serves.
 fn is_watcher(node: &Node, state: &State, now: Time) -> bool {
     let own = &node.machine;
-    let able = |hub: &HubWord| hub.domain == own.domain && hub.store && !hub.draining;
-    let lower = state
-        .peers
-        .hub_contacts(now)
-        .map(|contact| &contact.beacon.hub)
-        .any(|hub| able(hub) && hub.name < own.instance);
-    state.peers.is_hub() && !lower && !node.is_draining()
+    let able = |hub: &&HubWord| hub.domain == own.domain && hub.store && !hub.draining;
+    let near: Vec<&HubWord> =
+        state.peers.hub_contacts(now).map(|contact| &contact.beacon.hub).filter(able).collect();
+    let first = match node.store.is_lost() {
+        true => near.is_empty(),
+        false => near.iter().all(|hub| hub.name > own.instance),
+    };
+    state.peers.is_hub() && first && !node.is_draining()
 }
 
 /// Returns the instances that the store serves and that can be reached: the home first, then those of
--- a/crates/sesamewall-edge/src/feed.rs
+++ b/crates/sesamewall-edge/src/feed.rs
@@ -150,7 +150,7 @@
         set_notices(node, &mut state, notices, reply.versions.notices);
     }
     // Who follows the store itself knows the list better than others who are ahead for a moment.
-    let own_list = node.watches() && !node.is_store_lost();
+    let own_list = node.watches() && !node.store.is_lost();
     if let Some(table) = reply.table
         && state.versions.table < reply.versions.table
         && !own_list
@@ -190,7 +190,7 @@
         let (source, own) = {
             let state = node.state();
             let mut own = state.versions;
-            if node.watches() && !node.is_store_lost() {
+            if node.watches() && !node.store.is_lost() {
                 own.table = u64::MAX;
             }
             (state.sources.choose(&own, now), state.versions)
--- a/crates/sesamewall-edge/src/sweeper.rs
+++ b/crates/sesamewall-edge/src/sweeper.rs
@@ -108,12 +108,10 @@
     pub async fn run(self: Arc<Self>) {
         loop {
             tokio::time::sleep(LOOK_INTERVAL).await;
-            if !self.on_duty() {
-                self.known().clear();
-                continue;
-            }
-            for task in self.tasks() {
-                self.carry_out(task).await;
+            if self.on_duty() {
+                for task in self.tasks() {
+                    self.carry_out(task).await;
+                }
             }
         }
     }
@@ -235,6 +233,10 @@
         self.0.on_duty()
     }
 
+    fn stopped(&mut self) {
+        self.0.known().clear();
+    }
+
     fn replace(&mut self, items: Vec<StoredItem>, _revision: u64) {
         let mut known = self.0.known();
         known.clear();
--- a/crates/sesamewall-edge/src/sync.rs
+++ b/crates/sesamewall-edge/src/sync.rs
@@ -47,6 +47,8 @@
 pub trait Follow: Send {
     /// Tells whether the instance has to follow the store itself.
     fn wanted(&self) -> bool;
+    /// Notes that the store is no longer followed; a complete read comes before the next changes.
+    fn stopped(&mut self) {}
     /// Takes over a complete read.
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64);
     /// Takes over changes.
@@ -79,7 +81,9 @@
     let mut revision = None;
     loop {
         if !to.wanted() {
-            revision = None;
+            if revision.take().is_some() {
+                to.stopped();
+            }
             let _ = tokio::time::timeout(WANTED_LOOK, node.duty.notified()).await;
             continue;
         }
--- a/crates/sesamewall-edge/src/worker_start.rs
+++ b/crates/sesamewall-edge/src/worker_start.rs
@@ -63,11 +63,10 @@
             true => Places::default(),
             false => self.places(backlog, now),
         };
+        let mut full: HashSet<Arc<str>> = HashSet::new();
         for (_, _, name, item) in order {
             let Some(job) = jobs.get_mut(&name) else { continue };
-            if !self.start_item(&catalog, &name, job, &item, &places, now) {
-                break;
-            }
+            self.start_item(&catalog, &name, job, &item, &places, &mut full, now);
         }
         for (name, job) in jobs.iter_mut() {
             self.commit_soon(name, job);
@@ -91,7 +90,8 @@
         Places { free, targets }
     }
 
-    /// Starts an item. Returns false if there is no room.
+    /// Starts an item if there is room. Services without room are noted in `full` and not tried again.
+    #[allow(clippy::too_many_arguments)]
     fn start_item(
         self: &Arc<Self>,
         catalog: &Catalog,
@@ -99,22 +99,26 @@
         job: &mut Job,
         item: &ItemId,
         places: &Places,
+        full: &mut HashSet<Arc<str>>,
         now: Time,
-    ) -> bool {
-        let Claim::Own { .. } = job.claim else { return true };
-        let Some(spec) = job.work.spec.clone() else { return true };
+    ) {
+        let Claim::Own { .. } = job.claim else { return };
+        let Some(spec) = job.work.spec.clone() else { return };
         let Some(index) = job.work.waiting.iter().position(|waiting| waiting.spec.id == *item)
         else {
-            return true;
+            return;
         };
         let Some(call) = ItemCall::new(catalog, &spec, job.work.waiting[index].spec.clone()) else {
             info!(self.node.log, "item given up"; "job" => %name, "item" => %item,
                 "cause" => "its route is gone", "version" => catalog.version);
             let gone = job.work.waiting.remove(index);
             self.finish(name, job, &gone.spec, ResultState::GivenUp, Vec::new(), now);
-            return true;
+            return;
         };
         job.due = call.due();
+        if full.contains(call.service()) {
+            return;
+        }
         let ask = Ask {
             service: call.service(),
             regions: call.regions(),
@@ -124,7 +128,10 @@
             among: Some(&places.targets),
             leave_free: Some(places.free),
         };
-        let Ok(chosen) = choose(&self.node, &ask) else { return false };
+        let Ok(chosen) = choose(&self.node, &ask) else {
+            full.insert(call.service().into());
+            return;
+        };
         let progress = job.work.waiting.remove(index).progress;
         let cancel = CancellationToken::new();
         let number = self.started.fetch_add(1, Ordering::Relaxed);
@@ -142,7 +149,6 @@
         let task =
             self.clone().run_item(name.clone(), number, call, chosen, progress, held, cancel);
         tokio::spawn(task);
-        true
     }
 
     /// Notes the result of an item; it is listed with the next group.
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -193,3 +193,32 @@
     let status = world.store.value("status/retire/worker-1").expect("written");
     assert_eq!(status, br#"{"state":"completed"}"#);
 }
+
+/// Guards against jobs that nobody looks after once their worker dies some time after an outage in which
+/// leases ended: the other worker still knows them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_taken_over_after_an_outage_and_a_kill() {
+    let mut world = World::start(1, 2).await;
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(400));
+    }
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(60)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let claimed = || async { world.claim("job1").is_some() };
+    assert!(until(claimed).await);
+    // Both workers look after jobs by now.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    world.store.set_down(true);
+    tokio::time::sleep(Duration::from_millis(3800)).await;
+    world.store.set_down(false);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(until(claimed).await);
+    tokio::time::sleep(Duration::from_millis(2000)).await;
+    let claim = world.claim("job1").expect("claimed");
+    let holder = usize::from(String::from_utf8_lossy(&claim).starts_with("worker-2"));
+    world.workers[holder].kill();
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(5));
+    }
+    check(&world.finished(0, "job1", 60).await, 60);
+}
--- a/tests/platform/online.rs
+++ b/tests/platform/online.rs
@@ -181,3 +181,22 @@
     let ended: usize = world.targets.iter().map(StandinTarget::ended).sum();
     assert_eq!((begun, ended), (1, 0));
 }
+
+/// Guards against work for a leaving target from an instance that the store turns away while it follows
+/// the store for its failure domain: it learns the list from the others meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_without_the_store_leaves_a_leaving_target() {
+    let world = World::start(3, 0).await;
+    // The instances hear each other.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world.store.turn_away(&[world.fronts[0].ip()]);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    world.store.put("servers/t1", &target_entry(world.targets[0].address, "a", true));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = world.targets[0].seen().len();
+    for n in 0..6 {
+        let answer = world.talk(0, "/talk/x", &format!("id-{n}")).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(world.targets[0].seen().len(), before, "a leaving target got work");
+}
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -26,6 +26,9 @@
 /// Longest wait for something that takes well below a second on an idle machine.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Names a folder for the logs of the processes.
+const LOG_VARIABLE: &str = "SESAMEWALL_TEST_LOGS";
+
 static WORLDS: AtomicU8 = AtomicU8::new(1);
 
 pub struct Process {
@@ -47,12 +50,20 @@
         let child = Command::new(env!("CARGO_BIN_EXE_sesamewalld"))
             .arg("--platform")
             .env(PATH_VARIABLE, &self.path)
-            .stdout(Stdio::null())
+            .stdout(self.log())
             .spawn()
             .expect("the program was built for this test");
         self.child = Some(child);
     }
 
+    /// Returns where the log goes: to the folder that the variable names, for a look at a failure.
+    fn log(&self) -> Stdio {
+        let Some(folder) = std::env::var_os(LOG_VARIABLE) else { return Stdio::null() };
+        let path = PathBuf::from(folder).join(format!("{}-{}.log", self.file.name, self.file.port));
+        let file = std::fs::File::options().create(true).append(true).open(path);
+        file.expect("a folder for logs").into()
+    }
+
     /// Ends the process without warning.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -196,8 +207,7 @@
     /// Waits until all items of a job are listed, and returns the results.
     pub async fn finished(&self, n: usize, job: &str, items: usize) -> Vec<serde_json::Value> {
         let listed = || async {
-            let answer = self.client.results(self.fronts[n].front(), job).await?;
-            let list = answer.json()["results"].as_array().cloned().unwrap_or_default();
+            let list = self.client.all_results(self.fronts[n].front(), job).await?;
             (list.len() == items).then_some(list)
         };
         let end = Instant::now() + PATIENCE;
