Keep targets that came back after an outage in the list

After an outage seven targets' entries lapsed and came back unchanged. Their revision was not taken over, so an instance that learned the list from another one did not hear of them, dropped them after the grace time, and told the shorter list to all: four of eleven targets were left. Found on the way: a worker that had found nobody at a target treated it as cold until a success, which batch items never bring.

Change: the revision of each written entry counts; who learns the list clears its own lapse marks, and only who follows the store drops targets; a target that was not reached is cold for a limited time.

--- a/crates/sesamewall-edge/src/control/tick.rs
+++ b/crates/sesamewall-edge/src/control/tick.rs
@@ -42,7 +42,11 @@
         state.peers.on_tick(|key| keys.contains(&key), now);
         state.suspects.on_tick(now);
         state.sources.on_tick(now);
-        let gone = state.targets.on_tick(now);
+        // Others learn from who follows the store which lapsed entries did not come back.
+        let gone = match node.watches() {
+            true => state.targets.on_tick(now),
+            false => Vec::new(),
+        };
         if !gone.is_empty() {
             // Others learn of it although the store has no change.
             state.versions.table += 1;
--- a/crates/sesamewall-fleet/src/targets.rs
+++ b/crates/sesamewall-fleet/src/targets.rs
@@ -86,7 +86,7 @@
 
     /// Tells whether the target may be cold: it said so, or it was not there a moment ago.
     pub fn cold(&self, now: Time) -> bool {
-        now < self.cold_until || self.unreached.is_some()
+        now < self.cold_until
     }
 
     /// Tells whether the target has failed and has not answered since.
@@ -160,8 +160,9 @@
             false => {
                 if known.entry != entry {
                     known.cold_until = now + entry.cold;
-                    known.revision = revision;
                 }
+                // An entry that comes back after a lapse may be the same: others have to hear of it.
+                known.revision = known.revision.max(revision);
                 known.entry = entry;
                 known.lapsed = None;
             }
@@ -188,6 +189,9 @@
     pub fn keep_only(&mut self, present: &HashSet<u32>) -> usize {
         let before = self.targets.len();
         self.targets.retain(|_, target| present.contains(&target.key));
+        for target in self.targets.values_mut() {
+            target.lapsed = None;
+        }
         before - self.targets.len()
     }
 
@@ -261,8 +265,12 @@
 
     /// Notes that nobody was there: the target may be down, and is cold when it comes back.
     pub fn on_unreached(&mut self, name: &TargetName, now: Time) {
+        let cold_time = self.cold_time;
         if let Some(target) = self.targets.get_mut(name) {
             target.unreached = Some(now);
+            // It ends by itself: batch items do not go to cold targets, so a worker alone would never
+            // find out that the target is back.
+            target.cold_until = target.cold_until.max(now + UNREACHED_TIME + cold_time);
         }
     }
 
--- a/crates/sesamewall-fleet/tests/decisions/placement.rs
+++ b/crates/sesamewall-fleet/tests/decisions/placement.rs
@@ -191,6 +191,23 @@
     assert!(warm > 8 && former > 8, "{warm} and {former}");
 }
 
+/// Guards against batch items that never start again: a worker that found nobody at all targets, and that
+/// sends nothing but batch items, tries them after a while.
+#[test]
+fn a_worker_tries_unreached_targets_again() {
+    let mut table = table(&[("t1", "a"), ("t2", "b")]);
+    table.set_cold_time(Duration::from_secs(3));
+    let domain = DomainName::from("a");
+    let peers = hub("own");
+    for name in ["t1", "t2"] {
+        table.on_failure(&TargetName::from(name), at(0));
+        table.on_unreached(&TargetName::from(name), at(0));
+    }
+    let batch = Ask { leave_free: Some(0), ..ask(&domain) };
+    assert!(choose(&batch, &table, &peers, at(1000)).is_err());
+    assert!(choose(&batch, &table, &peers, at(8000)).is_ok());
+}
+
 /// Guards against a herd: many instances choose with the same old counts, and all of them take the target
 /// that was the least loaded. Load: fourteen choices in a failure domain of 17 targets before the next
 /// counts come.
