Run a batch item again whatever targets crashed under it

Cause: the product's own interface runs items through the executor of online requests. Crash marks are kept by account and body and refuse from the second crash on; `may_repeat` takes 4005 for lasting. Besides, a run whose target was lost counted as one of the three attempts of an item. Both take the loss of a target as word about the item. The class of fault: evidence about a target is counted against work.

Evidence: an_item_under_which_targets_crashed_runs_again failed with [5002, 4005, 4005, 4005, 4005, 4005]; an_item_outlives_crashes_of_its_targets failed with 4 of 4 items given up.

Change: crash marks neither hold nor refuse calls of class batch and are not made by them. A run whose target was lost counts apart from the attempts, with a pause that doubles up to 32 s; the job's due time ends it. Calls that may not be repeated keep their rule: the end is unclear, and nothing runs again.

--- a/crates/sesamewall-server/src/batch/items.rs
+++ b/crates/sesamewall-server/src/batch/items.rs
@@ -27,6 +27,8 @@
 
 const LEASE_POLL: Duration = Duration::from_millis(100);
 const BACKOFF: Duration = Duration::from_millis(500);
+/// Doublings of the pause after lost targets: 32 s at the most.
+const MAX_DOUBLINGS: u32 = 6;
 /// Failed or retried items of one claim whose path is recorded in full. The others have one record
 /// each.
 const NOTED_LIMIT: u32 = 32;
@@ -34,6 +36,8 @@
 /// What is known about the attempts of an item.
 pub(super) struct Tried {
     pub(super) attempts: u32,
+    /// Runs whose targets were lost. They say nothing about the item and don't count as attempts.
+    pub(super) lost: u32,
     pub(super) reason: String,
     pub(super) outcome: Outcome,
     pub(super) steps: Vec<(u64, Decision)>,
@@ -42,7 +46,7 @@
 impl Default for Tried {
     fn default() -> Self {
         let reason = String::new();
-        Self { attempts: 0, reason, outcome: Outcome::NotRun, steps: Vec::new() }
+        Self { attempts: 0, lost: 0, reason, outcome: Outcome::NotRun, steps: Vec::new() }
     }
 }
 
@@ -79,6 +83,8 @@
     Stopped,
     /// The instance shuts down.
     ShutDown,
+    /// Its target was lost, and the item may be repeated.
+    TargetLost(Error),
     /// The attempt failed.
     Failed(Error),
 }
@@ -138,6 +144,12 @@
                     }
                     return Err(Error::ShuttingDown);
                 }
+                AttemptEnd::TargetLost(error) => {
+                    tried.lost += 1;
+                    tried.reason = error.to_string();
+                    self.pause(claim, tried.lost).await?;
+                    continue;
+                }
                 AttemptEnd::Failed(error) => error,
             };
             if !may_repeat(&error, item.once) {
@@ -152,17 +164,22 @@
             tried.attempts += 1;
             tried.reason = error.to_string();
             item.note_attempt(&tried).await?;
-            tokio::select! {
-                () = tokio::time::sleep(BACKOFF * 2_u32.pow(tried.attempts)) => {}
-                () = claim.stop.cancelled() => {}
-                () = self.drain.begin.cancelled() => return Err(Error::ShuttingDown),
-            }
+            self.pause(claim, tried.attempts).await?;
         }
         let Tried { attempts, outcome, .. } = tried;
         let error = Error::ItemFailed { attempts, reason: tried.reason.clone(), outcome };
         self.fail(item, &tried, &error).await.map(Some)
     }
 
+    /// Waits between two attempts, longer after each one.
+    async fn pause(&self, claim: &Claim, ended: u32) -> Result<()> {
+        tokio::select! {
+            () = tokio::time::sleep(BACKOFF * 2_u32.pow(ended.min(MAX_DOUBLINGS))) => Ok(()),
+            () = claim.stop.cancelled() => Ok(()),
+            () = self.drain.begin.cancelled() => Err(Error::ShuttingDown),
+        }
+    }
+
     async fn attempt(&self, item: &Item<'_>, line: &InputLine, tried: &mut Tried) -> AttemptEnd {
         let claim = item.claim;
         let trace = Arc::new(ItemTrace::default());
@@ -171,7 +188,9 @@
         let request = ItemRequest {
             request: RequestId::from(format!(
                 "{}.{}.{}",
-                item.name.id, claim.record.fence, tried.attempts
+                item.name.id,
+                claim.record.fence,
+                tried.attempts + tried.lost
             )),
             account: claim.job.account.clone(),
             method: line.method.clone(),
@@ -208,9 +227,12 @@
             ItemOutcome::Cancelled => {
                 AttemptEnd::Failed(Error::Internal { detail: "the run was cancelled".to_owned() })
             }
+            ItemOutcome::Failed { error } if trace.lost_target() && !item.once => {
+                AttemptEnd::TargetLost(error)
+            }
             ItemOutcome::Failed { error } => AttemptEnd::Failed(error),
         };
-        if let AttemptEnd::Failed(error) = &end {
+        if let AttemptEnd::Failed(error) | AttemptEnd::TargetLost(error) = &end {
             tried.outcome = tried.outcome.combine(error.outcome());
             // The runner's error is that of its last attempt; an earlier one may have run.
             if trace.failures() > usize::from(is_not_run(error)) {
@@ -230,6 +252,7 @@
         let outcome = tried.outcome.combine(error.outcome());
         let failed = Tried {
             attempts: tried.attempts,
+            lost: tried.lost,
             reason: error.to_string(),
             outcome,
             steps: tried.steps.clone(),
--- a/crates/sesamewall-server/src/execute/executor.rs
+++ b/crates/sesamewall-server/src/execute/executor.rs
@@ -31,6 +31,7 @@
 use super::Call;
 use super::attempt::Failure;
 use super::forward;
+use super::suspects::Clearance;
 use super::suspects::Suspects;
 use crate::Node;
 use crate::gate::Placement;
@@ -108,8 +109,7 @@
     /// Starts a call: refuses requests that crash targets, then spends the account's rate.
     pub async fn start(&self, call: &Call) -> Result<Attempts> {
         let now = self.node.clock.now();
-        let account = account(call);
-        let clearance = self.suspects.check(&account, &call.digest, now)?;
+        let clearance = self.clearance(call, now)?;
         if let (Some(account), false) = (&call.account, call.forwarded) {
             tokio::select! {
                 () = call.cancel.cancelled() => return Err(Error::Cancelled),
@@ -330,18 +330,14 @@
         if !failure.not_run {
             attempts.uncertain = Some(failure.error.clone());
         }
-        if failure.end == SlotEnd::Crashed && !slot.is_forward() {
-            attempts.crashed = true;
-            let instance = &self.node.own.name;
-            self.suspects.crashed(&account(call), &call.digest, slot, instance, now);
-        }
+        self.note_crash(call, attempts, slot, &failure, now);
         let overload = failure.end == SlotEnd::Overloaded;
         self.with_retries(call, |group| group.on_failure(overload, now));
         let repeatable = failure.not_run || (call.idempotent && !delivered);
         if !repeatable || call.cancel.is_cancelled() {
             return Err(failure.error);
         }
-        let clearance = self.suspects.check(&account(call), &call.digest, now)?;
+        let clearance = self.clearance(call, now)?;
         attempts.isolated = clearance.isolated;
         attempts.not_before = clearance.from;
         let allowed = self.with_retries(call, |group| group.try_retry(&mut attempts.budget, now));
@@ -352,6 +348,41 @@
         Ok(())
     }
 
+    /// Decides by crash marks whether and how a call may run. A batch item never gets any: it is owed
+    /// whatever crashed under it, and its worker pauses longer after each lost target.
+    fn clearance(&self, call: &Call, now: Time) -> Result<Clearance> {
+        match call.class {
+            Class::Online => self.suspects.check(&account(call), &call.digest, now),
+            Class::Batch => Ok(Clearance { isolated: false, from: now }),
+        }
+    }
+
+    /// Takes note of a target that was lost while it ran the call. What happened behind another instance
+    /// is marked there.
+    fn note_crash(
+        &self,
+        call: &Call,
+        attempts: &mut Attempts,
+        slot: &Slot,
+        failure: &Failure,
+        now: Time,
+    ) {
+        let crashed = match slot.is_forward() {
+            true => !failure.not_run,
+            false => failure.end == SlotEnd::Crashed,
+        };
+        match (call.class, &call.trace) {
+            _ if !crashed => {}
+            (Class::Batch, Some(trace)) => trace.note_lost_target(),
+            (Class::Online, _) if !slot.is_forward() => {
+                attempts.crashed = true;
+                let instance = &self.node.own.name;
+                self.suspects.crashed(&account(call), &call.digest, slot, instance, now);
+            }
+            _ => {}
+        }
+    }
+
     /// Waits, after a target crashed, until the crash marks have spread. A caller who sends the
     /// request again when it is answered meets instances that know the marks.
     pub async fn hold_failure(&self, call: &Call, attempts: &Attempts) {
--- a/crates/sesamewall-server/src/item.rs
+++ b/crates/sesamewall-server/src/item.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -51,6 +53,7 @@
 #[derive(Debug, Default)]
 pub struct ItemTrace {
     steps: Mutex<Vec<(u64, Decision)>>,
+    lost_target: AtomicBool,
 }
 
 impl ItemTrace {
@@ -66,6 +69,16 @@
         self.lock().iter().any(|(_, decision)| matches!(decision, Decision::SlotGranted { .. }))
     }
 
+    /// Notes that a target was lost while it ran the item.
+    pub fn note_lost_target(&self) {
+        self.lost_target.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether a target was lost while it ran the item.
+    pub fn lost_target(&self) -> bool {
+        self.lost_target.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of attempts on targets that failed.
     pub fn failures(&self) -> usize {
         let failed = |step: &&(u64, Decision)| matches!(step.1, Decision::AttemptFailed { .. });
--- a/crates/sesamewall-server/tests/batch/faults.rs
+++ b/crates/sesamewall-server/tests/batch/faults.rs
@@ -168,6 +168,16 @@
     })
 }
 
+/// Guards against a sound item that is given up because many targets crashed while they ran it.
+#[tokio::test(start_paused = true)]
+async fn an_item_outlives_crashes_of_its_targets() {
+    let fleet = Fleet::new(13, BatchOptions::default());
+    fleet.targets.crashes.store(8, Ordering::Relaxed);
+    let job = fleet.job("a", MODEL, 4).await;
+    let ended = fleet.wait("a", &job, 1_800).await;
+    assert_eq!(ended["request_counts"]["completed"], 4, "{ended}");
+}
+
 /// Pauses a worker between its last outcome and its commit until a successor has committed.
 async fn late_commit(options: BatchOptions) -> Vec<String> {
     let fleet = Fleet::new(11, options);
--- a/crates/sesamewall-server/tests/path/poison.rs
+++ b/crates/sesamewall-server/tests/path/poison.rs
@@ -1,7 +1,28 @@
 //! Tests of requests that crash targets.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use bytes::Bytes;
 use http::Method;
 use serde_json::json;
+use sesamewall_protocol::AccountName;
+use sesamewall_protocol::Class;
+use sesamewall_protocol::Result;
+use sesamewall_protocol::peer::Slot;
+use sesamewall_protocol::peer::SlotAsk;
+use sesamewall_server::Call;
+use sesamewall_server::Executor;
+use sesamewall_server::ItemTrace;
+use sesamewall_server::Placement;
+use sesamewall_server::RateGate;
+use sesamewall_server::SlotGate;
+use sesamewall_server::SlotLease;
+use sesamewall_server::SlotReport;
+use sesamewall_server::SlotSink;
+use tokio_util::sync::CancellationToken;
 
 use crate::fleet::*;
 use crate::target::Reply;
@@ -76,3 +97,85 @@
     let codes: Vec<_> = answers.iter().map(|answer| answer.code()).collect();
     assert_eq!((received, &codes[..]), (2, &[5002, 5002, 4005, 4005][..]));
 }
+
+/// Gives each call a slot at once, with a new target's name each time.
+struct FreeSlots {
+    address: String,
+    given: AtomicU64,
+}
+
+#[async_trait]
+impl RateGate for FreeSlots {
+    async fn spend(&self, _account: &AccountName, _class: Class) -> Result<()> {
+        Ok(())
+    }
+}
+
+struct NoSink;
+
+impl SlotSink for NoSink {
+    fn report(&self, _slot: &Slot, _report: SlotReport) {}
+}
+
+#[async_trait]
+impl SlotGate for FreeSlots {
+    async fn acquire(&self, ask: SlotAsk, _may_forward: bool) -> Result<Placement> {
+        let number = self.given.fetch_add(1, Ordering::Relaxed);
+        let slot = Slot {
+            slot: number,
+            epoch: 1,
+            request: ask.request,
+            target: format!("t{number}").as_str().into(),
+            address: format!("http://{}", self.address),
+            reason: "free".to_owned(),
+            wait_us: 0,
+        };
+        Ok(Placement::Here(SlotLease::new(slot, CancellationToken::new(), Arc::new(NoSink))))
+    }
+}
+
+/// Guards against a sound batch item that is refused for good because targets crashed under it.
+#[tokio::test]
+async fn an_item_under_which_targets_crashed_runs_again() {
+    const CRASHES: usize = 5;
+    let fleet = Fleet::start(&["d1"]).await;
+    let target = ScriptedTarget::start(|number, _| match number {
+        0..CRASHES => Reply { bytes: Vec::new(), close: true },
+        _ => Reply {
+            bytes: b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}".to_vec(),
+            close: false,
+        },
+    })
+    .await;
+    let gate = Arc::new(FreeSlots { address: target.address.clone(), given: AtomicU64::new(1) });
+    let executor = Executor::new(fleet.running[0].node.clone(), gate.clone(), gate);
+    let call = Call {
+        request: "item-1".into(),
+        account: Some(AccountName::from("a")),
+        class: Class::Batch,
+        model: MODEL.into(),
+        method: "POST".to_owned(),
+        path: CHAT.to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"{}"),
+        digest: "digest of the body".to_owned(),
+        prompt: 1,
+        work: 2,
+        prefix: Vec::new(),
+        idempotent: true,
+        forwarded: false,
+        no_wait: false,
+        resume_from: 0,
+        urgent: false,
+        trace: Some(Arc::new(ItemTrace::default())),
+        cancel: CancellationToken::new(),
+    };
+    let mut codes = Vec::new();
+    for _ in 0..=CRASHES {
+        match executor.run_plain(&call).await {
+            Ok(answer) => return assert_eq!(answer.status, 200),
+            Err(error) => codes.push(error.code()),
+        }
+    }
+    panic!("the item was never answered: {codes:?}");
+}
