Answer requests on connections that were just accepted in a planned stop

Callers saw (in a test; operators of similar systems report it): 2.6 s after SIGTERM an instance closed connections that had been accepted a moment before, and the requests that came on them got no answer.

Cause: the library's graceful shutdown closes at once each connection that has no request, also one on which none has been read yet, and connections that wait for their acceptance are reset with the listener.

Evidence: a_planned_stop_answers_connections_that_were_just_accepted, with 20 connections 0.1 to 0.3 s before that moment and requests 0.15 s after it, failed at connection 0 with an empty answer.

Change: caller_link.rs serves a connection and knows its requests. In a planned stop it is closed once no request has been on it for 0.4 s, at the earliest 0.4 s after new connections are no longer taken; what waits for acceptance is accepted first. What remains: a request that crosses the close of a connection idle for longer.

accepted_jobs_survive_the_end_of_all_processes is new and passed before as well: two jobs, one accepted right before all processes were killed, end with each item once, and positions that were read stay.

--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod call;
+mod caller_link;
 mod control;
 mod counted_store;
 mod feed;
--- a/crates/sesamewall-edge/src/run.rs
+++ b/crates/sesamewall-edge/src/run.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -14,7 +15,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
 use sesamewall_adapters::http_client::CallError;
 use sesamewall_platform::Machine;
 use sesamewall_platform::READY_PATH;
@@ -24,11 +24,14 @@
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
 
 use crate::Node;
+use crate::caller_link;
 use crate::control;
 use crate::feed;
 use crate::feed::FEED_PATH;
@@ -68,9 +71,6 @@
 /// Idle connections of callers are kept for somewhat longer than callers use them.
 const IDLE_FACTOR: f64 = 1.1;
 
-/// Bytes of a caller's read buffer, above the largest usual headers.
-const READ_BUFFER: usize = 32 << 10;
-
 /// Runs the process that the platform's settings file describes, until SIGTERM.
 ///
 /// # Errors
@@ -280,35 +280,14 @@
 ) {
     let jobs = Arc::new(JobApi::new(node.clone()));
     let online = Arc::new(Online::new(node.clone(), jobs));
-    let graceful = GracefulShutdown::new();
+    let closing = watch::Sender::new(false);
     let mut stop = std::pin::pin!(stop);
     let mut ended: Option<tokio::time::Instant> = None;
     loop {
         let until = ended.map(|at| at + BALANCER_TIME);
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    let online = online.clone();
-                    let service = service_fn(move |request| {
-                        let online = online.clone();
-                        async move { Ok::<_, std::convert::Infallible>(online.serve(request).await) }
-                    });
-                    let idle = node.catalog().map_or(Duration::from_secs(30), |catalog| {
-                        catalog.limits.idle_time.mul_f64(IDLE_FACTOR)
-                    });
-                    let connection = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(idle)
-                        .max_buf_size(READ_BUFFER)
-                        .serve_connection(TokioIo::new(stream), service);
-                    let watched = graceful.watch(connection);
-                    tokio::spawn(async move {
-                        // The caller broke the connection, or a stream ended incomplete: both are
-                        // logged where they are decided.
-                        let _ = watched.await;
-                    });
-                }
+                Ok((stream, _)) => serve_caller(node, &online, stream, &closing),
                 Err(error) => {
                     warn!(node.log, "connection not accepted"; "error" => %error);
                     tokio::time::sleep(Duration::from_millis(20)).await;
@@ -323,13 +302,32 @@
             () = sleep_until(until), if until.is_some() => break,
         }
     }
+    // Connections that wait for their acceptance would be reset with the listener.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve_caller(node, &online, stream, &closing);
+    }
     drop(listener);
     let left = node.machine.bounds.grace.saturating_sub(BALANCER_TIME + END_MARGIN);
-    if tokio::time::timeout(left, graceful.shutdown()).await.is_err() {
+    closing.send_replace(true);
+    if tokio::time::timeout(left, closing.closed()).await.is_err() {
         warn!(node.log, "connections left at the end of the grace period");
     }
 }
 
+fn serve_caller(
+    node: &Node,
+    online: &Arc<Online>,
+    stream: TcpStream,
+    closing: &watch::Sender<bool>,
+) {
+    // A connection without the option is slower and no less usable.
+    let _ = stream.set_nodelay(true);
+    let idle = node
+        .catalog()
+        .map_or(Duration::from_secs(30), |catalog| catalog.limits.idle_time.mul_f64(IDLE_FACTOR));
+    tokio::spawn(caller_link::serve(stream, online.clone(), idle, closing.subscribe()));
+}
+
 async fn sleep_until(until: Option<tokio::time::Instant>) {
     match until {
         Some(until) => tokio::time::sleep_until(until).await,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,5 +6,7 @@
 mod bounds;
 #[path = "platform/online.rs"]
 mod online;
+#[path = "platform/stops.rs"]
+mod stops;
 #[path = "platform/world.rs"]
 mod world;
