Refuse requests whose body does not arrive within their route's timeout

Callers saw (in a test): a request whose body came a byte at a time stayed open without any answer.

Cause: the time limit of a caller's connection ends with the head; the body was read without one.

Evidence: a_body_that_does_not_end_in_time_is_refused got no answer before; now 408 at the timeout.

Change: a body has the route's timeout, calls about jobs 15 s. 408 is true: nothing was sent to a target.

--- a/crates/sesamewall-edge/src/call.rs
+++ b/crates/sesamewall-edge/src/call.rs
@@ -195,7 +195,7 @@
 }
 
 /// Time limit of requests without any. It is the platform's usual timeout of batch items.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
+pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Chooses a target from what the instance knows now.
 pub fn choose(node: &Node, ask: &Ask<'_>) -> Result<Chosen, NoPlace> {
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -29,6 +29,7 @@
 use crate::attempt::AttemptError;
 use crate::attempt::attempt;
 use crate::call::Call;
+use crate::call::DEFAULT_TIMEOUT;
 use crate::job_api::JobApi;
 use crate::relay::Relay;
 use crate::reply::Reply;
@@ -117,7 +118,7 @@
         let known_host = !catalog.host_routes(&host).is_empty();
         if let Some(call) = about_job.filter(|_| known_host) {
             let account = account(&catalog, &head.headers, None)?;
-            drain(body, catalog.limits.body_bytes).await?;
+            drain(body, catalog.limits.body_bytes, DEFAULT_TIMEOUT).await?;
             return self
                 .jobs
                 .serve(call, account.as_deref(), &head.headers)
@@ -127,7 +128,7 @@
         let unknown = || Refusal::new(Error::RouteUnknown { path: head.uri.path().to_owned() });
         let route = catalog.route(&host, head.uri.path()).cloned().ok_or_else(unknown)?;
         let account = account(&catalog, &head.headers, Some(&route))?;
-        let body = drain(body, catalog.limits.body_bytes).await?;
+        let body = drain(body, catalog.limits.body_bytes, body_time(&route)).await?;
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
             let submit = self.jobs.submit(&route, account.as_deref(), &host, &head, &body);
             return submit.await.map_err(|(error, retry)| Refusal::later(error, retry));
@@ -396,10 +397,19 @@
     account.map(Some).ok_or_else(|| Refusal::new(Error::KeyInvalid))
 }
 
-/// Reads a whole body of at most `limit` bytes.
-async fn drain(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let collected = Limited::new(body, limit).collect().await;
-    collected.map(|body| body.to_bytes()).map_err(|error| {
+/// Returns the time in which a request's body has to arrive: later it could not be answered any more.
+fn body_time(route: &RouteSpec) -> Duration {
+    match route.timeout.is_zero() {
+        true => DEFAULT_TIMEOUT,
+        false => route.timeout,
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes that arrives within `time`.
+async fn drain(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Refusal> {
+    let collected = tokio::time::timeout(time, Limited::new(body, limit).collect()).await;
+    let late = |_| Refusal::new(Error::BodyTimeout { seconds: time.as_secs() });
+    collected.map_err(late)?.map(|body| body.to_bytes()).map_err(|error| {
         let large = error.is::<http_body_util::LengthLimitError>();
         Refusal::new(match large {
             true => Error::BodyTooLarge { limit },
--- a/tests/platform/online.rs
+++ b/tests/platform/online.rs
@@ -7,6 +7,9 @@
 use sesamewall_platform_standin::StandinTarget;
 use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::world::World;
 use crate::world::until;
@@ -200,3 +203,28 @@
     }
     assert_eq!(world.targets[0].seen().len(), before, "a leaving target got work");
 }
+
+/// Guards against callers who keep a request open for ever by sending its body byte by byte.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_does_not_end_in_time_is_refused() {
+    let world = World::start(1, 0).await;
+    let mut caller = TcpStream::connect(world.fronts[0].front()).await.expect("an open port");
+    let head = "POST /talk/x HTTP/1.1\r\nhost: test.example\r\nauthorization: Bearer key-1\r\n\
+                sesamewall-request-id: id-1\r\ncontent-length: 10000\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.expect("an open connection");
+    let (mut read, mut write) = caller.split();
+    let trickle = async {
+        while write.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        std::future::pending::<()>().await;
+    };
+    let mut answer = [0; 12];
+    // The route has five seconds.
+    let answered = tokio::time::timeout(Duration::from_millis(5500), read.read_exact(&mut answer));
+    tokio::select! {
+        () = trickle => {}
+        answered = answered => assert!(matches!(answered, Ok(Ok(_))), "{answered:?}"),
+    }
+    assert_eq!(&answer, b"HTTP/1.1 408");
+}
