Count only answers of 500 against a batch item

Callers would see: an item given up after three answers that say nothing about it, such as the 504 of a target whose time was up or a 503 without the mark that it was not run.

Cause: each status but 200 and 422 counted as a failed run. The class of fault is that of the crash marks on items: word about a target taken for word about the work.

Evidence: only_failed_runs_count_against_an_item, two items at targets that answer 504, saw them given up after three runs each. items_under_which_targets_crashed_are_placed_again (24 broken runs) passed before as well: on the platform, a lost target does not count against an item.

--- a/crates/sesamewall-edge/src/item_call.rs
+++ b/crates/sesamewall-edge/src/item_call.rs
@@ -134,11 +134,15 @@
         match answer.status {
             StatusCode::OK => {}
             StatusCode::UNPROCESSABLE_ENTITY => return ItemEnd::Impossible,
-            _ => {
+            status => {
                 if answer.collect(SILENCE).await.is_ok() {
                     answer.finish(node);
                 }
-                return ItemEnd::Failed;
+                // Any other status says nothing about the item.
+                return match status {
+                    StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
+                    _ => ItemEnd::Broken,
+                };
             }
         }
         let mut splitter = EventSplitter::default();
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -183,6 +183,41 @@
     }
 }
 
+/// Guards against items that are given up for answers which say nothing about them.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_failed_runs_count_against_an_item() {
+    let world = World::start(1, 1).await;
+    for target in &world.targets {
+        target.set_status(Some(504));
+    }
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(2)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    let seen = || world.targets.iter().map(|target| target.seen().len()).sum::<usize>();
+    assert!(until(|| async { seen() >= 10 }).await);
+    for target in &world.targets {
+        target.set_status(None);
+    }
+    check(&world.finished(0, "job1", 2).await, 2);
+}
+
+/// Guards against sound items that are not placed again after targets crashed under them.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_under_which_targets_crashed_are_placed_again() {
+    let world = World::start(1, 1).await;
+    for target in &world.targets {
+        target.cut_after(Some(0));
+    }
+    let answer = world.client.submit(world.fronts[0].front(), "job1", &items(3)).await;
+    assert_eq!(answer.expect("an answer").status, 202);
+    // Far more crashes than attempts that may fail.
+    let crashes = || world.targets.iter().map(|target| target.seen().len()).sum::<usize>();
+    assert!(until(|| async { crashes() >= 24 }).await);
+    for target in &world.targets {
+        target.cut_after(None);
+    }
+    check(&world.finished(0, "job1", 3).await, 3);
+}
+
 /// Guards against a retirement that waits: nothing has to be moved.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_retirement_is_reported() {
