Break off a stream that its target ended inside an event

Callers saw (in a test): a stream without a length whose target closed the connection in the middle of an event reached its caller as complete, without that event.

Cause: the relay dropped the bytes after the last whole event at the end of the body. Items had the check.

Evidence: a_stream_that_ends_inside_an_event_is_not_complete got a whole body with one event.

Change: such an end is a lost connection: a resumable stream goes on elsewhere, any other one breaks off. An end between two events of a body without a length cannot be told from the real one.

RawTarget is a stand-in that answers with scripted bytes.

--- a/crates/sesamewall-edge/src/relay.rs
+++ b/crates/sesamewall-edge/src/relay.rs
@@ -87,6 +87,12 @@
             match answer.piece(limit).await {
                 Ok(Some(piece)) if self.splitter.push(&piece).is_ok() => {}
                 Ok(Some(_)) => return self.end("event too large"),
+                Ok(None) if self.splitter.has_rest() => {
+                    let error = AttemptError::Lost("the stream ended inside an event".to_owned());
+                    if let Some(end) = self.broken(error).await {
+                        return Some(end);
+                    }
+                }
                 Ok(None) => return self.complete(),
                 Err(error) => {
                     if let Some(end) = self.broken(error).await {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,5 +1,7 @@
 //! Real processes on stand-ins of the users' platform.
 
+#[path = "platform/answers.rs"]
+mod answers;
 #[path = "platform/batch.rs"]
 mod batch;
 #[path = "platform/bounds.rs"]
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -26,6 +26,9 @@
 /// Longest wait for something that takes well below a second on an idle machine.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Time in which a changed target is known to a front.
+const CHANGE_TIME: Duration = Duration::from_millis(1500);
+
 /// Names a folder for the logs of the processes.
 const LOG_VARIABLE: &str = "SESAMEWALL_TEST_LOGS";
 
@@ -93,6 +96,16 @@
         }
     }
 
+    /// Returns the most memory that the process has used so far, in kB.
+    pub fn peak_memory(&self) -> u64 {
+        let child = self.child.as_ref().expect("a started process");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let text = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        text.and_then(|text| text.parse().ok()).expect("a number of kB")
+    }
+
     pub async fn ended(&mut self) -> bool {
         let child = self.child.as_mut().expect("a started process");
         let until = Instant::now() + PATIENCE;
@@ -186,6 +199,25 @@
         until(ask).await
     }
 
+    /// Puts a target in place of `t1` or `t2`, and waits until the change is in force.
+    pub async fn replace(&self, name: &str, address: SocketAddr) {
+        let domain = if name == "t1" { "a" } else { "b" };
+        self.store.put(&format!("servers/{name}"), &target_entry(address, domain, false));
+        tokio::time::sleep(CHANGE_TIME).await;
+    }
+
+    /// Puts a target with room for all requests in place of all others, and waits until the change is in
+    /// force.
+    pub async fn replace_all(&self, address: SocketAddr) {
+        for key in self.store.keys("servers/") {
+            self.store.remove(&key);
+        }
+        let mut entry = target_entry(address, "a", false);
+        entry["concurrency"] = 300.into();
+        self.store.put(&format!("servers/only-{}", address.port()), &entry);
+        tokio::time::sleep(CHANGE_TIME).await;
+    }
+
     /// Returns the store's keys that begin and end like this.
     pub fn store_keys(&self, start: &str, end: &str) -> Vec<String> {
         let keys = self.store.keys(start).into_iter();
