Bound the time and the memory of answers that do not end

Callers saw (in tests): an answer that trickled held its caller for more than ten seconds on a route of five; a resumable stream stayed at a target that sent bytes and no events until its timeout; an item at a target whose answer of 500 never ended stayed there for good.

Cause: each piece of an answer began the wait anew, and whole bodies were collected without a bound; an event could take 4 MB on each stream.

Evidence: a_trickling_answer_ends_at_the_timeout_of_its_route, a_stream_moves_off_a_target_that_sends_no_events and endless_answers_to_items_are_ended failed before. a_slow_stream_is_passed_on_to_its_end (400 ms between events) guards the other side and passed before as well.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -22,6 +23,7 @@
 use sesamewall_protocol::TargetName;
 
 use crate::Node;
+use crate::byte_budget::OverBudget;
 use crate::target_pool::Link;
 
 /// Connections that have been idle for longer are not used for requests that may run only once: the
@@ -35,6 +37,9 @@
 /// after a stall of the process its timers end before its sockets are read.
 const LATE_POLL: Duration = Duration::from_millis(5);
 
+/// Most bytes of an answer that is no stream. A target that sends more is at fault.
+const ANSWER_LIMIT: usize = 4 << 20;
+
 /// How an attempt failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive_more::Display)]
@@ -57,6 +62,9 @@
     /// The connection ended before the answer was whole.
     #[display("connection lost: {_0}")]
     Lost(String),
+    /// The answer has more bytes than may be held.
+    #[display("{_0}")]
+    TooLarge(OverBudget),
     /// No answer in time.
     #[display("silent for {} ms", _0.as_millis())]
     Silent(Duration),
@@ -77,6 +85,7 @@
             Self::Misdirected => "misdirected",
             Self::Mismatch => "mismatch",
             Self::Lost(_) => "lost",
+            Self::TooLarge(_) => "too-large",
             Self::Silent(_) => "silent",
         }
     }
@@ -166,17 +175,28 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body, which has to end within `limit`.
     ///
     /// # Errors
     ///
-    /// As for `piece`.
-    pub async fn collect(&mut self, limit: Duration) -> Result<Bytes, AttemptError> {
-        let mut all = Vec::new();
-        while let Some(piece) = self.piece(limit).await? {
+    /// As for `piece`, and `TooLarge` for a body beyond the bounds.
+    pub async fn collect(&mut self, node: &Node, limit: Duration) -> Result<Bytes, AttemptError> {
+        let until = Instant::now() + limit;
+        let mut held = node.buffers.hold();
+        let mut all: Vec<u8> = Vec::new();
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(AttemptError::Silent(limit));
+            }
+            let Some(piece) = self.piece(left).await? else { return Ok(all.into()) };
+            let bytes = all.len() + piece.len();
+            if bytes > ANSWER_LIMIT {
+                return Err(AttemptError::TooLarge(OverBudget { bytes }));
+            }
             all.extend_from_slice(&piece);
+            held.resize(all.capacity()).map_err(AttemptError::TooLarge)?;
         }
-        Ok(all.into())
     }
 
     /// Ends the exchange after the whole body was read, and keeps the connection.
@@ -205,7 +225,7 @@
 ///
 /// # Errors
 ///
-/// Returns how the attempt failed. After `Lost`, `Silent` and `Mismatch` the target may have run it.
+/// Returns how the attempt failed. Unless it says that the request was not run, the target may have run it.
 pub async fn attempt(
     node: &Arc<Node>,
     chosen: &Chosen,
--- a/crates/sesamewall-edge/src/item_call.rs
+++ b/crates/sesamewall-edge/src/item_call.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -31,7 +32,7 @@
 use crate::attempt::Outgoing;
 use crate::attempt::attempt_held;
 
-/// Longest silence of a target before the first event and between events of an item.
+/// Longest time without a whole event of an item, and for the body of an answer that is no stream.
 const SILENCE: Duration = Duration::from_millis(2000);
 
 /// An item with its route in the present configuration.
@@ -106,6 +107,13 @@
         self.route.attempts
     }
 
+    /// Notes that a target sent what is no answer to the item.
+    fn spoiled(&self, node: &Node, chosen: &Chosen) -> ItemEnd {
+        let now = node.now();
+        node.state().targets.on_failure(&chosen.name, now);
+        ItemEnd::Broken
+    }
+
     /// Runs the item and collects its events.
     pub async fn run(
         &self,
@@ -135,7 +143,7 @@
             StatusCode::OK => {}
             StatusCode::UNPROCESSABLE_ENTITY => return ItemEnd::Impossible,
             status => {
-                if answer.collect(SILENCE).await.is_ok() {
+                if answer.collect(node, SILENCE).await.is_ok() {
                     answer.finish(node);
                 }
                 // Any other status says nothing about the item.
@@ -146,28 +154,33 @@
             }
         }
         let mut splitter = EventSplitter::default();
+        let mut held = node.buffers.hold();
+        let mut until = Instant::now() + SILENCE;
         loop {
-            match answer.piece(SILENCE).await {
+            let overdue = Instant::now() >= until;
+            match answer.piece(until.saturating_duration_since(Instant::now())).await {
                 Ok(Some(piece)) => {
-                    if splitter.push(&piece).is_err() {
-                        return ItemEnd::Broken;
+                    if splitter.push(&piece).is_err() || held.resize(splitter.waiting()).is_err() {
+                        return self.spoiled(node, chosen);
                     }
+                    let before = progress.events();
                     while let Some(event) = splitter.next_event() {
                         if !progress.on_event(&event) {
-                            return ItemEnd::Broken;
+                            return self.spoiled(node, chosen);
                         }
                     }
+                    match progress.events() > before {
+                        true => until = Instant::now() + SILENCE,
+                        false if overdue => return self.spoiled(node, chosen),
+                        false => {}
+                    }
                 }
                 Ok(None) if splitter.has_rest() => return ItemEnd::Broken,
                 Ok(None) => {
                     answer.finish(node);
                     return ItemEnd::Whole;
                 }
-                Err(_) => {
-                    let now = node.now();
-                    node.state().targets.on_failure(&chosen.name, now);
-                    return ItemEnd::Broken;
-                }
+                Err(_) => return self.spoiled(node, chosen),
             }
         }
     }
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -2,6 +2,7 @@
 //! `sesamewall-fleet`.
 
 mod attempt;
+mod byte_budget;
 mod call;
 mod caller_link;
 mod control;
--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -34,6 +34,7 @@
 use tokio::sync::Notify;
 
 use crate::Metrics;
+use crate::byte_budget::ByteBudget;
 use crate::counted_store::CountedStore;
 use crate::feed::FeedSources;
 use crate::peer_client::PeerClient;
@@ -107,6 +108,8 @@
     pub calls: PeerClient,
     /// Connections to targets.
     pub pool: TargetPool,
+    /// Bytes of answers whose rest is waited for.
+    pub buffers: Arc<ByteBudget>,
     /// The process stops soon.
     pub draining: AtomicBool,
     /// The machine is about to be taken away.
@@ -138,6 +141,7 @@
             front: machine.callers.is_some(),
         };
         Self {
+            buffers: ByteBudget::new(machine.memory_mb),
             machine,
             boot: rand::random(),
             log,
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -304,7 +304,7 @@
             Relay::body(self.node.clone(), call.clone(), answer, tried.to_vec(), runs)
         } else {
             let left = call.deadline.since(self.node.now());
-            let whole: Bytes = answer.collect(left).await?;
+            let whole: Bytes = answer.collect(&self.node, left).await?;
             answer.finish(&self.node);
             self.node.state().suspects.on_success(call.hash);
             full(whole)
--- a/crates/sesamewall-edge/src/relay.rs
+++ b/crates/sesamewall-edge/src/relay.rs
@@ -11,12 +11,15 @@
 use sesamewall_fleet::EventSplitter;
 use sesamewall_fleet::SilenceSettings;
 use sesamewall_protocol::TargetName;
+use sesamewall_protocol::Time;
 use slog::info;
 
 use crate::Node;
 use crate::attempt::Answer;
 use crate::attempt::AttemptError;
 use crate::attempt::attempt;
+use crate::byte_budget::HeldBytes;
+use crate::byte_budget::OverBudget;
 use crate::call::Call;
 use crate::reply::ReplyBody;
 
@@ -26,6 +29,11 @@
     call: Arc<Call>,
     answer: Option<Answer>,
     splitter: EventSplitter,
+    held: HeldBytes,
+    /// When the last whole event came, or the present run began.
+    heard: Time,
+    /// The time for the next event was over when the last piece came.
+    overdue: bool,
     last: Option<u64>,
     events: u64,
     tried: Vec<TargetName>,
@@ -45,6 +53,9 @@
     ) -> ReplyBody {
         let last = call.asked_after();
         let relay = Self {
+            held: node.buffers.hold(),
+            heard: node.now(),
+            overdue: false,
             node,
             call,
             answer: Some(answer),
@@ -68,7 +79,18 @@
         }
         loop {
             match self.whole_events() {
-                Ok(events) if !events.is_empty() => return Some(Ok(events.into())),
+                Ok(events) if !events.is_empty() => {
+                    self.heard = self.node.now();
+                    self.overdue = false;
+                    return Some(Ok(events.into()));
+                }
+                Ok(_) if self.overdue => {
+                    let silence = self.node.now().since(self.heard);
+                    if let Some(end) = self.broken(AttemptError::Silent(silence)).await {
+                        return Some(end);
+                    }
+                    continue;
+                }
                 Ok(_) => {}
                 Err(error) => {
                     if let Some(end) = self.broken(error).await {
@@ -77,32 +99,41 @@
                     continue;
                 }
             }
-            let Some(answer) = &mut self.answer else { return self.end("no target") };
             let now = self.node.now();
             if now >= self.call.deadline {
                 return self.end("timeout");
             }
+            let Some(answer) = &mut self.answer else { return self.end("no target") };
             let finished = self.runs.saturating_sub(1);
-            let limit = self.call.patience(now, finished, SilenceSettings::between_events);
-            match answer.piece(limit).await {
-                Ok(Some(piece)) if self.splitter.push(&piece).is_ok() => {}
-                Ok(Some(_)) => return self.end("event too large"),
-                Ok(None) if self.splitter.has_rest() => {
-                    let error = AttemptError::Lost("the stream ended inside an event".to_owned());
-                    if let Some(end) = self.broken(error).await {
-                        return Some(end);
+            // Bytes that make no event do not count as a sign of life.
+            let between = SilenceSettings::between_events;
+            let until = self.heard + self.call.patience(self.heard, finished, between);
+            let error = match answer.piece(until.since(now)).await {
+                Ok(Some(piece)) => {
+                    self.overdue = now >= until;
+                    match self.push(&piece) {
+                        Ok(()) => continue,
+                        Err(error) => error,
                     }
                 }
-                Ok(None) => return self.complete(),
-                Err(error) => {
-                    if let Some(end) = self.broken(error).await {
-                        return Some(end);
-                    }
+                Ok(None) if self.splitter.has_rest() => {
+                    AttemptError::Lost("the stream ended inside an event".to_owned())
                 }
+                Ok(None) => return self.complete(),
+                Err(error) => error,
+            };
+            if let Some(end) = self.broken(error).await {
+                return Some(end);
             }
         }
     }
 
+    fn push(&mut self, piece: &[u8]) -> Result<(), AttemptError> {
+        let bytes = self.splitter.waiting() + piece.len();
+        self.splitter.push(piece).map_err(|_| AttemptError::TooLarge(OverBudget { bytes }))?;
+        self.held.resize(self.splitter.waiting()).map_err(AttemptError::TooLarge)
+    }
+
     /// Returns the whole events at hand. A stream that went on elsewhere must go on right after the
     /// last event that was passed on.
     fn whole_events(&mut self) -> Result<Vec<u8>, AttemptError> {
@@ -147,6 +178,7 @@
     async fn broken(&mut self, error: AttemptError) -> Option<io::Result<Bytes>> {
         let stopped = self.answer.take().map(|answer| answer.target.clone());
         self.splitter.clear();
+        self.overdue = false;
         let now = self.node.now();
         {
             let mut state = self.node.state();
@@ -188,6 +220,7 @@
                 Ok(answer) if answer.status.is_success() => {
                     self.runs += 1;
                     self.answer = Some(answer);
+                    self.heard = self.node.now();
                     return None;
                 }
                 Ok(answer) => {
--- a/crates/sesamewall-fleet/src/event_stream.rs
+++ b/crates/sesamewall-fleet/src/event_stream.rs
@@ -1,7 +1,7 @@
 //! Splits a stream into whole server-sent events and reads their ids.
 
 /// An event larger than this is a fault of the target.
-const EVENT_LIMIT: usize = 4 << 20;
+const EVENT_LIMIT: usize = 1 << 20;
 
 /// A whole event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +71,11 @@
         Some(StreamEvent { bytes, id })
     }
 
+    /// Returns the number of bytes that wait for the rest of an event.
+    pub fn waiting(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Tells whether bytes of an event that has not ended are left.
     pub fn has_rest(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/sesamewall-fleet/src/item_run.rs
+++ b/crates/sesamewall-fleet/src/item_run.rs
@@ -7,6 +7,10 @@
 use crate::ResultState;
 use crate::StreamEvent;
 
+/// Most bytes of an item's output: a result has to fit into one value of the store. A target that sends
+/// more is at fault.
+const MAX_OUTPUT: usize = 512 << 10;
+
 /// Settings of item runs.
 #[derive(Clone, Debug)]
 pub struct ItemSettings {
@@ -71,7 +75,8 @@
         self.events
     }
 
-    /// Adds an event. Returns false if the stream does not go on where the last one ended.
+    /// Adds an event. Returns false if the stream does not go on where the last one ended, or goes on
+    /// beyond all bounds; what it sent is dropped then.
     pub fn on_event(&mut self, event: &StreamEvent) -> bool {
         let Some(id) = event.id else { return false };
         match self.last_id {
@@ -79,10 +84,15 @@
             Some(last) if id != last + 1 => return false,
             _ => {}
         }
+        let data = event.data();
+        if self.output.len() + data.len() > MAX_OUTPUT {
+            self.restart();
+            return false;
+        }
         if self.events > 0 {
             self.output.push(b'\n');
         }
-        self.output.extend_from_slice(&event.data());
+        self.output.extend_from_slice(&data);
         self.events += 1;
         self.last_id = Some(id);
         true
