Take only ended connections for crashes of a target

Callers saw (in a test): after three answers that were no HTTP, or failures, every instance refused all requests with the same path, account and body for ten minutes.

Cause: each way in which an answer can be lost made a crash mark: bytes that cannot be parsed, events out of order, answers of 5xx before another attempt. A target that crashes does none of that.

Evidence: only_ended_connections_count_as_crashes (four spoiled answers, four of 500, then sound ones) was refused for good; the test of endless answers was refused from its fourth request on.

What remains: requests with the same body that lose their connections three times within ten minutes are still taken for one that crashes targets, at instances that have not served one meanwhile.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at one target.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -59,6 +60,12 @@
     /// The answer belongs to another request.
     #[display("the answer belongs to another request")]
     Mismatch,
+    /// The target ran it and failed.
+    #[display("status {_0}")]
+    Failed(u16),
+    /// The target sent bytes that are no answer.
+    #[display("no valid answer: {_0}")]
+    Spoiled(String),
     /// The connection ended before the answer was whole.
     #[display("connection lost: {_0}")]
     Lost(String),
@@ -84,6 +91,8 @@
             Self::NotRun(_) => "not-run",
             Self::Misdirected => "misdirected",
             Self::Mismatch => "mismatch",
+            Self::Failed(_) => "failed",
+            Self::Spoiled(_) => "spoiled",
             Self::Lost(_) => "lost",
             Self::TooLarge(_) => "too-large",
             Self::Silent(_) => "silent",
@@ -165,7 +174,7 @@
             };
             match frame {
                 None => return Ok(None),
-                Some(Err(error)) => return Err(AttemptError::Lost(describe(&error))),
+                Some(Err(error)) => return Err(broken_off(&error)),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
                     Ok(data) => return Ok(Some(data)),
@@ -215,6 +224,17 @@
     }
 }
 
+/// Tells a connection that ended from bytes that are no answer: only the first may be a crash.
+fn broken_off(error: &hyper::Error) -> AttemptError {
+    let cause = std::error::Error::source(error).and_then(|cause| cause.downcast_ref());
+    let kind = cause.map(std::io::Error::kind);
+    let invalid = matches!(kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData));
+    match error.is_parse() || invalid {
+        true => AttemptError::Spoiled(describe(error)),
+        false => AttemptError::Lost(describe(error)),
+    }
+}
+
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
@@ -303,7 +323,7 @@
         Ok(Err(error)) if error.is_canceled() => {
             return Err(AttemptError::NotSent(describe(&error)));
         }
-        Ok(Err(error)) => return Err(AttemptError::Lost(describe(&error))),
+        Ok(Err(error)) => return Err(broken_off(&error)),
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -254,8 +254,7 @@
                             Err(error) => error,
                         }
                     } else {
-                        let status = answer.status.as_u16();
-                        AttemptError::Lost(format!("status {status}"))
+                        AttemptError::Failed(answer.status.as_u16())
                     }
                 }
                 Err(error) => error,
--- a/crates/sesamewall-edge/src/relay.rs
+++ b/crates/sesamewall-edge/src/relay.rs
@@ -145,7 +145,7 @@
             };
             if !follows {
                 return match events.is_empty() {
-                    true => Err(AttemptError::Lost("events out of order".to_owned())),
+                    true => Err(AttemptError::Spoiled("events out of order".to_owned())),
                     false => Ok(events),
                 };
             }
@@ -225,7 +225,7 @@
                 }
                 Ok(answer) => {
                     self.runs += 1;
-                    error = AttemptError::Lost(format!("status {}", answer.status.as_u16()));
+                    error = AttemptError::Failed(answer.status.as_u16());
                 }
                 Err(failed) => {
                     if !failed.not_run() {
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -198,6 +198,25 @@
     }
 }
 
+/// Guards against sound requests that are refused as if they had crashed targets, because targets answered
+/// others like them with bytes that are no answer, or with failures.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_ended_connections_count_as_crashes() {
+    let world = World::start(1, 0).await;
+    let target = RawTarget::start(|number, id| match number {
+        0..4 => vec![Step::text("this is no answer\r\n\r\n"), Step::Close],
+        4..8 => vec![Step::text(head(id, "content-length: 0\r\n").replace("200 OK", "500 Error"))],
+        _ => vec![Step::text(format!("{}whole", head(id, "content-length: 5\r\n")))],
+    })
+    .await;
+    world.replace_all(target.address).await;
+    let served = || async {
+        let answer = world.talk(0, "/same/x", "id-1").await;
+        answer.is_some_and(|answer| answer.body.as_deref() == Some(b"whole"))
+    };
+    assert!(until(served).await, "{} runs", target.seen().len());
+}
+
 /// Guards against answers without end to batch items.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_answers_to_items_are_ended() {
