Take a cut of the own path to the store for no outage of the store

Cause: entries of targets that are gone are kept while the store is away and for two seconds after, since they lapse then although their targets live. Whether the store is away was judged by the own calls alone. An instance whose own path is cut or clogged, while the store serves all others, kept targets that had left until two seconds after its path was back, and again from the next failed call on.

Change: a failed call counts as an outage only while no other hub that is heard says that the store serves it. The log tells whether an entry that is gone is taken for lapsed.

Test: a_cut_of_the_own_path_is_no_outage, seen to fail with the former rule. As a process test a_target_leaves_at_once_after_one_instance_was_cut_off passes before as well: calls go through others.

--- a/crates/sesamewall-edge/src/node.rs
+++ b/crates/sesamewall-edge/src/node.rs
@@ -242,7 +242,8 @@
             (true, true) => slog::info!(self.log, "store regained"),
             _ => {}
         }
-        self.state().targets.on_store(reachable, now);
+        let state = &mut *self.state();
+        state.targets.on_own_call(reachable, &state.peers, now);
     }
 
     /// Tells whether the last call to the store failed.
--- a/crates/sesamewall-edge/src/sync.rs
+++ b/crates/sesamewall-edge/src/sync.rs
@@ -376,9 +376,10 @@
                 }
                 StoreChange::Removed { key, revision: at } => {
                     highest = highest.max(at);
-                    info!(self.node.log, "target entry gone"; "target" => %name_of(&key),
-                        "revision" => revision);
-                    self.node.state().targets.remove(&name_of(&key), now);
+                    let name = name_of(&key);
+                    let lapsed = self.node.state().targets.remove(&name, now);
+                    info!(self.node.log, "target entry gone"; "target" => %name,
+                        "revision" => revision, "lapsed" => lapsed);
                 }
             }
         }
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -358,6 +358,12 @@
             .collect()
     }
 
+    /// Tells whether the store serves another hub that is heard.
+    pub fn store_serves_others(&self, now: Time) -> bool {
+        let others = self.hub_contacts(now).map(|contact| &contact.beacon.hub);
+        others.into_iter().any(|hub| hub.store && hub.name != self.own.name)
+    }
+
     /// Returns the hubs that the instance knows, heard or not.
     pub fn hubs(&self, now: Time) -> Vec<HubWord> {
         match self.hub {
--- a/crates/sesamewall-fleet/src/targets.rs
+++ b/crates/sesamewall-fleet/src/targets.rs
@@ -14,6 +14,7 @@
 use sesamewall_protocol::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::Peers;
 use crate::message::domain_key;
 
 /// Time after the return of the store within which lapsed entries of live targets are back. It is
@@ -170,16 +171,19 @@
     }
 
     /// Removes a target whose entry is gone. Around an outage of the store entries lapse although
-    /// their targets live; these stay until the grace time after the outage is over.
-    pub fn remove(&mut self, name: &TargetName, now: Time) {
+    /// their targets live; these stay until the grace time after the outage is over. Returns whether the
+    /// target stays.
+    pub fn remove(&mut self, name: &TargetName, now: Time) -> bool {
         let outage = self.store_lost.is_some()
             || self.store_back.is_some_and(|back| now.since(back) < LAPSE_GRACE);
         match self.targets.get_mut(name) {
             Some(target) if outage && !target.entry.draining => {
                 target.lapsed.get_or_insert(now);
+                true
             }
             _ => {
                 self.targets.remove(name);
+                false
             }
         }
     }
@@ -207,7 +211,13 @@
         }
     }
 
-    /// Notes that a call to the store failed or succeeded.
+    /// Notes the end of a call of the own instance to the store. If the store serves others, a failed call
+    /// shows a cut of the own path: no entry lapses, and one that is gone has left.
+    pub fn on_own_call(&mut self, answered: bool, peers: &Peers, now: Time) {
+        self.on_store(answered || peers.store_serves_others(now), now);
+    }
+
+    /// Notes that the store is away or serves.
     pub fn on_store(&mut self, reachable: bool, now: Time) {
         match (reachable, self.store_lost) {
             (false, None) => self.store_lost = Some(now),
--- a/crates/sesamewall-fleet/tests/decisions/targets.rs
+++ b/crates/sesamewall-fleet/tests/decisions/targets.rs
@@ -7,7 +7,9 @@
 use sesamewall_protocol::TargetName;
 
 use crate::support::at;
+use crate::support::beacon;
 use crate::support::entry;
+use crate::support::hub;
 use crate::support::table;
 
 fn in_service(table: &sesamewall_fleet::TargetTable, name: &str, millis: u64) -> bool {
@@ -40,6 +42,27 @@
     assert!(in_service(&table, "t2", 7000));
 }
 
+/// Guards against work for a target that has left, from an instance whose own path to the store was cut
+/// while the store served others, and against targets lost in an outage that nobody is served in.
+#[test]
+fn a_cut_of_the_own_path_is_no_outage() {
+    for served in [true, false] {
+        let mut table = table(&[("t1", "a"), ("t2", "a")]);
+        let mut peers = hub("h1");
+        let mut other = beacon("h2", 1);
+        other.hub.store = served;
+        assert!(peers.on_beacon(other, true, at(0)));
+        table.on_own_call(false, &peers, at(10));
+        // The news of a while come at once when the path is back.
+        table.remove(&TargetName::from("t1"), at(20));
+        table.on_own_call(true, &peers, at(20));
+        table.remove(&TargetName::from("t2"), at(600));
+        for name in ["t1", "t2"] {
+            assert_eq!(in_service(&table, name, 610), !served, "{name}, others served: {served}");
+        }
+    }
+}
+
 /// Guards against a leaving target that is kept because of an outage.
 #[test]
 fn a_draining_target_goes_also_in_an_outage() {
--- a/tests/platform/online.rs
+++ b/tests/platform/online.rs
@@ -204,6 +204,27 @@
     assert_eq!(world.targets[0].seen().len(), before, "a leaving target got work");
 }
 
+/// Guards against work for a target that has left, from instances whose hub was cut off from the store a moment
+/// before: the entry did not lapse in an outage, since the store served others all the while.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_leaves_at_once_after_one_instance_was_cut_off() {
+    let world = World::start(3, 0).await;
+    // The instances hear each other.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world.store.cut_off(&[world.fronts[0].ip()]);
+    tokio::time::sleep(Duration::from_millis(3500)).await;
+    world.store.cut_off(&[]);
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    world.store.remove("servers/t1");
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let before = world.targets[0].seen().len();
+    for n in 0..12 {
+        let answer = world.talk(n % 3, "/talk/x", &format!("id-{n}")).await.expect("an answer");
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(world.targets[0].seen().len(), before, "a target that has left got work");
+}
+
 /// Guards against callers who keep a request open for ever by sending its body byte by byte.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_does_not_end_in_time_is_refused() {
