Refuse batch jobs at once that cannot end in time

Callers saw: in a burst of 30 times the usual batch jobs all but two were accepted; 184 of 2150 items ended in time, 322 late, 1157 never, and their clients polled for all of them.

Cause: a job was refused only by its account's limit of waiting tokens.

Change: the owner of a job works out when its last item would end, from the items that wait before it (those that can still end in time), the usual run time, and the places that online requests have left over the last twelve seconds. What would end after 1.1 of the due time gets 429 (3004) with the time after which it would fit, unless the store has the job already. The decision is BatchPace, without a socket; it answers a load of more batch items than targets run before they are due.

Not kept: the running items of the last 1.5 s as the pace.

--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -84,6 +84,8 @@
 enum Refused {
     /// It does not fit into the account's queue.
     Full { waiting: u64, limit: u64, retry: Duration },
+    /// It would end after it is due.
+    Late { ahead: u64, expected: Duration, retry: Duration },
     /// Nothing was done.
     NotDone(String),
     /// It may be accepted.
@@ -165,6 +167,15 @@
                 let retry_ms = retry.as_millis() as u64;
                 Err((Error::TokensWaiting { account, retry_ms, numbers }, retry))
             }
+            Err(Refused::Late { ahead, expected, retry }) => {
+                let numbers = vec![
+                    ("ahead".to_owned(), ahead as f64),
+                    ("due_ms".to_owned(), route.due.as_millis() as f64),
+                ];
+                let expected_ms = expected.as_millis() as u64;
+                let retry_ms = retry.as_millis() as u64;
+                Err((Error::JobLate { expected_ms, retry_ms, numbers }, retry))
+            }
         }
     }
 
@@ -214,6 +225,9 @@
                 Ok(JobTold::Full { waiting, limit, retry }) if !unclear => {
                     return Err(Refused::Full { waiting, limit, retry });
                 }
+                Ok(JobTold::Late { ahead, expected, retry }) if !unclear => {
+                    return Err(Refused::Late { ahead, expected, retry });
+                }
                 Ok(JobTold::NotHere) | Err(CallError::NotSent) => {}
                 _ => {
                     unclear = true;
--- a/crates/sesamewall-edge/src/job_peer.rs
+++ b/crates/sesamewall-edge/src/job_peer.rs
@@ -83,6 +83,15 @@
         /// Time after which the job may fit.
         retry: Duration,
     },
+    /// More items wait than can run before the job is due.
+    Late {
+        /// Items that wait and start before those of the job.
+        ahead: u64,
+        /// Expected time to the end of its last item.
+        expected: Duration,
+        /// Time after which a job like it would end in time.
+        retry: Duration,
+    },
     /// The store has not said in time whether the job is accepted.
     Unclear,
     /// The worker does not have the job or cannot take it. Nothing was done.
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -364,6 +364,7 @@
     let numbers = match error {
         Error::RateExceeded { numbers, .. }
         | Error::TokensWaiting { numbers, .. }
+        | Error::JobLate { numbers, .. }
         | Error::QueueTimeout { numbers, .. } => numbers,
         _ => return String::new(),
     };
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -1,6 +1,7 @@
 //! Runs the batch jobs that the own process has claimed.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -11,6 +12,7 @@
 
 use bytes::Bytes;
 use sesamewall_fleet::AccountQueues;
+use sesamewall_fleet::BatchPace;
 use sesamewall_fleet::BatchRoom;
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemSettings;
@@ -68,6 +70,9 @@
     queues: Mutex<AccountQueues>,
     times: Mutex<ItemTimes>,
     room: Mutex<BatchRoom>,
+    pace: Mutex<BatchPace>,
+    /// Jobs whose acceptance is being written.
+    accepting: Mutex<HashSet<JobName>>,
     /// Keys of old jobs, and when they go.
     removals: Mutex<VecDeque<(Time, Vec<String>)>>,
 }
@@ -86,6 +91,8 @@
             queues: Mutex::default(),
             times: Mutex::default(),
             room: Mutex::default(),
+            pace: Mutex::default(),
+            accepting: Mutex::default(),
             removals: Mutex::default(),
         })
     }
@@ -108,6 +115,14 @@
         self.room.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn pace(&self) -> MutexGuard<'_, BatchPace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn accepting(&self) -> MutexGuard<'_, HashSet<JobName>> {
+        self.accepting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Runs until the process ends.
     pub async fn run(self: Arc<Self>) {
         loop {
@@ -134,7 +149,13 @@
         if self.running() == 0 {
             self.node.emptied.notify_waiters();
         }
+        let now = self.node.now();
         let mut state = self.node.state();
+        let in_service =
+            state.targets.iter().filter(|target| state.targets.in_service(target, now));
+        let left = in_service
+            .map(|target| target.entry.slots.saturating_sub(state.peers.at_target(target.key).0));
+        self.pace().on_places(left.sum(), now);
         if state.backlog != backlog {
             state.backlog = backlog;
             drop(state);
--- a/crates/sesamewall-edge/src/worker_serve.rs
+++ b/crates/sesamewall-edge/src/worker_serve.rs
@@ -6,8 +6,11 @@
 
 use bytes::Bytes;
 use sesamewall_fleet::Admission;
+use sesamewall_fleet::ItemRank;
+use sesamewall_fleet::Late;
 use sesamewall_fleet::QueueFull;
 use sesamewall_fleet::QueueName;
+use sesamewall_fleet::Submission;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
 use sesamewall_ports::Transaction;
@@ -81,6 +84,9 @@
         if self.node.is_draining() {
             return JobTold::NotHere;
         }
+        if let Some(told) = self.refuse_late(&name, &offer).await {
+            return told;
+        }
         let queue = QueueName { route: offer.route.clone(), account: offer.spec.account.clone() };
         let hold = match offer.limit {
             0 => None,
@@ -92,8 +98,10 @@
         let (sender, receiver) = oneshot::channel();
         let worker = self.clone();
         // The end is looked for even if the front no longer waits.
+        self.accepting().insert(name.clone());
         tokio::spawn(async move {
             let told = worker.write_acceptance(&name, &queue, offer, hold).await;
+            worker.accepting().remove(&name);
             // A front that has gone needs no answer.
             let _ = sender.send(told);
         });
@@ -103,6 +111,66 @@
         }
     }
 
+    /// Refuses a job that cannot end in time, unless it was accepted before or may be.
+    async fn refuse_late(&self, name: &JobName, offer: &Offer) -> Option<JobTold> {
+        let (submission, late) = self.late(offer)?;
+        if self.accepting().contains(name) {
+            return None;
+        }
+        match self.node.store.item(&JobKey::Head.of(name)).await {
+            Ok(None) => {}
+            Ok(Some(_)) => return Some(JobTold::Accepted(None)),
+            Err(_) => return Some(JobTold::Unclear),
+        }
+        let Late { expected, retry } = late;
+        info!(self.node.log, "job would be late"; "job" => %name, "route" => &*offer.route,
+            "items" => submission.items, "ahead" => submission.ahead,
+            "run_ms" => submission.run.as_millis() as u64,
+            "due_ms" => submission.due.as_millis() as u64,
+            "expected_ms" => expected.as_millis() as u64, "retry_ms" => retry.as_millis() as u64);
+        Some(JobTold::Late { ahead: submission.ahead as u64, expected, retry })
+    }
+
+    /// Tells that a job cannot end in time. Of the items that wait elsewhere, the same part is taken to be
+    /// for the same service and in time as of the own ones.
+    fn late(&self, offer: &Offer) -> Option<(Submission, Late)> {
+        let now = self.node.now();
+        let catalog = self.node.catalog()?;
+        let route = catalog.route(&offer.spec.host, &offer.spec.path)?;
+        let run = self.times().left(0);
+        let (own, ahead) = self.waiting_before(&route.name, now);
+        let others: u32 = {
+            let state = self.node.state();
+            state.peers.workers(now).iter().map(|worker| worker.backlog).sum()
+        };
+        let part = if own == 0 { 0.0 } else { f64::from(ahead) / f64::from(own) };
+        let submission = Submission {
+            items: u32::try_from(offer.spec.items.len()).unwrap_or(u32::MAX),
+            ahead: f64::from(own + others) * part,
+            run,
+            due: route.due,
+        };
+        let late = self.pace().late(&submission, now)?;
+        Some((submission, late))
+    }
+
+    /// Returns the own items that wait, and those of a route among them that can still end in time.
+    fn waiting_before(&self, route: &str, now: Time) -> (u32, u32) {
+        let times = self.times().clone();
+        let (mut all, mut ahead) = (0, 0);
+        for job in self.jobs().values().filter(|job| job.open()) {
+            let due = job.learned + job.due;
+            for item in &job.work.waiting {
+                let left = times.left(item.progress.events());
+                all += 1;
+                if *job.head.route == *route && !ItemRank::new(due, left, now).is_late() {
+                    ahead += 1;
+                }
+            }
+        }
+        (all, ahead)
+    }
+
     /// Counts a job in its queue. Returns the revision of the hold under which it may be accepted.
     async fn admit(&self, queue: &QueueName, offer: &Offer, limit: u64) -> Result<u64, JobTold> {
         let id = &offer.spec.id;
--- /dev/null
+++ b/crates/sesamewall-fleet/src/batch_pace.rs
@@ -0,0 +1,97 @@
+//! Tells at the submission of a batch job whether its items can still end in time.
+//!
+//! It answers a load of more batch items than the targets run before they are due: a job that would only
+//! wait is refused at once, with the time after which it would fit.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use sesamewall_protocol::Time;
+
+/// Shortest and longest time after which a refused caller should come back.
+const RETRY_BOUNDS: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(30));
+
+/// Settings of the check.
+#[derive(Clone, Debug)]
+pub struct PaceSettings {
+    /// Time over which the places are averaged: some peaks of the online load and the pauses between.
+    pub window: Duration,
+    /// Time for which places have to have been counted before the average says anything: over a part of the
+    /// window a single peak would weigh too much.
+    pub sure_after: Duration,
+    /// Time between two counts.
+    pub step: Duration,
+    /// Part of the due time beyond which a job is refused.
+    pub slack: f64,
+}
+
+impl Default for PaceSettings {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(12),
+            sure_after: Duration::from_secs(11),
+            step: Duration::from_millis(100),
+            slack: 1.1,
+        }
+    }
+}
+
+/// A job as it is submitted.
+#[derive(Clone, Copy, Debug)]
+pub struct Submission {
+    /// Its items.
+    pub items: u32,
+    /// Items that wait and start before them.
+    pub ahead: f64,
+    /// Usual time of one item.
+    pub run: Duration,
+    /// Time within which all of them are due.
+    pub due: Duration,
+}
+
+/// Why a job cannot end in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Late {
+    /// Expected time to the end of its last item.
+    pub expected: Duration,
+    /// Time after which it would end in time.
+    pub retry: Duration,
+}
+
+/// Averages the places that online requests leave.
+#[derive(Clone, Debug, Default)]
+pub struct BatchPace {
+    settings: PaceSettings,
+    counts: VecDeque<(Time, u32)>,
+}
+
+impl BatchPace {
+    /// Notes the places that online requests leave over all targets, whether batch items use them or not.
+    pub fn on_places(&mut self, places: u32, now: Time) {
+        if self.counts.back().is_some_and(|(at, _)| now.since(*at) < self.settings.step) {
+            return;
+        }
+        self.counts.push_back((now, places));
+        let window = self.settings.window;
+        while self.counts.front().is_some_and(|(at, _)| now.since(*at) > window) {
+            self.counts.pop_front();
+        }
+    }
+
+    fn places(&self, now: Time) -> Option<f64> {
+        let (first, _) = self.counts.front()?;
+        let sum: f64 = self.counts.iter().map(|(_, places)| f64::from(*places)).sum();
+        let sure = now.since(*first) >= self.settings.sure_after && sum > 0.0;
+        sure.then(|| sum / self.counts.len() as f64)
+    }
+
+    /// Tells that a job cannot end in time, if that is known.
+    pub fn late(&self, job: &Submission, now: Time) -> Option<Late> {
+        let rounds = (job.ahead + f64::from(job.items)) / self.places(now)?;
+        let expected = job.run.mul_f64(rounds) + job.run;
+        let limit = job.due.mul_f64(self.settings.slack);
+        let (shortest, longest) = RETRY_BOUNDS;
+        (expected > limit)
+            .then(|| Late { expected, retry: (expected - limit).clamp(shortest, longest) })
+    }
+}
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod account_queue;
 mod account_rate;
+mod batch_pace;
 mod batch_room;
 mod catalog;
 mod census;
@@ -28,6 +29,10 @@
 pub use account_rate::AccountRates;
 pub use account_rate::HOT_PART;
 pub use account_rate::RateSettings;
+pub use batch_pace::BatchPace;
+pub use batch_pace::Late;
+pub use batch_pace::PaceSettings;
+pub use batch_pace::Submission;
 pub use batch_room::BatchRoom;
 pub use batch_room::OwnBacklog;
 pub use batch_room::RoomSettings;
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -4,6 +4,8 @@
 mod account_rate;
 #[path = "decisions/batch.rs"]
 mod batch;
+#[path = "decisions/batch_pace.rs"]
+mod batch_pace;
 #[path = "decisions/homing.rs"]
 mod homing;
 #[path = "decisions/peers.rs"]
--- /dev/null
+++ b/crates/sesamewall-fleet/tests/decisions/batch_pace.rs
@@ -0,0 +1,111 @@
+//! Whether batch jobs can still end in time.
+
+use std::time::Duration;
+
+use sesamewall_fleet::BatchPace;
+use sesamewall_fleet::ItemRank;
+use sesamewall_fleet::Submission;
+use sesamewall_protocol::Time;
+
+use crate::support::at;
+
+const STEP_MS: u64 = 100;
+const SLOTS: usize = 40;
+const ITEMS: u32 = 10;
+const RUN: Duration = Duration::from_secs(5);
+const DUE: Duration = Duration::from_secs(18);
+
+#[derive(Default)]
+struct Outcome {
+    accepted: u32,
+    refused: u32,
+    on_time: u32,
+    late: u32,
+    shortest_retry: Option<Duration>,
+}
+
+/// Plays a minute of a fleet with 40 places, where a job of ten items comes each `usual` ms, and `times` as
+/// many from second 15 to 25.
+fn play(usual: u64, times: u64, check: bool) -> Outcome {
+    let mut outcome = Outcome::default();
+    let mut pace = BatchPace::default();
+    let (mut waiting, mut running): (Vec<Time>, Vec<(Time, Time)>) = (Vec::new(), Vec::new());
+    let (mut next, mut started) = (0, 0_u32);
+    for now_ms in (0..70_000).step_by(STEP_MS as usize) {
+        let now = at(now_ms);
+        running.retain(|(end, due)| {
+            let open = *end > now;
+            outcome.on_time += u32::from(!open && end <= due);
+            outcome.late += u32::from(!open && end > due);
+            open
+        });
+        while next <= now_ms && now_ms < 50_000 {
+            let late = |due: &Time| ItemRank::new(*due, RUN, now).is_late();
+            let ahead = waiting.iter().filter(|due| !late(due)).count() as f64;
+            let job = Submission { items: ITEMS, ahead, run: RUN, due: DUE };
+            match pace.late(&job, now).filter(|_| check) {
+                Some(late) => {
+                    outcome.refused += 1;
+                    let retry = outcome.shortest_retry.get_or_insert(late.retry);
+                    *retry = late.retry.min(*retry);
+                }
+                None => {
+                    outcome.accepted += 1;
+                    waiting.extend((0..ITEMS).map(|_| now + DUE));
+                }
+            }
+            next += if (15_000..25_000).contains(&now_ms) { usual / times } else { usual };
+        }
+        waiting.sort_by_key(|due| ItemRank::new(*due, RUN, now));
+        let free = SLOTS - running.len();
+        let starting = free.min(waiting.len());
+        running.extend(waiting.drain(..starting).map(|due| {
+            started += 1;
+            // Texts differ in length: 0.6 to 1.4 times the usual time.
+            (now + RUN.mul_f64(0.6 + 0.1 * f64::from(started * 5 % 9)), due)
+        }));
+        pace.on_places(SLOTS as u32, now);
+    }
+    outcome
+}
+
+/// Guards against jobs that are accepted and only wait: under ten times the usual load, what is accepted
+/// ends in time, and no less ends in time than without refusals.
+#[test]
+fn what_cannot_end_in_time_is_refused_at_once() {
+    let (without, with) = (play(1500, 10, false), play(1500, 10, true));
+    assert!(with.refused > 0);
+    assert!(with.on_time >= without.on_time, "{} of {}", with.on_time, without.on_time);
+    let (served, all) = (f64::from(with.on_time), f64::from(with.accepted * ITEMS));
+    assert!(served >= 0.8 * all, "{served} of {all} accepted items on time");
+    let plain = f64::from(without.on_time) / f64::from(without.accepted * ITEMS);
+    println!("on time: {:.2} of the accepted, {plain:.2} without refusals", served / all);
+    assert!(with.shortest_retry >= Some(Duration::from_millis(300)));
+}
+
+/// Guards against refusals of jobs that would end in time: usual load, and a burst that fits.
+#[test]
+fn what_fits_is_not_refused() {
+    for times in [1, 2] {
+        let outcome = play(1500, times, true);
+        assert_eq!(outcome.refused, 0, "{times} times the usual load");
+        assert_eq!(outcome.late, 0, "{times} times the usual load");
+    }
+}
+
+/// Guards against refusals before anything is known of the places, and against estimates from a peak of the
+/// online load alone.
+#[test]
+fn nothing_is_refused_on_a_moment_s_evidence() {
+    let mut pace = BatchPace::default();
+    let job = Submission { items: 10, ahead: 120.0, run: RUN, due: DUE };
+    assert_eq!(pace.late(&job, at(0)), None);
+    // Three seconds of a peak, three of a pause, in turn.
+    for now in (0..20_000).step_by(100) {
+        let peak = now / 3000 % 2 == 0;
+        pace.on_places(if peak { 15 } else { 80 }, at(now));
+        assert_eq!(pace.late(&job, at(now)), None, "at {now} ms");
+    }
+    let many = Submission { ahead: 400.0, ..job };
+    assert!(pace.late(&many, at(20_000)).is_some());
+}
--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -109,6 +109,16 @@
         /// What the rule saw.
         numbers: Numbers,
     },
+    /// More batch items wait than can run before the job's items are due.
+    #[display("the job would end {expected_ms} ms after its submission, later than it is due")]
+    JobLate {
+        /// Expected milliseconds to the end of its last item.
+        expected_ms: u64,
+        /// Milliseconds until a job like it would end in time.
+        retry_ms: u64,
+        /// What the rule saw.
+        numbers: Numbers,
+    },
     /// The leads that hold the account's rate cannot be reached.
     #[display("the rate of account `{account}` cannot be checked at the moment")]
     RateUnavailable {
@@ -340,6 +350,7 @@
             Self::RateExceeded { .. } => 3001,
             Self::RateUnavailable { .. } => 3002,
             Self::TokensWaiting { .. } => 3003,
+            Self::JobLate { .. } => 3004,
             Self::QueueFull { .. } => 4001,
             Self::QueueTimeout { .. } => 4002,
             Self::NoTarget { .. } => 4003,
@@ -379,7 +390,7 @@
             1008 | 1009 | 1011 | 6003 | 7002 => 409,
             1000..=1999 | 6001 | 6002 | 7001 | 7003 => 400,
             2000..=2999 => 401,
-            3001 | 3003 | 4001 => 429,
+            3001 | 3003 | 3004 | 4001 => 429,
             4005 => 422,
             4006 => 408,
             5002..=5004 => 502,
@@ -409,6 +420,7 @@
             3003 => {
                 "wait until items of earlier jobs have ended, or ask the operators for a higher limit"
             }
+            3004 => "wait for the time in Retry-After: fewer items will be waiting then",
             3002 | 4001..=4004 | 4007 | 5001 | 5005 | 8001..=8003 => "send the request again later",
             4005 => "change the request; it makes targets crash",
             4006 => "send the request again and keep the connection open until its end",
@@ -449,6 +461,7 @@
             Self::RateExceeded { numbers, .. }
             | Self::RateUnavailable { numbers, .. }
             | Self::TokensWaiting { numbers, .. }
+            | Self::JobLate { numbers, .. }
             | Self::QueueFull { numbers, .. }
             | Self::QueueTimeout { numbers, .. } => numbers.clone(),
             _ => Vec::new(),
@@ -458,9 +471,9 @@
     /// Returns the milliseconds after which a repeated request can succeed, where that is known.
     pub fn retry_after_ms(&self) -> Option<u64> {
         match self {
-            Self::RateExceeded { retry_ms, .. } | Self::TokensWaiting { retry_ms, .. } => {
-                Some(*retry_ms)
-            }
+            Self::RateExceeded { retry_ms, .. }
+            | Self::TokensWaiting { retry_ms, .. }
+            | Self::JobLate { retry_ms, .. } => Some(*retry_ms),
             _ => None,
         }
     }
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -30,6 +30,7 @@
             Self::RateExceeded { account: text("account"), retry_ms: 0, numbers: Vec::new() },
             Self::RateUnavailable { account: text("account"), numbers: Vec::new() },
             Self::TokensWaiting { account: text("account"), retry_ms: 0, numbers: Vec::new() },
+            Self::JobLate { expected_ms: 0, retry_ms: 0, numbers: Vec::new() },
             Self::QueueFull { model: text("model"), numbers: Vec::new() },
             Self::QueueTimeout { model: text("model"), numbers: Vec::new() },
             Self::NoTarget { model: text("model") },
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -258,3 +258,40 @@
     }
     check(&world.finished(0, "job1", 60).await, 60);
 }
+
+/// Guards against jobs that are accepted and only wait: what cannot end in time is refused at once, names a
+/// time, and never runs; a repeat of an accepted job is accepted again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_cannot_end_in_time_is_refused_at_once() {
+    let world = World::start(1, 1).await;
+    // Each item takes five seconds, as workers expect without experience; sixteen run at once.
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(500));
+    }
+    // The worker averages the places over twelve seconds.
+    tokio::time::sleep(Duration::from_secs(13)).await;
+    let front = world.fronts[0].front();
+    let list = |job: usize| (0..40).map(|n| format!("item-{job}-{n}")).collect::<Vec<_>>();
+    let mut refused = None;
+    for job in 0..8 {
+        let name = format!("job{job}");
+        let answer = world.client.submit(front, &name, &list(job)).await.expect("an answer");
+        if answer.status != 202 {
+            refused = Some((job, answer));
+            break;
+        }
+    }
+    let (job, answer) = refused.expect("320 items would take a hundred seconds");
+    assert_eq!((job > 0, answer.status), (true, 429));
+    let retry = answer.headers["retry-after"].to_str().ok().and_then(|text| text.parse().ok());
+    assert!(retry.is_some_and(|seconds: f64| (0.3..=30.0).contains(&seconds)), "{retry:?}");
+    let again = world.client.submit(front, "job0", &list(0)).await;
+    assert_eq!(again.expect("an answer").status, 202);
+    for target in &world.targets {
+        target.set_pause(Duration::from_millis(5));
+    }
+    check(&world.finished(0, "job0", 40).await, 40);
+    let path = format!("/jobs/item-{job}-");
+    let ran = world.targets.iter().flat_map(|target| target.seen());
+    assert_eq!(ran.filter(|seen| seen.path.starts_with(&path)).count(), 0, "a refused job ran");
+}
