Test that accepted work outlives a disk and the power of all machines

The product's own interface keeps a job's input on two synced copies; the test loses each disk in turn right after the acceptance together with all processes. It passes, and reports a breach with one copy.

--- a/crates/sesamewall-server/tests/batch/copies.rs
+++ b/crates/sesamewall-server/tests/batch/copies.rs
@@ -62,6 +62,37 @@
     assert!(!lost_input(without).await.is_empty(), "the check does not notice a missing copy");
 }
 
+/// Loses each disk in turn right after a job was accepted, and the power of all instances with it.
+async fn lost_disk_and_power(options: BatchOptions) -> Vec<String> {
+    let mut breaches = Vec::new();
+    for lost in NAMES {
+        let mut fleet = Fleet::new(27, options.clone());
+        let job = fleet.job("a", MODEL, 40).await;
+        for name in NAMES {
+            fleet.kill(name);
+        }
+        fleet.fakes[lost].lose();
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        for name in NAMES {
+            fleet.start(name);
+        }
+        let ended = fleet.wait("a", &job, 1_800).await;
+        breaches.extend(fleet.breaches(&ended, 40, false).await);
+    }
+    breaches
+}
+
+/// Guards against accepted work that is lost when a disk is lost and all machines lose power with it.
+#[tokio::test(start_paused = true)]
+async fn accepted_input_outlives_a_disk_and_the_power_of_all() {
+    assert_eq!(lost_disk_and_power(BatchOptions::default()).await, Vec::<String>::new());
+    let without = BatchOptions { copies: 1, ..BatchOptions::default() };
+    assert!(
+        !lost_disk_and_power(without).await.is_empty(),
+        "the check does not notice a missing copy"
+    );
+}
+
 /// Guards against a lost instance whose copies are never made again.
 #[tokio::test(start_paused = true)]
 async fn lost_instance_is_replaced() {
