Test that a lost answer neither repeats its request nor denies that it ran

Operators of similar systems report both. a_request_whose_answer_is_lost_is_not_run_again closes the connection in place of an answer, on a new and on a kept connection: 502 each time, one run each.

--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -139,6 +139,26 @@
     }
 }
 
+/// Guards against work that runs again, or is said not to have run, after its answer was lost: on a new and
+/// on a kept connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_answer_is_lost_is_not_run_again() {
+    let world = World::start(1, 0).await;
+    let target = RawTarget::start(|number, id| match number {
+        1 => vec![Step::text(format!("{}{id}", head(id, "content-length: 4\r\n")))],
+        _ => vec![Step::Close],
+    })
+    .await;
+    world.replace_all(target.address).await;
+    for (id, status) in [("id-1", 502), ("id-2", 200), ("id-3", 502)] {
+        let answer = world.talk(0, "/plain/x", id).await.expect("an answer");
+        assert_eq!(answer.status, status, "{id}");
+        // A target that has lost a connection is left out for a while.
+        tokio::time::sleep(Duration::from_millis(if status == 502 { 1500 } else { 0 })).await;
+    }
+    assert_eq!(target.seen(), ["id-1", "id-2", "id-3"]);
+}
+
 /// Returns an answer that never ends. `part` says where.
 fn endless(part: &str, id: &str) -> Vec<Step> {
     let again = |bytes: Vec<u8>| Step::Repeat(Bytes::from(bytes), Duration::ZERO);
