--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -149,13 +149,8 @@
         if self.running() == 0 {
             self.node.emptied.notify_waiters();
         }
-        let now = self.node.now();
+        self.count_places();
         let mut state = self.node.state();
-        let in_service =
-            state.targets.iter().filter(|target| state.targets.in_service(target, now));
-        let left = in_service
-            .map(|target| target.entry.slots.saturating_sub(state.peers.at_target(target.key).0));
-        self.pace().on_places(left.sum(), now);
         if state.backlog != backlog {
             state.backlog = backlog;
             drop(state);
@@ -163,6 +158,20 @@
         }
     }
 
+    /// Counts the places that online requests leave.
+    fn count_places(&self) {
+        let now = self.node.now();
+        if !self.pace().wants_count(now) {
+            return;
+        }
+        let state = self.node.state();
+        let in_service =
+            state.targets.iter().filter(|target| state.targets.in_service(target, now));
+        let left = in_service
+            .map(|target| target.entry.slots.saturating_sub(state.peers.at_target(target.key).0));
+        self.pace().on_places(left.sum(), now);
+    }
+
     /// Returns the number of items that wait for a place.
     pub(crate) fn backlog(&self) -> u32 {
         let own = |job: &&Job| matches!(job.claim, Claim::Own { .. }) && job.open();
--- a/crates/sesamewall-fleet/src/batch_pace.rs
+++ b/crates/sesamewall-fleet/src/batch_pace.rs
@@ -66,11 +66,13 @@
 }
 
 impl BatchPace {
+    /// Tells whether the places should be counted again.
+    pub fn wants_count(&self, now: Time) -> bool {
+        self.counts.back().is_none_or(|(at, _)| now.since(*at) >= self.settings.step)
+    }
+
     /// Notes the places that online requests leave over all targets, whether batch items use them or not.
     pub fn on_places(&mut self, places: u32, now: Time) {
-        if self.counts.back().is_some_and(|(at, _)| now.since(*at) < self.settings.step) {
-            return;
-        }
         self.counts.push_back((now, places));
         let window = self.settings.window;
         while self.counts.front().is_some_and(|(at, _)| now.since(*at) > window) {
@@ -85,8 +87,11 @@
         sure.then(|| sum / self.counts.len() as f64)
     }
 
-    /// Tells that a job cannot end in time, if that is known.
+    /// Tells that a job cannot end in time, if that is known. A job without a due time is never late.
     pub fn late(&self, job: &Submission, now: Time) -> Option<Late> {
+        if job.due.is_zero() {
+            return None;
+        }
         let rounds = (job.ahead + f64::from(job.items)) / self.places(now)?;
         let expected = job.run.mul_f64(rounds) + job.run;
         let limit = job.due.mul_f64(self.settings.slack);
--- a/crates/sesamewall-fleet/tests/decisions/batch_pace.rs
+++ b/crates/sesamewall-fleet/tests/decisions/batch_pace.rs
@@ -100,6 +100,7 @@
     let mut pace = BatchPace::default();
     let job = Submission { items: 10, ahead: 120.0, run: RUN, due: DUE };
     assert_eq!(pace.late(&job, at(0)), None);
+    assert!(pace.wants_count(at(0)));
     // Three seconds of a peak, three of a pause, in turn.
     for now in (0..20_000).step_by(100) {
         let peak = now / 3000 % 2 == 0;
@@ -108,4 +109,6 @@
     }
     let many = Submission { ahead: 400.0, ..job };
     assert!(pace.late(&many, at(20_000)).is_some());
+    let open = Submission { due: Duration::ZERO, ..many };
+    assert_eq!(pace.late(&open, at(20_000)), None, "a job without a due time");
 }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -9,6 +9,7 @@
 use sesamewall_platform_standin::StandinTarget;
 use sesamewall_platform_standin::Step;
 use sesamewall_platform_standin::configuration;
+use sesamewall_platform_standin::with_cold_rate;
 
 use crate::world::World;
 use crate::world::until;
@@ -182,8 +183,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_answers_are_ended() {
     let world = World::start(1, 0).await;
-    let mut roomy = configuration(2, 1000.0, 1000.0);
-    roomy["services"][0]["coldPerS"] = 1000.into();
+    let roomy = with_cold_rate(configuration(2, 1000.0, 1000.0), 1000.0);
     world.store.put("op/config", &roomy);
     let parts =
         ["head line", "head lines", "body", "event", "chunk extension", "trailer", "no answer"];
--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -22,6 +22,7 @@
 use sesamewall_platform_standin::StandinTarget;
 use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
+use sesamewall_platform_standin::with_slots;
 
 /// Longest wait for something that takes well below a second on an idle machine.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -212,8 +213,7 @@
         for key in self.store.keys("servers/") {
             self.store.remove(&key);
         }
-        let mut entry = target_entry(address, "a", false);
-        entry["concurrency"] = 300.into();
+        let entry = with_slots(target_entry(address, "a", false), 300);
         self.store.put(&format!("servers/only-{}", address.port()), &entry);
         tokio::time::sleep(CHANGE_TIME).await;
     }
