Choose the ports of a test's process without binding the taken one

Seen once in six runs beside load: a_slow_stream_is_passed_on_to_its_end ended where the test's world bound the port that is already chosen for the process, to keep it from being chosen again. Who held that port was not found: the run's message was cut off by the filter in use, and six more runs did not show it. The bind was needless: a choice that contains the taken port is now made again.

--- a/tests/platform/world.rs
+++ b/tests/platform/world.rs
@@ -138,11 +138,15 @@
 /// Returns ports that were free a moment ago on an address that no other test uses, all of them different
 /// and none of them `taken`: the sockets are held until all are chosen.
 fn free_ports<const COUNT: usize>(ip: IpAddr, taken: u16) -> [u16; COUNT] {
-    let bind = |port| std::net::TcpListener::bind(SocketAddr::new(ip, port)).expect("loopback");
-    let held = bind(taken);
-    let sockets = [(); COUNT].map(|()| bind(0));
-    drop(held);
-    sockets.map(|socket| socket.local_addr().expect("a bound listener has an address").port())
+    let bind = || std::net::TcpListener::bind(SocketAddr::new(ip, 0)).expect("loopback");
+    loop {
+        let sockets = [(); COUNT].map(|()| bind());
+        let ports = sockets
+            .map(|socket| socket.local_addr().expect("a bound listener has an address").port());
+        if !ports.contains(&taken) {
+            return ports;
+        }
+    }
 }
 
 impl World {
