Wait for an accepted change to be in force before an operator is told of an error

So an operator was told of an internal error after a change that was accepted.

Cause, read from the code: the writer looks once at what is in force right after it has offered its change. If the watch has brought the change a moment before, another thread is still putting it in force; if an earlier revision of another instance is on its way, the change waits for it. Either is over in a moment.

Change: the writer waits up to 5 s. No test of its own causes the race; it was not seen again, and not reproduced.

--- a/crates/sesamewall-server/src/membership/config_service.rs
+++ b/crates/sesamewall-server/src/membership/config_service.rs
@@ -35,6 +35,9 @@
 
 /// A waiting watch counts as one store call, so it waits long.
 const WATCH_MS: u64 = 10_000;
+/// Longest wait for an accepted change to be in force at its writer, and the time between two looks.
+const IN_FORCE_TIME: Duration = Duration::from_secs(5);
+const IN_FORCE_STEP: Duration = Duration::from_millis(5);
 const PAUSE: Duration = Duration::from_millis(500);
 const LIST_LIMIT: usize = 512;
 
@@ -239,6 +242,14 @@
         }
     }
 
+    /// Waits until a revision is in force: the watch may have taken it over a moment before, and be about
+    /// to put it in force, or an earlier revision of another instance may still be on its way.
+    async fn in_force(&self, revision: Revision) {
+        while self.node.config.current().revision() < revision {
+            tokio::time::sleep(IN_FORCE_STEP).await;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Follower> {
         self.follower.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -268,10 +279,9 @@
         if let Err(error) = self.store_snapshot().await {
             warn!(self.node.log, "snapshot not stored"; "error" => error.to_string());
         }
-        let in_force = self.node.config.current().revision();
-        match in_force >= change.revision {
-            true => Ok(change),
-            false => Err(Error::Internal {
+        match tokio::time::timeout(IN_FORCE_TIME, self.in_force(change.revision)).await {
+            Ok(()) => Ok(change),
+            Err(_) => Err(Error::Internal {
                 detail: format!(
                     "revision {} is accepted and not yet in force here",
                     change.revision
