Log the age of the target table with each attempt

The line attempt now has the store revision of the table, the newest revision that another instance had reported, and the time from the request's arrival to the choice.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -37,6 +37,7 @@
 use crate::byte_budget::ByteBudget;
 use crate::peer_client::PeerClient;
 use crate::peer_updates::UpdateSources;
+use crate::peer_updates::table_revision;
 use crate::store_access::StoreAccess;
 use crate::target_pool::TargetPool;
 
@@ -70,6 +71,13 @@
         self.peers.coverage(now).fronts
     }
 
+    /// Returns the store revision of the target table, and the highest one that another instance
+    /// has reported a moment ago.
+    pub fn table_revisions(&self, now: Time) -> (u64, u64) {
+        let newest = self.sources.highest(now).table.max(self.versions.table);
+        (table_revision(self.versions.table), table_revision(newest))
+    }
+
     /// Returns the fleet coverage, the fraction of all instances that is live, for starts at cold
     /// targets.
     pub fn fleet_coverage(&self, now: Time) -> f64 {
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -241,8 +241,11 @@
             let limit = request
                 .stall_limit(now, runs, |settings, route| settings.first_byte(route, &placement));
             let attempt_request = request.attempt_request(None, now);
+            let (table, newest) = self.context.state().table_revisions(now);
             let result = attempt(&self.context, &placement, &attempt_request, limit).await;
             info!(self.context.log, "attempt"; "request" => request.id_text(),
+                "table" => table, "newest" => newest,
+                "chosen_ms" => now.since(request.arrived).as_millis() as u64,
                 "route" => &*request.route.name, "version" => request.version,
                 "account" => request.account.as_ref().map(|account| account.name.to_string()),
                 "target" => %placement.name, "online" => placement.online, "batch" => placement.batch,
--- a/crates/sesamewall-edge/src/peer_updates.rs
+++ b/crates/sesamewall-edge/src/peer_updates.rs
@@ -46,6 +46,11 @@
     revision << DROP_BITS
 }
 
+/// Returns the store's revision in a version of the target table.
+pub fn table_revision(version: u64) -> u64 {
+    version >> DROP_BITS
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Source {
     versions: Versions,
@@ -136,7 +141,7 @@
         changed: state
             .targets
             .iter()
-            .filter(|target| target.revision > known.table >> DROP_BITS || known.table == 0)
+            .filter(|target| target.revision > table_revision(known.table) || known.table == 0)
             .map(|target| (target.entry.clone(), target.revision))
             .collect(),
     });
