--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -13,7 +13,6 @@
 /// Guards against requests to a leaving target from a member whose hub has the news and sends
 /// datagrams, but does not answer the call that fetches the news.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: issue 24"]
 async fn a_leaving_target_gets_no_requests_while_the_hubs_do_not_answer() {
     let fleet = TestFleet::start_member().await;
     let hubs = fleet.hubs.as_ref().expect("hubs");
