Read the store when a reported update does not arrive

Cause: a member fetches updates from its assigned hub only. A hub that sends datagrams but does not answer the update call in time is asked again and again, and the member keeps its old target table for as long as that lasts, with a sound path to the store all the while. The class of fault: a belief with a single source, and no limit on how long it may stay behind what is known to exist. Change: the selection of sources is a decision of sesamewall-fleet. While the instance that has reported more does not answer, other hubs are called, and after 700 ms the instance reads the store itself, at most once a second.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -23,10 +23,12 @@
 use sesamewall_fleet::Peers;
 use sesamewall_fleet::RateSettings;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::UpdateSources;
 use sesamewall_fleet::Versions;
 use sesamewall_fleet::WorkerStatus;
 use sesamewall_platform::InstanceSettings;
 use sesamewall_ports::LeaseStore;
+use sesamewall_ports::StoreError;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
@@ -36,7 +38,6 @@
 use crate::Metrics;
 use crate::byte_budget::ByteBudget;
 use crate::peer_client::PeerClient;
-use crate::peer_updates::UpdateSources;
 use crate::peer_updates::table_revision;
 use crate::store_access::StoreAccess;
 use crate::target_pool::TargetPool;
@@ -256,6 +257,13 @@
         state.targets.on_store_call(reachable, &state.peers, now);
     }
 
+    /// Records a failed call to the store. A call beyond the rate limit shows that it is reachable.
+    pub fn on_store_error(&self, error: &StoreError) {
+        if *error != StoreError::RateLimited {
+            self.on_store_result(false, error);
+        }
+    }
+
     /// Returns whether the last call failed to reach the store.
     pub fn is_store_lost(&self) -> bool {
         self.store_lost.load(Ordering::Relaxed)
--- a/crates/sesamewall-edge/src/peer_updates.rs
+++ b/crates/sesamewall-edge/src/peer_updates.rs
@@ -2,9 +2,8 @@
 //!
 //! One hub of each failure domain watches the store. All other instances fetch updates from an
 //! instance whose datagrams report that it has read more: a hub from other hubs, a member from its
-//! assigned hub.
+//! assigned hub. An instance that does not get a reported update in time reads the store itself.
 
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -31,11 +30,12 @@
 /// small machine.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time for which no update is fetched from an instance after a call failed or brought nothing.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(300);
+/// Longest wait for the next check whether an update can be fetched. Failed instances are tried
+/// again after a back-off.
+const FETCH_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Age after which the versions reported by an instance do not count.
-const SOURCE_TTL: Duration = Duration::from_secs(2);
+/// Interval between checks whether an update is overdue.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Low bits of the target table's version, which count the targets dropped without a change in the
 /// store.
@@ -51,67 +51,6 @@
     version >> DROP_BITS
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Source {
-    versions: Versions,
-    same_domain: bool,
-    received_at: Time,
-    backoff_until: Time,
-}
-
-/// Instances that have reported how far they have read, by address.
-#[derive(Clone, Debug, Default)]
-pub struct UpdateSources {
-    sources: HashMap<IpAddr, Source>,
-}
-
-impl UpdateSources {
-    /// Records the versions that an instance reports. `same_domain` is true for an instance of the
-    /// local failure domain.
-    pub fn on_versions(
-        &mut self,
-        address: IpAddr,
-        versions: Versions,
-        same_domain: bool,
-        now: Time,
-    ) {
-        let known = self.sources.get(&address).map(|source| source.backoff_until);
-        let backoff_until = known.unwrap_or(Time::ZERO);
-        self.sources
-            .insert(address, Source { versions, same_domain, received_at: now, backoff_until });
-    }
-
-    fn on_failure(&mut self, address: IpAddr, now: Time) {
-        if let Some(source) = self.sources.get_mut(&address) {
-            source.backoff_until = now + FAILURE_BACKOFF;
-        }
-    }
-
-    /// Returns an instance that has read more than `local`, preferably in the local failure domain.
-    fn choose(&self, local: &Versions, now: Time) -> Option<IpAddr> {
-        let usable = |source: &&Source| {
-            now.since(source.received_at) < SOURCE_TTL
-                && source.backoff_until <= now
-                && local.is_behind(&source.versions)
-        };
-        let fresh = self.sources.iter().filter(|(_, source)| usable(source));
-        let best = fresh.max_by_key(|(_, source)| (source.same_domain, source.versions.table));
-        best.map(|(address, _)| *address)
-    }
-
-    /// Returns the highest reported version of each kind of state.
-    pub fn highest(&self, now: Time) -> Versions {
-        let fresh =
-            self.sources.values().filter(|source| now.since(source.received_at) < SOURCE_TTL);
-        fresh.fold(Versions::default(), |all, source| all.merge(&source.versions))
-    }
-
-    /// Removes instances whose reported versions are too old.
-    pub fn on_tick(&mut self, now: Time) {
-        self.sources.retain(|_, source| now.since(source.received_at) < SOURCE_TTL);
-    }
-}
-
 /// The changed part of the target table.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
@@ -206,6 +145,15 @@
     state.versions.maintenance = revision;
 }
 
+/// Returns the addresses of the hubs, those of the local failure domain first.
+fn hub_addresses(context: &InstanceContext, state: &State, now: Time) -> Vec<IpAddr> {
+    let settings = &context.settings;
+    let mut hubs = state.peers.hubs(now);
+    hubs.retain(|hub| hub.name != settings.instance);
+    hubs.sort_by_key(|hub| hub.domain != settings.domain);
+    hubs.into_iter().map(|hub| hub.address).collect()
+}
+
 /// Fetches updates from instances that have read more, until the process ends.
 pub async fn fetch_updates(context: Arc<InstanceContext>) {
     loop {
@@ -216,12 +164,12 @@
             if context.watches_store() && !context.store.is_lost() {
                 local.table = u64::MAX;
             }
-            (state.sources.choose(&local, now), state.versions)
+            let hubs = hub_addresses(&context, &state, now);
+            (state.sources.choose(&local, &hubs, now), state.versions)
         };
         let Some(source) = source else {
-            // Failed sources are tried again after the back-off.
-            let _ =
-                tokio::time::timeout(FAILURE_BACKOFF, context.update_available.notified()).await;
+            let update_available = context.update_available.notified();
+            let _ = tokio::time::timeout(FETCH_CHECK_INTERVAL, update_available).await;
             continue;
         };
         match context.peer_client.call(source, UPDATES_PATH, &local, FETCH_TIMEOUT).await {
@@ -243,3 +191,23 @@
         }
     }
 }
+
+/// Reads the store whenever an update that another instance has reported is overdue, until the
+/// process ends.
+pub async fn read_overdue_updates(context: Arc<InstanceContext>) {
+    loop {
+        tokio::time::sleep(OVERDUE_CHECK_INTERVAL).await;
+        let now = context.now();
+        let (overdue, local) = {
+            let state = &mut *context.state();
+            (state.sources.is_store_due(&state.versions, now), state.versions)
+        };
+        if !overdue {
+            continue;
+        }
+        let newest = context.state().sources.highest(now);
+        warn!(context.log, "news overdue"; "version" => local.table, "newest" => newest.table,
+            "config" => local.config, "newest_config" => newest.config);
+        store_watch::read_current(&context, &local, &newest).await;
+    }
+}
--- a/crates/sesamewall-edge/src/state_exchange/hub_record.rs
+++ b/crates/sesamewall-edge/src/state_exchange/hub_record.rs
@@ -13,7 +13,6 @@
 use sesamewall_fleet::HubStatus;
 use sesamewall_ports::CommitResult;
 use sesamewall_ports::Page;
-use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
 use sesamewall_ports::StoredItem;
 use sesamewall_ports::Transaction;
@@ -128,9 +127,7 @@
                 return apply_records(context, &page);
             }
             Err(error) => {
-                if error != StoreError::RateLimited {
-                    context.on_store_result(false, &error);
-                }
+                context.on_store_error(&error);
             }
         }
         // Another instance may have sent the hubs meanwhile.
@@ -287,9 +284,7 @@
             }
             Ok(CommitResult::LeaseGone) => return false,
             Err(error) => {
-                if error != StoreError::RateLimited {
-                    context.on_store_result(false, &error);
-                }
+                context.on_store_error(&error);
                 return false;
             }
         }
--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sesamewall_fleet::TargetEntry;
+use sesamewall_fleet::Versions;
 use sesamewall_platform::OPERATOR_PREFIX;
 use sesamewall_platform::OperatorKey;
 use sesamewall_platform::TARGET_PREFIX;
@@ -144,9 +146,7 @@
                 }
             }
             Err(error) => {
-                if error != StoreError::RateLimited {
-                    context.on_store_result(false, &error);
-                }
+                context.on_store_error(&error);
                 tokio::time::sleep(delay).await;
                 context.wait_for_store(RECOVERY_TIMEOUT).await;
                 delay = (delay * 2).min(longest);
@@ -337,22 +337,84 @@
     sesamewall_protocol::TargetName::from(key.strip_prefix(TARGET_PREFIX).unwrap_or(key))
 }
 
+/// Decodes the targets' entries of a complete read.
+fn decode_entries(
+    context: &InstanceContext,
+    items: &[StoredItem],
+    revision: u64,
+) -> Vec<(TargetEntry, u64)> {
+    let entry = |item: &StoredItem| match decode_target(&item.key, &item.value) {
+        Ok(entry) => Some((entry, item.revision)),
+        Err(error) => {
+            warn!(context.log, "target entry cannot be read"; "key" => &item.key,
+                "error" => error, "revision" => item.revision);
+            None
+        }
+    };
+    let entries: Vec<_> = items.iter().filter_map(entry).collect();
+    info!(context.log, "targets read"; "targets" => entries.len(), "revision" => revision);
+    entries
+}
+
+/// Reads what an instance that has read as far as `local` lacks of the versions `newest`. Returns
+/// whether the store replied.
+pub async fn read_current(
+    context: &Arc<InstanceContext>,
+    local: &Versions,
+    newest: &Versions,
+) -> bool {
+    let mut replied = true;
+    if local.table < newest.table {
+        match read_all(context, TARGET_PREFIX).await {
+            Ok((items, revision)) => {
+                context.on_store_result(true, &"");
+                apply_targets(context, &items, revision, newest.table);
+            }
+            Err(error) => {
+                context.on_store_error(&error);
+                replied = false;
+            }
+        }
+    }
+    if local.config < newest.config || local.maintenance < newest.maintenance {
+        match read_all(context, OPERATOR_PREFIX).await {
+            Ok((items, revision)) => {
+                context.on_store_result(true, &"");
+                let mut watch = OperatorKeyWatch::new(context.clone());
+                watch.maintenance = context.state().maintenance.clone();
+                watch.replace(items, revision);
+            }
+            Err(error) => {
+                context.on_store_error(&error);
+                replied = false;
+            }
+        }
+    }
+    replied
+}
+
+/// Applies a complete read of the targets' entries beside the watch. The table has the version
+/// `newest` of another instance afterwards, unless the read is older or expired entries may come
+/// back.
+fn apply_targets(context: &InstanceContext, items: &[StoredItem], revision: u64, newest: u64) {
+    let entries = decode_entries(context, items, revision);
+    let now = context.now();
+    let mut state = context.state();
+    state.targets.replace(entries, now);
+    if peer_updates::table_revision(newest) <= revision && !state.targets.has_expired() {
+        state.versions.table = state.versions.table.max(newest);
+    }
+    drop(state);
+    context.state_changed.notify_one();
+}
+
 impl WatchHandler for TargetWatch {
     fn is_needed(&self) -> bool {
         self.context.watches_store()
     }
 
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64) {
-        let entry = |item: &StoredItem| match decode_target(&item.key, &item.value) {
-            Ok(entry) => Some((entry, item.revision)),
-            Err(error) => {
-                warn!(self.context.log, "target entry cannot be read"; "key" => &item.key,
-                    "error" => error, "revision" => item.revision);
-                None
-            }
-        };
-        let entries: Vec<_> = items.iter().filter_map(entry).collect();
-        info!(self.context.log, "targets read"; "targets" => entries.len(), "revision" => revision);
+        let entries = decode_entries(&self.context, &items, revision);
         let now = self.context.now();
         let mut state = self.context.state();
         // A removed key leaves no revision, so the revision of the whole read counts then.
@@ -420,4 +482,5 @@
     let targets = TargetWatch::new(context.clone());
     tokio::spawn(watch_prefix(context.clone(), TARGET_PREFIX, TARGET_WATCH_INTERVAL, targets));
     tokio::spawn(peer_updates::fetch_updates(context.clone()));
+    tokio::spawn(peer_updates::read_overdue_updates(context.clone()));
 }
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod request_counts;
 mod stall_timeout;
 mod target_table;
+mod update_sources;
 
 pub use account_queue::AccountQueues;
 pub use account_queue::Admission;
@@ -101,3 +102,5 @@
 pub use target_table::TargetState;
 pub use target_table::TargetTable;
 pub use target_table::target_key;
+pub use update_sources::UpdateSettings;
+pub use update_sources::UpdateSources;
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -254,6 +254,12 @@
         removed
     }
 
+    /// Returns whether the entry of a target has expired around an outage of the store and the
+    /// target stays until the grace time has passed.
+    pub fn has_expired(&self) -> bool {
+        self.targets.values().any(|target| target.expired_at.is_some())
+    }
+
     /// Sets the failure domains that are out of service. The targets of domains that return to
     /// service may have turned cold.
     pub fn set_evacuated(&mut self, domains: BTreeSet<DomainName>, now: Time) {
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -22,3 +22,5 @@
 mod support;
 #[path = "decisions/target_table.rs"]
 mod target_table;
+#[path = "decisions/update_sources.rs"]
+mod update_sources;
