Send nothing more to a target that says in an answer that it leaves

Callers: requests can reach a target that has told the very instance that it leaves (header Server-Leaving), when the store's news come later, or not at all, to that instance. Nothing read the header. A response with the request's own id that carries it, a refusal too, takes that start of the target out of service on the instance, for online requests, resumed streams and batch items. The mark outlasts the entry, which may be removed and written again; a new start clears it.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -18,10 +18,12 @@
 use sesamewall_adapters::http_client::describe;
 use sesamewall_fleet::Placement;
 use sesamewall_platform::EXPECT_TARGET;
+use sesamewall_platform::LEAVING;
 use sesamewall_platform::NOT_RUN;
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::SEAL;
 use sesamewall_protocol::TargetName;
+use slog::info;
 
 use crate::InstanceContext;
 use crate::byte_budget::BudgetExceeded;
@@ -357,6 +359,13 @@
         return Err(AttemptError::Misdirected);
     }
     let same = head.headers.get(REQUEST_ID) == attempt_request.headers.get(REQUEST_ID);
+    if same && head.headers.contains_key(LEAVING) {
+        let now = context.now();
+        if context.state().targets.on_leaving(&placement.name, now) {
+            info!(context.log, "target leaves"; "target" => %placement.name,
+                "status" => head.status.as_u16());
+        }
+    }
     if head.headers.contains_key(NOT_RUN) && (same || !head.headers.contains_key(REQUEST_ID)) {
         return Err(AttemptError::NotRun(head.status.as_u16()));
     }
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +33,10 @@
 /// attempt starts it again.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(2500);
 
+/// Time for which a target that has said in a response that it leaves is remembered, longer than
+/// any target takes to stop.
+const LEAVING_TTL: Duration = Duration::from_secs(600);
+
 /// Returns the key of a target in datagrams.
 pub fn target_key(name: &TargetName) -> u32 {
     xxh3_64(name.as_str().as_bytes()) as u32
@@ -78,13 +83,20 @@
     backoff_until: Time,
     failures: u32,
     misdirected: bool,
+    /// The target has said in a response that it leaves.
+    leaving: bool,
     expired_at: Option<Time>,
 }
 
 impl TargetState {
     /// Returns whether the target may get new work, evacuated domains aside.
     pub fn is_usable(&self, now: Time) -> bool {
-        !self.entry.draining && !self.misdirected && self.backoff_until <= now
+        !self.has_left() && self.backoff_until <= now
+    }
+
+    /// Returns whether the target gets no new work until it starts again.
+    fn has_left(&self) -> bool {
+        self.entry.draining || self.leaving || self.misdirected
     }
 
     /// Returns whether the target may be cold: its entry says so, or it could not be reached a
@@ -108,6 +120,9 @@
     store_recovered_at: Option<Time>,
     /// Time for which a target is cold after its start.
     cold_time: Duration,
+    /// Starts that have said in a response that they leave, and when. They outlast the entries,
+    /// which may be removed and written again while the target stops.
+    leaving: HashMap<(TargetName, u64), Time>,
 }
 
 impl TargetTable {
@@ -149,8 +164,7 @@
     pub fn may_receive(&self, name: &TargetName, address: SocketAddr) -> bool {
         self.targets.get(name).is_some_and(|target| {
             target.entry.address == address
-                && !target.entry.draining
-                && !target.misdirected
+                && !target.has_left()
                 && !self.evacuated.contains(&target.entry.domain)
         })
     }
@@ -167,6 +181,7 @@
             backoff_until: Time::ZERO,
             failures: 0,
             misdirected: false,
+            leaving: self.leaving.contains_key(&(entry.name.clone(), entry.started_ms)),
             expired_at: None,
         };
         let known = self.targets.entry(entry.name.clone()).or_insert_with(|| fresh.clone());
@@ -192,7 +207,7 @@
         let outage = self.store_lost_at.is_some()
             || self.store_recovered_at.is_some_and(|back| now.since(back) < EXPIRY_GRACE);
         match self.targets.get_mut(name) {
-            Some(target) if outage && !target.entry.draining => {
+            Some(target) if outage && !target.has_left() => {
                 target.expired_at.get_or_insert(now);
                 true
             }
@@ -342,6 +357,14 @@
         }
     }
 
+    /// Records that a target has said in a response that it leaves. Returns whether that is new.
+    pub fn on_leaving(&mut self, name: &TargetName, now: Time) -> bool {
+        let Some(target) = self.targets.get_mut(name) else { return false };
+        self.leaving.retain(|_, said_at| now.since(*said_at) < LEAVING_TTL);
+        self.leaving.insert((name.clone(), target.entry.started_ms), now);
+        !std::mem::replace(&mut target.leaving, true)
+    }
+
     /// Records a successful response.
     pub fn on_success(&mut self, name: &TargetName, now: Time) {
         if let Some(target) = self.targets.get_mut(name) {
--- a/crates/sesamewall-fleet/tests/decisions/target_table.rs
+++ b/crates/sesamewall-fleet/tests/decisions/target_table.rs
@@ -161,6 +161,9 @@
         table.remove(&name, at(0));
     }));
     assert!(!may_receive(&|table| table.on_misdirected(&name)));
+    assert!(!may_receive(&|table| {
+        table.on_leaving(&name, at(0));
+    }));
     assert!(!may_receive(&|table| table.set_evacuated([DomainName::from("a")].into(), at(0))));
     assert!(!may_receive(&|table| {
         let address = "127.0.0.1:10".parse().expect("a constant address");
--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -30,7 +30,7 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 /// Time in which a changed target entry takes effect on all fronts.
-const PROPAGATION_TIME: Duration = Duration::from_millis(1500);
+pub const PROPAGATION_TIME: Duration = Duration::from_millis(1500);
 
 /// Environment variable with the folder for the logs of the processes.
 const LOG_VARIABLE: &str = "SESAMEWALL_TEST_LOGS";
--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -4,7 +4,9 @@
 
 use sesamewall_platform_standin::target_entry;
 
+use crate::fixture::PROPAGATION_TIME;
 use crate::fixture::TestFleet;
+use crate::fixture::wait_until;
 
 /// Time within which a target that says that it leaves gets no new requests, by the settings of the
 /// fleet.
@@ -56,3 +58,43 @@
         assert_eq!(fleet.targets[0].requests().len(), 1, "a leaving target got requests");
     }
 }
+
+/// Guards against requests to a target that says in its answers that it leaves, while its entry in
+/// the store does not say so, is removed and written again, or changes in other fields.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_in_an_answer_that_it_leaves_gets_no_further_requests() {
+    for refuses in [false, true] {
+        let fleet = TestFleet::start(1, 0).await;
+        let target = &fleet.targets[0];
+        target.set_leaving(true);
+        target.set_full(refuses);
+        let first = fleet.chat(0, "/talk/x", "id-0").await.expect("a response");
+        assert_eq!(first.status, 200);
+        target.set_full(false);
+        let before = target.requests().len();
+        let mut entry = target_entry(target.address, "a", false);
+        for round in 0..3 {
+            for n in 0..4 {
+                let id = format!("id-{round}-{n}");
+                let response = fleet.chat(0, "/talk/x", &id).await.expect("a response");
+                assert_eq!(response.status, 200);
+            }
+            assert_eq!(target.requests().len(), before, "a leaving target got requests");
+            match round {
+                0 => fleet.store.remove("servers/t1"),
+                _ => entry["coldLeftMs"] = 100.into(),
+            }
+            tokio::time::sleep(PROPAGATION_TIME).await;
+            fleet.store.put("servers/t1", &entry);
+            tokio::time::sleep(PROPAGATION_TIME).await;
+        }
+        target.set_leaving(false);
+        entry["born"] = 2.into();
+        fleet.store.put("servers/t1", &entry);
+        let is_used = || async {
+            fleet.chat(0, "/talk/x", "id-new").await;
+            target.requests().len() > before
+        };
+        assert!(wait_until(is_used).await, "a new start of the target gets no requests");
+    }
+}
