Show requests that crash target after target with a failing test

A part of the prompt crashes each target that begins to respond to it; no two requests with it are alike.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -2,6 +2,8 @@
 
 #[path = "platform/batch.rs"]
 mod batch;
+#[path = "platform/deadly_parts.rs"]
+mod deadly_parts;
 #[path = "platform/fixture.rs"]
 mod fixture;
 #[path = "platform/hub.rs"]
