Log which prompts were at a lost connection, and whether the target had begun to respond

The landed logs tell that a stream broke off, not whether its target had begun to respond, nor the parts of its prompt, so a request that crashes targets looks like those that ran beside it. The line target lost has both.

--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -26,10 +26,12 @@
 use sesamewall_platform::DEADLINE_MS;
 use sesamewall_platform::EXPECT_TARGET;
 use sesamewall_platform::LAST_EVENT_ID;
+use sesamewall_platform::PROMPT_PARTS;
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::prompt_prefix;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
+use slog::info;
 use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -148,6 +150,13 @@
         self.id.to_str().unwrap_or("?")
     }
 
+    /// Logs that the connection to a target was lost after `events` events of the current run.
+    pub fn log_loss(&self, context: &InstanceContext, target: &TargetName, events: u64) {
+        let parts = self.headers.get(PROMPT_PARTS).and_then(|value| value.to_str().ok());
+        info!(context.log, "target lost"; "request" => self.id_text(), "target" => %target,
+            "route" => &*self.route.name, "parts" => parts, "events" => events);
+    }
+
     /// Returns the request for the next attempt. `after` is the id of the last event that was
     /// forwarded.
     pub fn attempt_request(&self, after: Option<u64>, now: Time) -> AttemptRequest {
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -279,6 +279,7 @@
             }
             runs += 1;
             if matches!(error, AttemptError::Lost(_)) {
+                request.log_loss(&self.context, &placement.name, 0);
                 let now = self.context.now();
                 self.context.state().crash_counts.on_crash(request.hash, now);
             }
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -37,6 +37,8 @@
     overdue: bool,
     last_id: Option<u64>,
     events: u64,
+    /// Events of the current run.
+    run_events: u64,
     tried: Vec<TargetName>,
     /// Runs so far, including the current one.
     runs: u32,
@@ -63,6 +65,7 @@
             splitter: EventSplitter::default(),
             last_id,
             events: 0,
+            run_events: 0,
             tried,
             runs,
             ended: false,
@@ -153,6 +156,7 @@
             }
             self.last_id = event.id.or(self.last_id);
             self.events += 1;
+            self.run_events += 1;
             events.extend_from_slice(&event.bytes);
         }
         Ok(events)
@@ -178,10 +182,14 @@
 
     /// Resumes the stream at another target. Returns the end of the stream if that is not possible.
     async fn fail_over(&mut self, error: AttemptError) -> Option<io::Result<Bytes>> {
+        let run_events = std::mem::take(&mut self.run_events);
         let stopped = self.response.take().map(|response| response.target.clone());
         self.splitter.clear();
         self.overdue = false;
         let now = self.context.now();
+        if let (Some(target), AttemptError::Lost(_)) = (&stopped, &error) {
+            self.request.log_loss(&self.context, target, run_events);
+        }
         {
             let mut state = self.context.state();
             if let Some(target) = &stopped {
