Take a refusal without the request's id on a used connection for an unknown outcome

Callers: a faulty target writes an earlier refusal once more on a kept connection. Callers were told that the request had not run (503), and other targets were tried, while the target ran it. Cause: a refusal without an identifier, and any 421, counted as the answer to the request, whatever came before it on the connection. The class of fault: an answer that says "not run" was matched less strictly than a success. Change: such an answer counts as "not run" only with the request's id, or without any id as the first response on its connection. Otherwise the outcome is unknown: 502, and only idempotent requests go on. Figures: a_repeated_refusal_is_no_refusal_of_the_next_request got 503 in place of 502 before and passes now for 503, 429 and 421, with the earlier id and without one.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -405,10 +405,12 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
+    let same = head.headers.get(REQUEST_ID) == attempt_request.headers.get(REQUEST_ID);
+    // Without the request's id, a refusal on a reused connection may be a repeated one.
+    let unnamed = !connection.reused && !head.headers.contains_key(REQUEST_ID);
+    if head.status == StatusCode::MISDIRECTED_REQUEST && (same || unnamed) {
         return Err(AttemptError::Misdirected);
     }
-    let same = head.headers.get(REQUEST_ID) == attempt_request.headers.get(REQUEST_ID);
     if same && head.headers.contains_key(LEAVING) {
         let now = context.now();
         if context.state().targets.on_leaving(&placement.name, now) {
@@ -416,7 +418,7 @@
                 "status" => head.status.as_u16());
         }
     }
-    if head.headers.contains_key(NOT_RUN) && (same || !head.headers.contains_key(REQUEST_ID)) {
+    if head.headers.contains_key(NOT_RUN) && (same || unnamed) {
         return Err(AttemptError::NotRun(head.status.as_u16()));
     }
     if !same || (head.status.is_success() && !head.headers.contains_key(SEAL)) {
