Go on with a stream only at a target that answers with an event stream

Callers: a stream had begun and broke off; when the next target answered with another success than an event stream, such as 204, the stream ended as if it were complete, and the body of such an answer could enter it. Cause: a resumed stream accepted any success. The class of fault: the second answer was checked less strictly than the first one. Change: a stream goes on only with status 200 and a body of type text/event-stream; otherwise the next target is tried, or the stream is broken off.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -12,6 +12,7 @@
 use http::Request;
 use http::StatusCode;
 use http::Uri;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -45,6 +46,9 @@
 /// faulty.
 const RESPONSE_LIMIT: usize = 4 << 20;
 
+/// Content type of a stream of events, without its parameters.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Reason why an attempt failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive_more::Display)]
@@ -179,6 +183,14 @@
 }
 
 impl AttemptResponse {
+    /// Returns whether the body is the stream of events that was requested. Another success has a
+    /// body of its own, which is no continuation of a stream.
+    pub fn is_event_stream(&self) -> bool {
+        let content_type = self.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+        self.status == StatusCode::OK
+            && content_type.is_some_and(|kind| kind.trim_start().starts_with(EVENT_STREAM))
+    }
+
     /// Records that the first event, or a complete body, of a successful response has arrived.
     pub fn on_begun(&mut self) {
         if let Some(run) = self.run.take() {
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -234,7 +234,7 @@
             });
             self.tried.push(placement.name.clone());
             match result {
-                Ok(response) if response.status.is_success() => {
+                Ok(response) if response.is_event_stream() => {
                     self.runs += 1;
                     self.response = Some(response);
                     self.last_event_at = self.context.now();
