--- a/crates/sesamewall-fleet/src/datagrams.rs
+++ b/crates/sesamewall-fleet/src/datagrams.rs
@@ -185,7 +185,7 @@
     /// Keys of the targets that an instance of the group could not reach.
     pub unreachable: Vec<u32>,
     /// Evidence of the group against parts of prompts.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub part_evidence: Vec<PartEvidence>,
 }
 
@@ -216,7 +216,7 @@
     /// Keys of the targets that the member could not reach, from `target_key`.
     pub unreachable: Vec<u32>,
     /// Evidence of the member against parts of prompts.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub part_evidence: Vec<PartEvidence>,
 }
 
@@ -259,7 +259,7 @@
     /// All live hubs; sent only in some digests.
     pub hubs: Option<Vec<HubStatus>>,
     /// Evidence of the fleet against parts of prompts.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub part_evidence: Vec<PartEvidence>,
 }
 
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -7,6 +7,7 @@
 use sesamewall_fleet::Datagram;
 use sesamewall_fleet::Member;
 use sesamewall_fleet::MissingInstance;
+use sesamewall_fleet::PartEvidence;
 use sesamewall_fleet::PeerSettings;
 use sesamewall_fleet::Report;
 use sesamewall_fleet::instance_key;
@@ -236,6 +237,9 @@
 #[test]
 fn datagrams_decode_to_what_was_encoded() {
     let beacon = Beacon { targets: vec![count("t1", 3, 1, 9)], ..beacon("f1", 5) };
+    let part_evidence =
+        vec![PartEvidence { part: 7, crashes: vec![(1, 2)], ..PartEvidence::default() }];
+    let with_evidence = Report { part_evidence, ..report("w2", 1, &[]) };
     let report = Report { worker: Some(worker("w1", "a", 3, &[(7, 2)])), ..report("w1", 1, &[]) };
     let table = table(&[("t1", "a")]);
     let digest = digest("h1", 1, &hub("h1"), &table, at(0));
@@ -244,6 +248,7 @@
         Datagram::Hubs(vec![hub_status("h1", "a")]),
         Datagram::Beacon(Box::new(beacon)),
         Datagram::Report(Box::new(report)),
+        Datagram::Report(Box::new(with_evidence)),
         Datagram::Digest(Box::new(digest)),
     ];
     for sent in all {
