Log when a part of prompts becomes poison and when it is cleared

Cause: the lines target lost and request refused tell which crash was seen and who was refused, but not when an instance began to take a part for poison, nor when a response ended that. Both are changes of what the process believes. Change: a line prompt part is poison after a crash that is seen locally, with the inputs of the decision, and a line prompt part cleared. on_begun returns what it ended. Conclusion: a part that becomes poison by the evidence of another instance is logged where the crash was seen, and by each refusal (code 4008).

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -19,6 +19,7 @@
 use sesamewall_adapters::http_client::describe;
 use sesamewall_fleet::PartRun;
 use sesamewall_fleet::Placement;
+use sesamewall_fleet::PoisonPart;
 use sesamewall_platform::EXPECT_TARGET;
 use sesamewall_platform::LEAVING;
 use sesamewall_platform::NOT_RUN;
@@ -196,7 +197,11 @@
         if let Some(run) = self.run.take() {
             let context = &self.guard.context;
             let now = context.now();
-            context.state().poison_parts.on_begun(&run, now);
+            let cleared = context.state().poison_parts.on_begun(&run, now);
+            if let Some(PoisonPart { part, crashes, .. }) = cleared {
+                info!(context.log, "prompt part cleared"; "part" => format!("{part:016x}"),
+                    "crashes" => crashes, "target" => %self.target);
+            }
         }
     }
 
@@ -298,8 +303,14 @@
     let mut state = context.state();
     let crash = state.targets.start_key(target);
     state.poison_parts.on_crash(run, crash, now);
+    let poison = state.poison_parts.poison(run.parts());
     drop(state);
     context.state_changed.notify_one();
+    if let Some(PoisonPart { part, crashes, trials, unexplained, others }) = poison {
+        info!(context.log, "prompt part is poison"; "part" => format!("{part:016x}"),
+            "crashes" => crashes, "trials" => trials, "unexplained" => unexplained,
+            "others_begun" => others.begun, "others_lost" => others.lost, "target" => %target);
+    }
 }
 
 /// Distinguishes a lost connection from an invalid response: only the former may be a crash of the
--- a/crates/sesamewall-fleet/src/poison_parts.rs
+++ b/crates/sesamewall-fleet/src/poison_parts.rs
@@ -79,6 +79,13 @@
     started: Time,
 }
 
+impl PartRun {
+    /// Returns the keys of the request's parts.
+    pub fn parts(&self) -> &[u64] {
+        &self.parts
+    }
+}
+
 /// Why a request must not be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoisonPart {
@@ -141,12 +148,14 @@
         PartRun { parts: parts.clone(), levels, started: now }
     }
 
-    /// Records the first event of a response, which clears the parts of its request.
-    pub fn on_begun(&mut self, run: &PartRun, now: Time) {
+    /// Records the first event of a response, which clears the parts of its request. Returns the
+    /// part that was poison until then.
+    pub fn on_begun(&mut self, run: &PartRun, now: Time) -> Option<PoisonPart> {
         self.outcomes.add(None, now);
         if self.is_idle() {
-            return;
+            return None;
         }
+        let poison = self.poison(&run.parts);
         for part in run.parts.iter() {
             let open: Vec<u32> = self.merged(*part).open().map(|(crash, _)| crash).collect();
             if !open.is_empty() {
@@ -155,6 +164,7 @@
                 record.changed_at = now;
             }
         }
+        poison
     }
 
     /// Records that a target was lost before it began to respond. `crash` identifies the start of
--- a/crates/sesamewall-fleet/tests/decisions/poison_parts.rs
+++ b/crates/sesamewall-fleet/tests/decisions/poison_parts.rs
@@ -277,7 +277,9 @@
                     crashed.push(target);
                     self.lose(waiting, now);
                 }
-                false => self.instances[waiting.instance].on_begun(&waiting.run, at(now)),
+                false => {
+                    self.instances[waiting.instance].on_begun(&waiting.run, at(now));
+                }
             }
         }
         for target in crashed {
@@ -462,7 +464,8 @@
     assert!(here.poison(&parts).is_some());
     assert!(there.poison(&parts).is_some());
     let run = there.start(&parts, at(210));
-    there.on_begun(&run, at(250));
+    let cleared = there.on_begun(&run, at(250));
+    assert_eq!(cleared.map(|poison| poison.part), Some(parts[0]));
     assert!(there.poison(&parts).is_none());
     here.on_peer_evidence(&InstanceName::from("f2"), &there.local_evidence(), at(300));
     assert!(here.poison(&parts).is_none());
