Check requests against the current configuration after a pause

Callers: a request that had waited in the sockets of a paused instance ran with a key that was withdrawn meanwhile. Change: a request waits for the confirmation before it is checked, too; without a pause nothing waits.

--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -116,6 +116,9 @@
         request: Request<Incoming>,
         arrived: Time,
     ) -> Result<HttpResponse, Refusal> {
+        // A request that arrived during a pause of the process is checked against the configuration
+        // of now.
+        self.context.wait_confirmed().await;
         let catalog = self
             .wait_catalog()
             .await
--- a/tests/platform/hub.rs
+++ b/tests/platform/hub.rs
@@ -113,8 +113,10 @@
         let mut inner = self.shared.inner();
         inner.entries = entries.collect();
         inner.document = store.value(CONFIGURATION_KEY).expect("a configuration").into();
-        inner.versions =
-            Versions { config: 1, maintenance: 0, table: revision << TABLE_VERSION_BITS };
+        let document: serde_json::Value =
+            serde_json::from_slice(&inner.document).expect("a configuration is JSON");
+        let config = document["version"].as_u64().expect("a version");
+        inner.versions = Versions { config, maintenance: 0, table: revision << TABLE_VERSION_BITS };
     }
 
     /// Sets whether the update call hangs. Datagrams continue.
--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -1,7 +1,8 @@
-//! News of leaving targets that reach an instance late.
+//! News of leaving targets and withdrawn keys that reach an instance late.
 
 use std::time::Duration;
 
+use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
 
 use crate::fixture::PROPAGATION_TIME;
@@ -59,6 +60,33 @@
     }
 }
 
+/// Guards against requests that waited at a paused instance and are sent, once it runs again, with
+/// a key that was withdrawn during the pause.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_waited_are_refused_if_their_key_was_withdrawn_meanwhile() {
+    for fleet in [TestFleet::start(2, 0).await, TestFleet::start_member().await] {
+        let first = fleet.chat(0, "/talk/x", "id-0").await.expect("a response");
+        assert_eq!(first.status, 200);
+        fleet.fronts[0].signal("STOP");
+        let mut next = configuration(2, 1000.0, 1000.0);
+        next["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
+        fleet.store.put("op/config", &next);
+        if let Some(hubs) = &fleet.hubs {
+            hubs.read(&fleet.store);
+        }
+        let ids: Vec<_> = (1..7).map(|n| format!("id-{n}")).collect();
+        let requests = ids.iter().map(|id| fleet.chat(0, "/talk/x", id));
+        let wake = async {
+            tokio::time::sleep(DRAIN_TIME).await;
+            fleet.fronts[0].signal("CONT");
+        };
+        let (responses, ()) = tokio::join!(futures::future::join_all(requests), wake);
+        let statuses: Vec<_> =
+            responses.iter().map(|response| response.as_ref().map(|it| it.status)).collect();
+        assert_eq!(statuses, [Some(401); 6], "requests ran with a withdrawn key");
+    }
+}
+
 /// Guards against requests to a target that says in its answers that it leaves, while its entry in
 /// the store does not say so, is removed and written again, or changes in other fields.
 #[tokio::test(flavor = "multi_thread")]
