Take a stream that ends with its connection before its first event for a broken one

Callers: a target closed the connection after the head of a response with neither a length nor chunks. The caller got status 200 and an empty stream, framed as complete; a resumed stream ended as complete where its second target stopped. Cause: without a length and without chunks, the end of the connection is the end of the body. The class of fault: the end of a connection is taken for the end of an answer. A stream that ends inside an event was caught, an empty one not. Change: such a stream without an event in its current run is broken, so that the next target is tried or the caller sees the break. Empty streams with a length or chunks pass as before, and so do other answers. Figures: an_unframed_stream_that_ends_before_its_first_event_is_not_complete got an empty 200 before and passes now. Two new tests passed before: whole unframed answers are complete, reset ones are not.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -12,7 +12,9 @@
 use http::Request;
 use http::StatusCode;
 use http::Uri;
+use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -192,6 +194,12 @@
             && content_type.is_some_and(|kind| kind.trim_start().starts_with(EVENT_STREAM))
     }
 
+    /// Returns whether the body shows its own end. Without a length and without chunks it ends with
+    /// its connection, also when the target stops early.
+    pub fn is_framed(&self) -> bool {
+        self.headers.contains_key(CONTENT_LENGTH) || self.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Records that the first event, or a complete body, of a successful response has arrived.
     pub fn on_begun(&mut self) {
         if let Some(run) = self.run.take() {
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -111,6 +111,7 @@
                 return self.abort("timeout");
             }
             let Some(response) = &mut self.response else { return self.abort("no target") };
+            let framed = response.is_framed();
             let finished = self.runs.saturating_sub(1);
             // Bytes that complete no event do not extend the time limit.
             let event_gap = StallSettings::event_gap;
@@ -127,6 +128,9 @@
                 Ok(None) if self.splitter.has_partial() => {
                     AttemptError::Lost("the stream ended inside an event".to_owned())
                 }
+                Ok(None) if self.run_events == 0 && !framed => {
+                    AttemptError::Lost("the stream ended before its first event".to_owned())
+                }
                 Ok(None) => return self.on_complete(),
                 Err(error) => error,
             };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -20,3 +20,5 @@
 mod shutdown;
 #[path = "platform/target_news.rs"]
 mod target_news;
+#[path = "platform/unframed.rs"]
+mod unframed;
--- /dev/null
+++ b/tests/platform/unframed.rs
@@ -0,0 +1,96 @@
+//! Responses with neither a length nor chunks, which end with their connection.
+
+use std::time::Duration;
+
+use sesamewall_platform_standin::RawTarget;
+use sesamewall_platform_standin::StandinTarget;
+use sesamewall_platform_standin::Step;
+
+use crate::fixture::TestFleet;
+
+/// Time in which bytes that were sent are read, so that a reset does not discard them.
+const DELIVERY_TIME: Duration = Duration::from_millis(200);
+
+fn head(id: &str, extra_headers: &str) -> Step {
+    Step::text(format!(
+        "HTTP/1.1 200 OK\r\nsesamewall-request-id: {id}\r\nsesamewall-response-seal: seal-1\r\n\
+         {extra_headers}\r\n"
+    ))
+}
+
+fn stream_head(id: &str) -> Step {
+    head(id, "content-type: text/event-stream\r\n")
+}
+
+fn event(path: &str, number: u64) -> Step {
+    Step::text(format!("id: {number}\ndata: {path} {number}\n\n"))
+}
+
+/// Guards against a whole response that is taken for a broken one, and against a request that is
+/// written to the ended connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_response_is_complete_when_its_connection_ends() {
+    let fleet = TestFleet::start(1, 0).await;
+    let target = RawTarget::start(|_, id| vec![head(id, ""), Step::text(id), Step::Close]).await;
+    fleet.replace_all(target.address).await;
+    for id in ["id-1", "id-2"] {
+        let answer = fleet.chat(0, "/plain/x", id).await.expect("a response");
+        assert_eq!((answer.status, answer.body.as_deref()), (200, Some(id.as_bytes())));
+    }
+    let target = RawTarget::start(|_, id| {
+        vec![stream_head(id), event("/once/x", 1), event("/once/x", 2), Step::Close]
+    })
+    .await;
+    fleet.replace_all(target.address).await;
+    let answer = fleet.chat(0, "/once/x", "id-3").await.expect("a response");
+    assert_eq!(answer.text().as_deref(), Some("/once/x 1\n/once/x 2"));
+}
+
+/// Guards against a response that is reset on its way, between two events too, and looks complete
+/// to its caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_response_that_is_reset_is_not_complete() {
+    let fleet = TestFleet::start(1, 0).await;
+    for (path, status) in [("/plain/x", 502), ("/once/x", 200)] {
+        let target = RawTarget::start(move |_, id| {
+            let pause = Step::Pause(DELIVERY_TIME);
+            match path {
+                "/plain/x" => vec![head(id, ""), Step::text(id), pause, Step::Reset],
+                _ => vec![stream_head(id), event(path, 1), pause, Step::Reset],
+            }
+        })
+        .await;
+        fleet.replace_all(target.address).await;
+        let answer = fleet.chat(0, path, "id-1").await.expect("a response");
+        assert_eq!(answer.status, status, "{path}");
+        assert!(status != 200 || answer.body.is_none(), "{path}: {answer:?}");
+        assert_eq!(target.request_ids(), ["id-1"], "{path}");
+    }
+}
+
+/// Guards against an empty stream that looks complete: its target closed the connection after the
+/// head of the response, in its first run or in one that resumes it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unframed_stream_that_ends_before_its_first_event_is_not_complete() {
+    let fleet = TestFleet::start(1, 0).await;
+    let silent = || RawTarget::start(|_, id| vec![stream_head(id), Step::Close]);
+    let target = silent().await;
+    fleet.replace("t1", target.address).await;
+    let answer = fleet.chat(0, "/talk/x", "id-1").await.expect("a response");
+    assert_eq!(target.request_ids(), ["id-1"], "the local target comes first");
+    assert_eq!(answer.text(), Some(StandinTarget::text("/talk/x")), "the next target runs it");
+    let cut = RawTarget::start(|_, id| {
+        vec![stream_head(id), event("/talk/x", 1), Step::text("id: 2"), Step::Close]
+    })
+    .await;
+    fleet.replace("t1", cut.address).await;
+    fleet.replace("t2", silent().await.address).await;
+    let answer = fleet.chat(0, "/talk/x", "id-2").await.expect("a response");
+    assert_eq!((answer.status, answer.body), (200, None), "no target completes it");
+    let target = silent().await;
+    fleet.replace_all(target.address).await;
+    let answer = fleet.chat(0, "/once/x", "id-3").await;
+    let body = answer.as_ref().and_then(|answer| answer.body.as_ref());
+    assert!(body.is_none(), "{answer:?}");
+    assert_eq!(target.request_ids(), ["id-3"]);
+}
