Take an item whose response has no event for an incomplete one

Callers: an item was listed as completed with an empty text after a target closed the connection behind the head of its response, or responded with another success than a stream of events. A listed result stays for good. Change: a run without an event completes an item only if the response is a stream of events that shows its own end, as a run that resumes behind the last event may be. Otherwise the item is run again.

--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -176,6 +176,7 @@
         let mut splitter = EventSplitter::default();
         let mut reserved = context.buffers.reserve();
         let mut deadline = Instant::now() + STALL_TIMEOUT;
+        let events_before = progress.events();
         loop {
             let overdue = Instant::now() >= deadline;
             match response.next_chunk(deadline.saturating_duration_since(Instant::now())).await {
@@ -204,6 +205,14 @@
                     response.on_lost();
                     return ItemEnd::Broken;
                 }
+                // A resumed stream may have no further event, but its framing has to show its end.
+                Ok(None) if progress.events() == events_before && !response.is_framed() => {
+                    response.on_lost();
+                    return self.record_invalid(context, placement);
+                }
+                Ok(None) if progress.events() == events_before && !response.is_event_stream() => {
+                    return self.record_invalid(context, placement);
+                }
                 Ok(None) => {
                     response.finish(context);
                     return ItemEnd::Whole;
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -94,3 +94,24 @@
     assert!(body.is_none(), "{answer:?}");
     assert_eq!(target.request_ids(), ["id-3"]);
 }
+
+/// Guards against items with an empty result: a target closed the connection after the head of the
+/// response, or responded with another success than a stream of events.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_without_events_is_not_complete() {
+    for headers in ["content-type: text/event-stream\r\n", "content-length: 0\r\n"] {
+        let fleet = TestFleet::start(1, 1).await;
+        let target = RawTarget::start(move |_, id| vec![head(id, headers), Step::Close]).await;
+        fleet.replace("t2", target.address).await;
+        let items: Vec<String> = (0..6).map(|n| format!("item{n}")).collect();
+        let response = fleet.client.submit(fleet.fronts[0].caller_address(), "job1", &items).await;
+        assert_eq!(response.expect("a response").status, 202);
+        let results = fleet.wait_results(0, "job1", items.len()).await;
+        for row in results {
+            let path = format!("/jobs/{}", row["id"].as_str().expect("an id"));
+            assert_eq!(row["state"], "completed", "{headers}");
+            assert_eq!(row["output"].as_str(), Some(&*StandinTarget::text(&path)), "{headers}");
+        }
+        assert!(!target.request_ids().is_empty(), "{headers}");
+    }
+}
