Send an item only while the lease of its job's claim holds

Callers: around a hand-over between two workers both sent the same item, so that it ran twice. Reported by operators of similar systems. Cause: the lease was checked when an item's target was chosen, and not again when its request was written. A worker that was suspended between the two wrote the request after another one had taken the job over. Change: a request of an item carries a grant, the lease of the claim, which has to hold directly before the request is written. A request that is held back so was not sent; the item waits for whoever holds the claim. Conclusion: requests that are on their way when the lease ends still arrive; the successor starts after the lease has ended by the store's clock.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -32,6 +32,7 @@
 
 use crate::InstanceContext;
 use crate::byte_budget::BudgetExceeded;
+use crate::lease::LeaseGrant;
 use crate::target_pool::TargetConnection;
 
 /// Longest idle time of a pooled connection for requests that may run only once: after a longer
@@ -65,6 +66,9 @@
     /// The target left service after it had been chosen; nothing was sent.
     #[display("the target has left service")]
     Withdrawn,
+    /// The lease under which the request was placed has ended; nothing was sent.
+    #[display("the lease has ended")]
+    LeaseEnded,
     /// The target reported that it did not run the request.
     #[display("not run, status {_0}")]
     NotRun(u16),
@@ -100,6 +104,7 @@
             Self::ConnectFailed(_)
                 | Self::NotSent(_)
                 | Self::Withdrawn
+                | Self::LeaseEnded
                 | Self::NotRun(_)
                 | Self::Misdirected
         )
@@ -111,6 +116,7 @@
             Self::ConnectFailed(_) => "unreached",
             Self::NotSent(_) => "not-sent",
             Self::Withdrawn => "withdrawn",
+            Self::LeaseEnded => "lease-ended",
             Self::NotRun(_) => "not-run",
             Self::Misdirected => "misdirected",
             Self::Mismatch => "mismatch",
@@ -140,6 +146,9 @@
     pub batch: bool,
     /// Keys of the prompt's parts that other requests can share.
     pub parts: Arc<[u64]>,
+    /// The lease without which the request must not be sent, because another process may send it
+    /// then.
+    pub grant: Option<LeaseGrant>,
 }
 
 /// Counts a request as in flight at a target until the guard is dropped.
@@ -384,7 +393,7 @@
                 state.targets.on_refusal(&placement.name, REFUSAL_BACKOFF, now);
             }
             AttemptError::Misdirected => state.targets.on_misdirected(&placement.name),
-            AttemptError::Mismatch | AttemptError::Withdrawn => {}
+            AttemptError::Mismatch | AttemptError::Withdrawn | AttemptError::LeaseEnded => {}
             AttemptError::ConnectFailed(_) => {
                 state.targets.on_failure(&placement.name, now);
                 state.targets.on_unreachable(&placement.name, now);
@@ -425,6 +434,9 @@
     if !context.state().targets.may_receive(&placement.name, placement.address) {
         return Err(AttemptError::Withdrawn);
     }
+    if attempt_request.grant.as_ref().is_some_and(|grant| !grant.holds(context.now())) {
+        return Err(AttemptError::LeaseEnded);
+    }
     let sent = tokio::time::timeout(limit, connection.sender().send_request(request)).await;
     let response = match sent {
         Err(_) => return Err(AttemptError::Stalled(limit)),
--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -34,6 +34,7 @@
 use crate::attempt::AttemptRequest;
 use crate::attempt::InFlightGuard;
 use crate::attempt::attempt_guarded;
+use crate::lease::LeaseGrant;
 
 /// Longest time without a complete event of an item, and time limit for the body of a response that
 /// is no stream.
@@ -131,13 +132,15 @@
         ItemEnd::Broken
     }
 
-    /// Sends the item to a target and collects the events of its response.
+    /// Sends the item to a target, if `grant` still holds then, and collects the events of its
+    /// response.
     pub async fn run(
         &self,
         context: &Arc<InstanceContext>,
         placement: &Placement,
         progress: &mut ItemProgress,
         guard: InFlightGuard,
+        grant: LeaseGrant,
     ) -> ItemEnd {
         let mut headers = self.headers.clone();
         if let Some(after) = progress.resume_after() {
@@ -151,6 +154,7 @@
             repeatable: true,
             batch: true,
             parts: self.parts.clone(),
+            grant: Some(grant),
         };
         let mut response =
             match attempt_guarded(context, placement, &attempt_request, STALL_TIMEOUT, guard).await
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -27,6 +27,7 @@
 use crate::job_state::Item;
 use crate::job_state::Job;
 use crate::job_state::RunningItem;
+use crate::lease::LeaseGrant;
 use crate::worker::Worker;
 
 /// Time between two checks of an item that is held because of a part of its prompt.
@@ -106,7 +107,7 @@
         full: &mut HashSet<Arc<str>>,
         now: Time,
     ) {
-        let Claim::Local { .. } = job.claim else { return };
+        let Claim::Local { lease, .. } = job.claim else { return };
         let Some(spec) = job.work.spec.clone() else { return };
         let Some(index) = job.work.waiting.iter().position(|waiting| waiting.spec.id == *item)
         else {
@@ -166,6 +167,7 @@
         // The item is counted before its task runs, so that the choice for the next item includes
         // it.
         let guard = InFlightGuard::new(&self.context, placement.key, true);
+        let grant = LeaseGrant::new(self.lease.clone(), lease);
         let task = self.clone().run_item(
             name.clone(),
             attempt_id,
@@ -173,6 +175,7 @@
             placement,
             progress,
             guard,
+            grant,
             cancel,
         );
         tokio::spawn(task);
@@ -201,11 +204,12 @@
         placement: Placement,
         mut progress: ItemProgress,
         guard: InFlightGuard,
+        grant: LeaseGrant,
         cancel: CancellationToken,
     ) {
         let events_before = progress.events();
         let result = tokio::select! {
-            end = attempt.run(&self.context, &placement, &mut progress, guard) => end,
+            end = attempt.run(&self.context, &placement, &mut progress, guard, grant) => end,
             () = cancel.cancelled() => ItemEnd::MadeWay,
         };
         let now = self.context.now();
--- a/crates/sesamewall-edge/src/lease.rs
+++ b/crates/sesamewall-edge/src/lease.rs
@@ -26,7 +26,7 @@
 }
 
 /// The lease of the process.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct ProcessLease {
     current: Mutex<Current>,
 }
@@ -106,6 +106,26 @@
     }
 }
 
+/// The right to act under one lease of the process. It ends with that lease, after which another
+/// process may act.
+#[derive(Clone, Debug)]
+pub struct LeaseGrant {
+    lease: Arc<ProcessLease>,
+    number: u64,
+}
+
+impl LeaseGrant {
+    /// Creates the right to act under the lease `number`.
+    pub fn new(lease: Arc<ProcessLease>, number: u64) -> Self {
+        Self { lease, number }
+    }
+
+    /// Returns whether the lease is certainly still valid at `now`.
+    pub fn holds(&self, now: Time) -> bool {
+        self.lease.valid(now) == Some(self.number)
+    }
+}
+
 /// Keeps the lease of an instance that needs one: of a worker from its start, of a hub from its
 /// first claim of a hub record.
 pub async fn keep(context: Arc<InstanceContext>, lease: Arc<ProcessLease>) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,6 +8,8 @@
 mod faulty_targets;
 #[path = "platform/fixture.rs"]
 mod fixture;
+#[path = "platform/handover.rs"]
+mod handover;
 #[path = "platform/hub.rs"]
 mod hub;
 #[path = "platform/limits.rs"]
