End a stream of the product's own interface with an error if the next target does not go on with it

Callers of the product's own interface: a stream had begun and broke off; when the next target answered with an error status, the stream ended without an end marker and without an error, so that it looked complete to a caller that only waits for its end. The body of a 200 of another type entered the stream. Change: once events were delivered, only status 200 with a stream of events goes on with the call. Anything else is a failed attempt: the retry budget decides, and the stream ends with an error event. The content type stands once.

--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -16,6 +16,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Content type of a stream of events, without its parameters.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
 /// Reports whether a failed call may have reached the server.
 #[derive(Debug)]
 pub enum CallError {
--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -18,6 +18,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use sesamewall_adapters::http_client::EVENT_STREAM;
 use sesamewall_adapters::http_client::describe;
 use sesamewall_fleet::PartRun;
 use sesamewall_fleet::Placement;
@@ -50,9 +51,6 @@
 /// faulty.
 const RESPONSE_LIMIT: usize = 4 << 20;
 
-/// Content type of a stream of events, without its parameters.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// Reason why an attempt failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(derive_more::Display)]
--- a/crates/sesamewall-server/src/caller/completions.rs
+++ b/crates/sesamewall-server/src/caller/completions.rs
@@ -11,6 +11,7 @@
 use http::HeaderValue;
 use http::StatusCode;
 use serde_json::json;
+use sesamewall_adapters::http_client::EVENT_STREAM;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::Outcome;
 use sesamewall_protocol::RequestId;
@@ -54,13 +55,15 @@
     };
     let rest = ReceiverStream::new(outputs).map(|output| match output {
         StreamOutput::Event(event) => event.bytes,
-        StreamOutput::Status { .. } => Bytes::new(),
+        StreamOutput::Status { status, .. } => error_event(&Error::Internal {
+            detail: format!("status {status} in the middle of a stream"),
+        }),
         StreamOutput::Failed(error) => error_event(&error),
     });
     let events = stream::once(async move { first }).chain(rest).map(Ok::<_, std::io::Error>);
     let mut response = Response::new(Body::from_stream(events));
     let headers = response.headers_mut();
-    headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
+    headers.insert("content-type", HeaderValue::from_static(EVENT_STREAM));
     headers.insert("cache-control", HeaderValue::from_static("no-cache"));
     set_outcome_headers(&mut response, &request, Outcome::Run);
     response
--- a/crates/sesamewall-server/src/execute/attempt.rs
+++ b/crates/sesamewall-server/src/execute/attempt.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use http::header::CONTENT_TYPE;
+use sesamewall_adapters::http_client::EVENT_STREAM;
 use sesamewall_ports::TargetError;
 use sesamewall_ports::TargetRequest;
 use sesamewall_ports::TargetResponse;
@@ -185,6 +187,13 @@
     }
 }
 
+/// Returns whether the body of a response is a stream of events.
+pub fn is_event_stream(response: &TargetResponse) -> bool {
+    let content_type = response.headers.iter().find(|(name, _)| name == CONTENT_TYPE.as_str());
+    response.status == 200
+        && content_type.is_some_and(|(_, kind)| kind.trim_start().starts_with(EVENT_STREAM))
+}
+
 /// Returns the work in tokens that is queued in the failure domain that refused the request.
 fn queued_tokens(response: &TargetResponse) -> Option<f64> {
     let (_, value) = response.headers.iter().find(|(name, _)| name == forward::QUEUED)?;
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -169,6 +169,12 @@
             Ok(response) => response,
             Err(failure) => return AttemptResult::Failed(failure),
         };
+        if progress.generated > call.resume_from && !attempt::is_event_stream(&response) {
+            // The caller has the head and the first events of a stream, which nothing else may
+            // follow.
+            let detail = format!("status {} in place of the rest of the stream", response.status);
+            return AttemptResult::Failed(AttemptError::incomplete(target, &detail));
+        }
         if response.status != 200 {
             let status = response.status;
             let outcome = attempt::outcome(&guard.slot, &response);
--- a/crates/sesamewall-server/tests/path/answers.rs
+++ b/crates/sesamewall-server/tests/path/answers.rs
@@ -99,6 +99,42 @@
     assert_eq!(calls.load(Ordering::Relaxed), 3);
 }
 
+/// Guards against the text of an error in the middle of a stream, and against a stream that ends
+/// without an error, when the next target does not go on with it.
+#[tokio::test]
+async fn an_error_of_the_next_target_does_not_enter_a_stream() {
+    for (status, content_type, body) in [
+        ("500 Internal Server Error", "application/json", "{\"error\": \"down\"}\n\n"),
+        ("404 Not Found", "application/json", "{\"error\": \"down\"}\n\n"),
+        ("204 No Content", "application/json", ""),
+        ("200 OK", "application/json", "{\"error\": \"down\"}\n\n"),
+        ("200 OK", "text/plain", "down\n\n"),
+    ] {
+        let fleet = Fleet::start(&["d1"]).await;
+        let target = ScriptedTarget::start(move |number, request| {
+            let chunk = json!({ "choices": [{ "index": 0, "finish_reason": null,
+                                              "delta": { "content": "p.0 " } }] });
+            let bytes = match number {
+                0 => response_bytes(request, "text/event-stream", &format!("data: {chunk}\n\n")),
+                _ => {
+                    let text = response_bytes(request, content_type, body);
+                    let text = String::from_utf8(text).unwrap();
+                    text.replacen("200 OK", status, 1).into_bytes()
+                }
+            };
+            ScriptedReply { bytes, close: false }
+        })
+        .await;
+        fleet.put(vec![group("e", true, &[("d1", &target.address)])]).await;
+        let response = fleet.chat(0, "error", 9, true).await;
+        assert_eq!(response.status, 200, "{}", response.text);
+        assert!(response.text.starts_with("data: {\"choices\""), "{}", response.text);
+        assert!(!response.text.contains("down"), "{status}: {}", response.text);
+        assert!(response.text.contains("\"code\":5002"), "{status}: {}", response.text);
+        assert!(!response.text.contains("[DONE]"), "{status}: {}", response.text);
+    }
+}
+
 /// Guards against returning a response that belongs to another request.
 #[tokio::test]
 async fn response_to_another_request_is_rejected() {
