Read Server-Leaving in a refusal without the request's id, too

Callers: a target that leaves says so in all its answers. A refusal need not name the request; its target got further requests until the store's news came. Cause: the header was read only in answers with the request's id. Change: it is also read in an answer without any id that is the first one on its connection, as for refusals.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -452,7 +452,7 @@
     if head.status == StatusCode::MISDIRECTED_REQUEST && (same || unnamed) {
         return Err(AttemptError::Misdirected);
     }
-    if same && head.headers.contains_key(LEAVING) {
+    if (same || unnamed) && head.headers.contains_key(LEAVING) {
         let now = context.now();
         if context.state().targets.on_leaving(&placement.name, now) {
             info!(context.log, "target leaves"; "target" => %placement.name,
--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use sesamewall_platform_standin::RawTarget;
+use sesamewall_platform_standin::Step;
 use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
 
@@ -13,6 +15,9 @@
 /// fleet.
 const DRAIN_TIME: Duration = Duration::from_millis(2000);
 
+/// Time after which a target that has refused a request may get the next one.
+const BACKOFF_TIME: Duration = Duration::from_millis(300);
+
 /// Guards against requests to a leaving target from a member whose hub has the news and sends
 /// datagrams, but does not answer the call that fetches the news.
 #[tokio::test(flavor = "multi_thread")]
@@ -126,3 +131,24 @@
         assert!(wait_until(is_used).await, "a new start of the target gets no requests");
     }
 }
+
+/// Guards against requests to a target that said in a refusal without the request's id that it
+/// leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_target_that_says_in_an_unnamed_refusal_that_it_leaves_gets_no_further_requests() {
+    let fleet = TestFleet::start(1, 0).await;
+    let target = RawTarget::start(|_, _| {
+        vec![Step::text(
+            "HTTP/1.1 503 Service Unavailable\r\nsesamewall-not-run: 1\r\nserver-leaving: 1\r\n\
+             content-length: 0\r\n\r\n",
+        )]
+    })
+    .await;
+    fleet.replace("t1", target.address).await;
+    for n in 0..4 {
+        let response = fleet.chat(0, "/talk/x", &format!("id-{n}")).await.expect("a response");
+        assert_eq!(response.status, 200);
+        tokio::time::sleep(BACKOFF_TIME).await;
+    }
+    assert_eq!(target.request_ids(), ["id-0"], "a leaving target got requests");
+}
