--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -33,7 +33,7 @@
 
 use crate::InstanceContext;
 use crate::byte_budget::BudgetExceeded;
-use crate::lease::LeaseGrant;
+use crate::lease::LeasePermit;
 use crate::target_pool::TargetConnection;
 
 /// Longest idle time of a pooled connection for requests that may run only once: after a longer
@@ -146,7 +146,7 @@
     pub parts: Arc<[u64]>,
     /// The lease without which the request must not be sent, because another process may send it
     /// then.
-    pub grant: Option<LeaseGrant>,
+    pub permit: Option<LeasePermit>,
 }
 
 /// Counts a request as in flight at a target until the guard is dropped.
@@ -432,7 +432,7 @@
     if !context.state().targets.may_receive(&placement.name, placement.address) {
         return Err(AttemptError::Withdrawn);
     }
-    if attempt_request.grant.as_ref().is_some_and(|grant| !grant.holds(context.now())) {
+    if attempt_request.permit.as_ref().is_some_and(|permit| !permit.is_valid(context.now())) {
         return Err(AttemptError::LeaseEnded);
     }
     let sent = tokio::time::timeout(limit, connection.sender().send_request(request)).await;
--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -186,7 +186,7 @@
             repeatable: self.route.kind.may_repeat(),
             batch: false,
             parts: self.parts.clone(),
-            grant: None,
+            permit: None,
         }
     }
 
--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -34,7 +34,7 @@
 use crate::attempt::AttemptRequest;
 use crate::attempt::InFlightGuard;
 use crate::attempt::attempt_guarded;
-use crate::lease::LeaseGrant;
+use crate::lease::LeasePermit;
 
 /// Longest time without a complete event of an item, and time limit for the body of a response that
 /// is no stream.
@@ -132,7 +132,7 @@
         ItemEnd::Broken
     }
 
-    /// Sends the item to a target, if `grant` still holds then, and collects the events of its
+    /// Sends the item to a target, if `permit` still holds then, and collects the events of its
     /// response.
     pub async fn run(
         &self,
@@ -140,7 +140,7 @@
         placement: &Placement,
         progress: &mut ItemProgress,
         guard: InFlightGuard,
-        grant: LeaseGrant,
+        permit: LeasePermit,
     ) -> ItemEnd {
         let mut headers = self.headers.clone();
         if let Some(after) = progress.resume_after() {
@@ -154,7 +154,7 @@
             repeatable: true,
             batch: true,
             parts: self.parts.clone(),
-            grant: Some(grant),
+            permit: Some(permit),
         };
         let mut response =
             match attempt_guarded(context, placement, &attempt_request, STALL_TIMEOUT, guard).await
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -27,7 +27,7 @@
 use crate::job_state::Item;
 use crate::job_state::Job;
 use crate::job_state::RunningItem;
-use crate::lease::LeaseGrant;
+use crate::lease::LeasePermit;
 use crate::worker::Worker;
 
 /// Time between two checks of an item that is held because of a part of its prompt.
@@ -167,7 +167,7 @@
         // The item is counted before its task runs, so that the choice for the next item includes
         // it.
         let guard = InFlightGuard::new(&self.context, placement.key, true);
-        let grant = LeaseGrant::new(self.lease.clone(), lease);
+        let permit = LeasePermit::new(self.lease.clone(), lease);
         let task = self.clone().run_item(
             name.clone(),
             attempt_id,
@@ -175,7 +175,7 @@
             placement,
             progress,
             guard,
-            grant,
+            permit,
             cancel,
         );
         tokio::spawn(task);
@@ -204,12 +204,12 @@
         placement: Placement,
         mut progress: ItemProgress,
         guard: InFlightGuard,
-        grant: LeaseGrant,
+        permit: LeasePermit,
         cancel: CancellationToken,
     ) {
         let events_before = progress.events();
         let result = tokio::select! {
-            end = attempt.run(&self.context, &placement, &mut progress, guard, grant) => end,
+            end = attempt.run(&self.context, &placement, &mut progress, guard, permit) => end,
             () = cancel.cancelled() => ItemEnd::MadeWay,
         };
         let now = self.context.now();
--- a/crates/sesamewall-edge/src/lease.rs
+++ b/crates/sesamewall-edge/src/lease.rs
@@ -109,19 +109,19 @@
 /// The right to act under one lease of the process. It ends with that lease, after which another
 /// process may act.
 #[derive(Clone, Debug)]
-pub struct LeaseGrant {
+pub struct LeasePermit {
     lease: Arc<ProcessLease>,
     number: u64,
 }
 
-impl LeaseGrant {
+impl LeasePermit {
     /// Creates the right to act under the lease `number`.
     pub fn new(lease: Arc<ProcessLease>, number: u64) -> Self {
         Self { lease, number }
     }
 
     /// Returns whether the lease is certainly still valid at `now`.
-    pub fn holds(&self, now: Time) -> bool {
+    pub fn is_valid(&self, now: Time) -> bool {
         self.lease.valid(now) == Some(self.number)
     }
 }
--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -38,29 +38,36 @@
     assert_eq!(fleet.targets[0].requests().len(), 1, "a leaving target got requests");
 }
 
+/// Sends requests to a front that is suspended, applies `change` meanwhile, and returns the statuses
+/// of the responses once it runs again.
+async fn send_during_pause(fleet: &TestFleet, change: impl FnOnce()) -> Vec<Option<u16>> {
+    let first = fleet.chat(0, "/talk/x", "id-0").await.expect("a response");
+    assert_eq!(first.status, 200);
+    assert_eq!(fleet.targets[0].requests().len(), 1, "the local target comes first");
+    fleet.fronts[0].signal("STOP");
+    change();
+    if let Some(hubs) = &fleet.hubs {
+        hubs.read(&fleet.store);
+    }
+    let ids: Vec<_> = (1..7).map(|n| format!("id-{n}")).collect();
+    let requests = ids.iter().map(|id| fleet.chat(0, "/talk/x", id));
+    let wake = async {
+        tokio::time::sleep(DRAIN_TIME).await;
+        fleet.fronts[0].signal("CONT");
+    };
+    let (responses, ()) = tokio::join!(futures::future::join_all(requests), wake);
+    responses.iter().map(|response| response.as_ref().map(|response| response.status)).collect()
+}
+
 /// Guards against requests that waited at a paused instance and are sent, once it runs again, to a
 /// target that began to leave during the pause.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_waited_are_not_sent_to_a_target_that_left_meanwhile() {
     for fleet in [TestFleet::start(2, 0).await, TestFleet::start_member().await] {
-        let first = fleet.chat(0, "/talk/x", "id-0").await.expect("a response");
-        assert_eq!(first.status, 200);
-        assert_eq!(fleet.targets[0].requests().len(), 1, "the local target comes first");
-        fleet.fronts[0].signal("STOP");
-        fleet.store.put("servers/t1", &target_entry(fleet.targets[0].address, "a", true));
-        if let Some(hubs) = &fleet.hubs {
-            hubs.read(&fleet.store);
-        }
-        let ids: Vec<_> = (1..7).map(|n| format!("id-{n}")).collect();
-        let requests = ids.iter().map(|id| fleet.chat(0, "/talk/x", id));
-        let wake = async {
-            tokio::time::sleep(DRAIN_TIME).await;
-            fleet.fronts[0].signal("CONT");
+        let leave = || {
+            fleet.store.put("servers/t1", &target_entry(fleet.targets[0].address, "a", true));
         };
-        let (responses, ()) = tokio::join!(futures::future::join_all(requests), wake);
-        for response in responses {
-            assert_eq!(response.expect("a response").status, 200);
-        }
+        assert_eq!(send_during_pause(&fleet, leave).await, [Some(200); 6]);
         assert_eq!(fleet.targets[0].requests().len(), 1, "a leaving target got requests");
     }
 }
@@ -70,24 +77,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_that_waited_are_refused_if_their_key_was_withdrawn_meanwhile() {
     for fleet in [TestFleet::start(2, 0).await, TestFleet::start_member().await] {
-        let first = fleet.chat(0, "/talk/x", "id-0").await.expect("a response");
-        assert_eq!(first.status, 200);
-        fleet.fronts[0].signal("STOP");
-        let mut next = configuration(2, 1000.0, 1000.0);
-        next["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
-        fleet.store.put("op/config", &next);
-        if let Some(hubs) = &fleet.hubs {
-            hubs.read(&fleet.store);
-        }
-        let ids: Vec<_> = (1..7).map(|n| format!("id-{n}")).collect();
-        let requests = ids.iter().map(|id| fleet.chat(0, "/talk/x", id));
-        let wake = async {
-            tokio::time::sleep(DRAIN_TIME).await;
-            fleet.fronts[0].signal("CONT");
+        let withdraw = || {
+            let mut next = configuration(2, 1000.0, 1000.0);
+            next["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
+            fleet.store.put("op/config", &next);
         };
-        let (responses, ()) = tokio::join!(futures::future::join_all(requests), wake);
-        let statuses: Vec<_> =
-            responses.iter().map(|response| response.as_ref().map(|it| it.status)).collect();
+        let statuses = send_during_pause(&fleet, withdraw).await;
         assert_eq!(statuses, [Some(401); 6], "requests ran with a withdrawn key");
     }
 }
