Test that a planned stop cuts no requests on kept connections

Callers go on until the process is gone, each on its kept connection. With connections that are closed while they have requests, the test fails.

--- a/tests/platform/shutdown.rs
+++ b/tests/platform/shutdown.rs
@@ -16,6 +16,9 @@
 /// Time after it in which a request on an open connection is certainly served.
 const REQUEST_DELAY: Duration = Duration::from_millis(200);
 
+/// Callers that send one request after the other.
+const CALLERS: usize = 8;
+
 /// Interval between two new connections.
 const CONNECT_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -59,6 +62,42 @@
     assert!(fleet.fronts[0].wait_exit().await);
 }
 
+/// Guards against requests on kept connections that a planned stop cuts after it has passed them on:
+/// callers go on until the process is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_requests_on_kept_connections() {
+    let mut fleet = TestFleet::start(1, 0).await;
+    for target in &fleet.targets {
+        target.set_event_interval(Duration::from_millis(60));
+    }
+    let call = async |caller: usize| {
+        for number in 0.. {
+            let id = format!("id-{caller}-{number}");
+            let Some(response) = fleet.chat(0, "/once/x", &id).await else {
+                return (number, id);
+            };
+            assert_eq!(
+                (response.status, response.text()),
+                (200, Some(StandinTarget::text("/once/x")))
+            );
+        }
+        unreachable!("the process ends")
+    };
+    let terminate = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        fleet.fronts[0].terminate();
+    };
+    let callers = futures::future::join_all((0..CALLERS).map(call));
+    let (ends, ()) = tokio::join!(callers, terminate);
+    let requests: Vec<_> = fleet.targets.iter().flat_map(StandinTarget::requests).collect();
+    for (served, id) in ends {
+        assert!(served > 0, "{id}");
+        let is_cut = requests.iter().any(|request| request.header("sesamewall-request-id") == id);
+        assert!(!is_cut, "{id} was passed on and has no answer");
+    }
+    assert!(fleet.fronts[0].wait_exit().await);
+}
+
 /// Guards against accepted work that is lost or listed differently when all machines lose
 /// power at once.
 #[tokio::test(flavor = "multi_thread")]
