--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,6 +4,8 @@
 mod batch;
 #[path = "platform/deadly_parts.rs"]
 mod deadly_parts;
+#[path = "platform/early_response.rs"]
+mod early_response;
 #[path = "platform/faulty_targets.rs"]
 mod faulty_targets;
 #[path = "platform/fixture.rs"]
