Run a job whose acceptance got no reply

Callers: an accepted job was never run. Cause: a worker writes a job together with its claim on it. Without a reply for 0.9 s it tells the front that the result is unknown, and forgets the job. Its write may have taken effect; the front then finds the job in the store and accepts it. The claim holds for as long as the worker lives, so no other worker takes the job, and this one does not know of it. The class of fault: a write without a reply is taken for one that was not done. Change: after such a write the worker reads the claim, once a second for 20 s, and adopts the job if the claim is its own. It does not write again, since that could accept a job that the front has refused. Other claims, of queues and of adopted jobs, are read or written again already. The stand-in store can withhold the replies to writes of a kind of key.

--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -47,6 +47,9 @@
 /// Time limit for finding out the result of an acceptance. A write can take effect seconds later.
 const RESOLVE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Interval between two reads of a claim that a write without a reply may have written.
+const RESOLVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time for which the write of a group of results may be in progress before readers are sent to
 /// the store.
 const WRITE_GRACE: Duration = Duration::from_millis(150);
@@ -384,7 +387,33 @@
                 self.queues().on_lost(queue);
                 JobReply::NotHere
             }
-            Err(_) => JobReply::Unclear,
+            Err(_) => {
+                tokio::spawn(self.clone().resolve_acceptance(name.clone(), head));
+                JobReply::Unclear
+            }
+        }
+    }
+
+    /// Adopts a job whose acceptance got no reply, once the store has the claim of this worker. All
+    /// others leave a job with that claim to this worker. The claim is read, since another write
+    /// could accept a job that the front has refused.
+    async fn resolve_acceptance(self: Arc<Self>, name: JobName, head: JobHead) {
+        let key = JobKey::Claim.of(&name);
+        let until = self.context.now() + RESOLVE_TIMEOUT;
+        while self.context.now() < until {
+            match self.context.store.item(&key).await {
+                Ok(Some(item)) if item.value == self.claim_value() => {
+                    self.adopt(name, head, item.revision);
+                    return;
+                }
+                Ok(Some(_)) => return,
+                Ok(None) => {}
+                Err(error) => {
+                    warn!(self.context.log, "claim cannot be read"; "job" => %name,
+                        "error" => %error);
+                }
+            }
+            tokio::time::sleep(RESOLVE_INTERVAL).await;
         }
     }
 
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -11,6 +11,9 @@
 use crate::fixture::TestFleet;
 use crate::fixture::wait_until;
 
+/// Time after which a worker no longer waits for the result of an acceptance.
+const GIVE_UP_TIME: Duration = Duration::from_millis(1500);
+
 fn items(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("item{n:02}")).collect()
 }
@@ -115,6 +118,26 @@
     assert_completed(&fleet.wait_results(0, "job1", 6).await, 6);
 }
 
+/// Guards against an accepted job that nobody runs: its worker gets no reply to the write of the
+/// job and of its claim, and gives up, while the front learns that the job is stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_runs_although_its_worker_got_no_reply_to_the_acceptance() {
+    let fleet = TestFleet::start(1, 2).await;
+    let front = fleet.fronts[0].caller_address();
+    // Time in which the instances receive each other's datagrams.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.store.drop_replies_to(Some("/claim"));
+    let is_accepted = || async {
+        let response = fleet.client.submit(front, "job1", &items(2)).await;
+        response.expect("a response").status == 202
+    };
+    assert!(wait_until(is_accepted).await);
+    assert!(fleet.claim("job1").is_some(), "the worker's write has to be done");
+    tokio::time::sleep(GIVE_UP_TIME).await;
+    fleet.store.drop_replies_to(None);
+    assert_completed(&fleet.wait_results(0, "job1", 2).await, 2);
+}
+
 /// Guards against results that one front lists and another does not: while the reply to a commit
 /// stays outstanding, the worker no longer returns results of the job, and fronts read the store.
 #[tokio::test(flavor = "multi_thread")]
