--- a/crates/sesamewall-fleet/tests/decisions/poison_parts.rs
+++ b/crates/sesamewall-fleet/tests/decisions/poison_parts.rs
@@ -435,7 +435,7 @@
 
 /// Guards against the same errors in rare courses of events.
 #[test]
-#[ignore = "KNOWN-RED: issue 24"]
+#[ignore = "KNOWN-RED: issue 14"]
 fn deadly_parts_are_told_apart_with_many_seeds() {
     assert_eq!(exceeded(MANY_SEEDS), Vec::<&str>::new());
 }
