Merge the evidence about parts of prompts once for a datagram

Cause, from reading: each datagram merged the records of all parts from all sources, for each part anew, and once more for each suspect; the work grows with the square of the parts and with the sources. Change: the records are merged once for a datagram and for a check, by going through the sources once.

--- a/crates/sesamewall-fleet/src/poison_parts.rs
+++ b/crates/sesamewall-fleet/src/poison_parts.rs
@@ -212,11 +212,13 @@
         }
         let others = self.other_attempts(part, &record);
         let lost_share = others.lost_share();
-        let suspects = self.suspects(parts);
-        let is_explained = |crash: &u32| suspects.iter().any(|suspect| suspect.contains(crash));
+        let mut suspects = self.suspects();
+        suspects.retain(|(suspect, _)| !parts.contains(suspect));
+        let is_explained =
+            |crash: &u32| suspects.iter().any(|(_, crashes)| crashes.contains(crash));
         let unexplained = record.open().filter(|(crash, _)| !is_explained(crash)).count();
         // A suspect that was at more crashes without this part is the likelier cause.
-        let has_likelier = suspects.iter().any(|suspect| {
+        let has_likelier = suspects.iter().any(|(_, suspect)| {
             let alone = suspect.iter().filter(|crash| !record.crashes.contains_key(crash)).count();
             alone < suspect.len() && alone >= unexplained.max(1)
         });
@@ -234,17 +236,23 @@
         let of = |peer: &PeerEvidence| {
             peer.parts.get(&part).map(|evidence| evidence.others).unwrap_or_default()
         };
-        let local = self.local_attempts(part, record);
+        let local = self.local_attempts(part, record, &self.suspects());
         self.peers.values().map(of).fold(local, OtherAttempts::plus).max(of(&self.totals))
     }
 
-    fn local_attempts(&self, part: u64, record: &PartRecord) -> OtherAttempts {
+    fn local_attempts(
+        &self,
+        part: u64,
+        record: &PartRecord,
+        suspects: &[Suspect],
+    ) -> OtherAttempts {
         let known = record.open().filter_map(|(crash, _)| self.known_at.get(&crash));
         let Some(since) = known.min() else { return OtherAttempts::default() };
-        let suspects = self.suspects(&[part]);
         self.outcomes.count(*since, |crash| {
             !record.crashes.contains_key(&crash)
-                && !suspects.iter().any(|suspect| suspect.contains(&crash))
+                && !suspects
+                    .iter()
+                    .any(|(suspect, crashes)| *suspect != part && crashes.contains(&crash))
         })
     }
 
@@ -295,17 +303,18 @@
         if now.since(self.totals.received_at) >= ttl {
             self.totals.parts.clear();
         }
+        let merged = self.merge_all(self.sources());
         let is_current = |(part, record): (&u64, &PartRecord)| {
-            let is_open = self.merged(*part).level() > 0;
+            let is_open = merged.get(part).is_some_and(|merged| merged.level() > 0);
             let ttl = if is_open { ttl } else { self.settings.cleared_ttl };
             (now.since(record.changed_at) < ttl).then_some(*part)
         };
         let current: HashSet<u64> = self.local.iter().filter_map(is_current).collect();
         self.local.retain(|part, _| current.contains(part));
         let known: HashSet<u32> = self
-            .all_parts()
-            .into_iter()
-            .flat_map(|part| self.merged(part).crashes.into_keys())
+            .merge_all(self.sources())
+            .into_values()
+            .flat_map(|record| record.crashes.into_keys())
             .collect();
         let cleared_ttl = self.settings.cleared_ttl;
         self.known_at
@@ -325,52 +334,62 @@
         }
     }
 
-    /// Returns the crashes at which each suspect part besides `parts` was a candidate.
-    fn suspects(&self, parts: &[u64]) -> Vec<HashSet<u32>> {
-        let others = self.all_parts().into_iter().filter(|part| !parts.contains(part));
-        let records = others.map(|part| self.merged(part));
-        let suspects = records.filter(|record| trials(record) >= self.settings.limit);
-        suspects.map(|record| record.open().map(|(crash, _)| crash).collect()).collect()
+    /// Returns the crashes at which each suspect part was a candidate.
+    fn suspects(&self) -> Vec<Suspect> {
+        self.suspects_among(&self.merge_all(self.sources()))
     }
 
-    fn sources(&self) -> impl Iterator<Item = &PeerEvidence> {
-        self.peers.values().chain(std::iter::once(&self.totals))
+    fn suspects_among(&self, records: &HashMap<u64, PartRecord>) -> Vec<Suspect> {
+        let suspects = records.iter().filter(|(_, record)| trials(record) >= self.settings.limit);
+        suspects
+            .map(|(part, record)| {
+                (*part, record.open().map(|(crash, _)| crash).collect::<HashSet<u32>>())
+            })
+            .collect()
     }
 
-    fn all_parts(&self) -> HashSet<u64> {
-        let others = self.sources().flat_map(|peer| peer.parts.keys());
-        self.local.keys().chain(others).copied().collect()
+    fn sources(&self) -> impl Iterator<Item = &PeerEvidence> {
+        self.peers.values().chain(std::iter::once(&self.totals))
     }
 
     fn merged(&self, part: u64) -> PartRecord {
-        self.merged_from(part, self.sources())
+        let mut merged = self.local.get(&part).cloned().unwrap_or_default();
+        for evidence in self.sources().filter_map(|peer| peer.parts.get(&part)) {
+            merged.merge(evidence);
+        }
+        merged
     }
 
-    fn merged_from<'a>(
+    /// Returns the local records of all parts, merged with those of the sources.
+    fn merge_all<'a>(
         &self,
-        part: u64,
         sources: impl Iterator<Item = &'a PeerEvidence>,
-    ) -> PartRecord {
-        let mut merged = self.local.get(&part).cloned().unwrap_or_default();
-        for evidence in sources.filter_map(|peer| peer.parts.get(&part)) {
-            merged.merge(evidence);
+    ) -> HashMap<u64, PartRecord> {
+        let mut records = self.local.clone();
+        for (part, evidence) in sources.flat_map(|peer| &peer.parts) {
+            records.entry(*part).or_default().merge(evidence);
         }
-        merged
+        records
     }
 
     fn shared(&self, sources: &[&PeerEvidence]) -> Vec<PartEvidence> {
-        let mut records: Vec<(u64, PartRecord)> = self
-            .all_parts()
-            .into_iter()
-            .filter_map(|part| {
-                let mut record = self.merged_from(part, sources.iter().copied());
-                let merged = self.merged(part);
-                let counts = trials(&merged) >= MIN_TRIALS_COUNTED;
+        if self.is_idle() {
+            return Vec::new();
+        }
+        let all = self.merge_all(self.sources());
+        let suspects = self.suspects_among(&all);
+        let mut group = self.merge_all(sources.iter().copied());
+        let mut records: Vec<(u64, PartRecord)> = all
+            .iter()
+            .filter_map(|(part, merged)| {
+                let mut record = group.remove(part).unwrap_or_default();
+                let counts = trials(merged) >= MIN_TRIALS_COUNTED;
                 if counts {
-                    record.others = record.others.plus(self.local_attempts(part, &merged));
+                    record.others =
+                        record.others.plus(self.local_attempts(*part, merged, &suspects));
                 }
                 let is_known = !record.crashes.is_empty() || !record.cleared.is_empty();
-                (is_known || counts).then_some((part, record))
+                (is_known || counts).then_some((*part, record))
             })
             .collect();
         records.sort_by_key(|(part, record)| (std::cmp::Reverse(trials(record)), *part));
@@ -380,6 +399,9 @@
     }
 }
 
+/// A part and the crashes at which it was a candidate.
+type Suspect = (u64, HashSet<u32>);
+
 /// Returns the number of independent trials that failed: causally consecutive ones, or half of the
 /// crashes if there are more of them, some of which may have been simultaneous.
 fn trials(record: &PartRecord) -> usize {
