Let the stand-in name the cold time of a target's entry

A test outside platform/ wrote the platform's name of the field. with_cold_time does it now; the test checks what it checked before, and passes.

--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -6,6 +6,7 @@
 use sesamewall_platform_standin::Step;
 use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
+use sesamewall_platform_standin::with_cold_time;
 
 use crate::fixture::PROPAGATION_TIME;
 use crate::fixture::TestFleet;
@@ -110,7 +111,7 @@
             assert_eq!(target.requests().len(), before, "a leaving target got requests");
             match round {
                 0 => fleet.store.remove("servers/t1"),
-                _ => entry["coldLeftMs"] = 100.into(),
+                _ => entry = with_cold_time(entry, 100),
             }
             tokio::time::sleep(PROPAGATION_TIME).await;
             fleet.store.put("servers/t1", &entry);
