--- a/crates/sesamewall-edge/src/job_adopter.rs
+++ b/crates/sesamewall-edge/src/job_adopter.rs
@@ -229,6 +229,8 @@
             JobKey::End => job.ended = true,
             JobKey::Claim => {
                 let text = String::from_utf8_lossy(&item.value).into_owned();
+                info!(self.context().log, "claim seen"; "job" => %name, "holder" => &text,
+                    "claim" => item.revision);
                 let parts = text.split_once(' ');
                 job.holder = parts.map(|(name, boot_id)| ClaimHolder {
                     name: InstanceName::from(name),
@@ -284,6 +286,8 @@
                     let Some(job) = open_jobs.get_mut(&name) else { continue };
                     let newer = job.holder.as_ref().is_some_and(|now| now.revision > revision);
                     if kind == JobKey::Claim && !newer {
+                        info!(self.0.context().log, "claim gone"; "job" => %name,
+                            "revision" => revision);
                         job.holder = None;
                         job.free_since = now;
                     }
--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -16,6 +16,7 @@
 use sesamewall_ports::Transaction;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Time;
+use slog::info;
 
 use crate::InstanceContext;
 use crate::job_keys::JobKey;
@@ -35,6 +36,9 @@
 /// Delay before a transaction with an unknown result is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Longest value that a log line shows.
+const SHOWN_BYTES: usize = 80;
+
 /// The description of a job.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -94,6 +98,8 @@
     proof: usize,
     until: Time,
 ) -> Result<WriteResult, StoreError> {
+    let key = transaction.writes.first().map(|write| write.key.as_str()).unwrap_or_default();
+    let mut unclear = 0;
     loop {
         let result = context.store.commit(transaction).await;
         let error = match result {
@@ -103,11 +109,21 @@
             }
             Ok(CommitResult::Conflict(items)) => {
                 context.on_store_result(true, &"");
-                return Ok(conflict(transaction, proof, &items));
+                let result = conflict(transaction, proof, &items);
+                info!(context.log, "write conflicts"; "key" => key, "unclear" => unclear,
+                    "end" => format!("{result:?}"), "present" => describe(&items));
+                return Ok(result);
+            }
+            Ok(CommitResult::LeaseGone) => {
+                info!(context.log, "write without its lease"; "key" => key, "unclear" => unclear);
+                return Ok(WriteResult::Refused);
             }
-            Ok(CommitResult::LeaseGone) => return Ok(WriteResult::Refused),
             Err(error) => error,
         };
+        if error == StoreError::Unclear {
+            unclear += 1;
+            info!(context.log, "write got no reply"; "key" => key, "unclear" => unclear);
+        }
         if error != StoreError::RateLimited {
             context.on_store_result(false, &error);
         }
@@ -119,6 +135,15 @@
     }
 }
 
+/// Returns the revisions of the items in a conflict, with the values that name a process.
+fn describe(items: &[StoredItem]) -> String {
+    let item = |item: &StoredItem| match std::str::from_utf8(&item.value) {
+        Ok(text) if text.len() <= SHOWN_BYTES => format!("{}@{} {text}", item.key, item.revision),
+        _ => format!("{}@{}", item.key, item.revision),
+    };
+    items.iter().map(item).collect::<Vec<_>>().join(", ")
+}
+
 fn conflict(transaction: &Transaction, proof: usize, items: &[StoredItem]) -> WriteResult {
     let write = transaction.writes.get(proof);
     let earlier = write.and_then(|write| {
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -42,6 +42,9 @@
 /// Interval between two passes while items are waiting.
 const BUSY_TICK: Duration = Duration::from_millis(25);
 
+/// Interval between log lines with the jobs of the worker.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(15);
+
 /// Time limit for the write of a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -126,6 +129,7 @@
 
     /// Runs until the process ends.
     pub async fn run(self: Arc<Self>) {
+        let mut logged_at = self.context.now();
         loop {
             let waiting = self.jobs().values().any(|job| !job.work.waiting.is_empty());
             let tick = if waiting { BUSY_TICK } else { TICK };
@@ -140,9 +144,33 @@
             self.start_items();
             self.update_backlog();
             self.remove_closed();
+            let now = self.context.now();
+            if now.since(logged_at) >= SUMMARY_INTERVAL {
+                logged_at = now;
+                self.log_summary(now);
+            }
         }
     }
 
+    /// Logs the open jobs by the state of their claims, and their items.
+    fn log_summary(&self, now: Time) {
+        let jobs = self.jobs();
+        let open = || jobs.values().filter(|job| job.is_open());
+        let count = |claim: fn(&Claim) -> bool| open().filter(|job| claim(&job.claim)).count();
+        let waiting = || open().flat_map(|job| &job.work.waiting);
+        info!(self.context.log, "batch work"; "lease" => self.lease.number(),
+            "lease_valid" => self.lease.valid(now).is_some(),
+            "draining" => self.context.is_draining(),
+            "claimed" => count(|claim| matches!(claim, Claim::Local { .. })),
+            "claiming" => count(|claim| matches!(claim, Claim::Pending)),
+            "unclaimed" => count(|claim| matches!(claim, Claim::Free { .. })),
+            "unloaded" => open().filter(|job| job.work.spec.is_none()).count(),
+            "waiting" => waiting().count(),
+            "held" => waiting().filter(|item| item.progress.not_before() > now).count(),
+            "running" => open().map(|job| job.work.running.len()).sum::<usize>(),
+            "uncommitted" => open().map(|job| job.work.results.len()).sum::<usize>());
+    }
+
     /// Publishes the number of waiting items, for the other instances.
     fn update_backlog(&self) {
         let valid = self.lease.valid(self.context.now()).is_some();
