Let items start at targets that their assigned worker leaves unused

An accepted item can wait for as long as another worker has items that cannot start. Cause: each target belongs to one worker, by the backlogs alone. A worker with 200 items for a service without targets gets both targets of another service, and the one item of the other worker for that service waits for ever. Besides, an item that found no place marked its whole service as full, though the next one may run in other regions. Under load there is no such headroom, so the assignment holds.

--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a batch item at a target.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,13 @@
 /// is no stream.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2000);
 
+/// Where an item may run: its service, and the regions if they are limited.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ItemScope {
+    service: Arc<str>,
+    regions: Option<BTreeSet<Arc<str>>>,
+}
+
 /// A batch item with its route in the current configuration.
 pub struct ItemAttempt {
     item: Arc<ItemSpec>,
@@ -100,6 +108,12 @@
         self.regions.as_ref()
     }
 
+    /// Returns where the item may run.
+    pub fn scope(&self) -> ItemScope {
+        let sorted = |regions: &HashSet<Arc<str>>| regions.iter().cloned().collect();
+        ItemScope { service: self.service.clone(), regions: self.regions.as_ref().map(sorted) }
+    }
+
     /// Returns the hash of the shared parts of the prompt.
     pub fn prefix(&self) -> Option<u64> {
         self.prefix
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -14,6 +14,7 @@
 use sesamewall_fleet::Placement;
 use sesamewall_fleet::PlacementRequest;
 use sesamewall_fleet::ResultState;
+use sesamewall_fleet::TargetState;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::Time;
 use slog::info;
@@ -22,6 +23,7 @@
 use crate::attempt::InFlightGuard;
 use crate::caller_request::choose;
 use crate::item_attempt::ItemAttempt;
+use crate::item_attempt::ItemScope;
 use crate::job_keys::JobName;
 use crate::job_state::Claim;
 use crate::job_state::Item;
@@ -64,10 +66,13 @@
         }
         order.sort();
         let start_targets = match order.is_empty() {
-            true => StartTargets::default(),
+            true => {
+                self.unused_targets().update(HashSet::new(), now);
+                StartTargets::default()
+            }
             false => self.start_targets(backlog, now),
         };
-        let mut full: HashSet<Arc<str>> = HashSet::new();
+        let mut full: HashSet<ItemScope> = HashSet::new();
         for (_, _, name, item) in order {
             let Some(job) = jobs.get_mut(&name) else { continue };
             self.start_item(&catalog, &name, job, &item, &start_targets, &mut full, now);
@@ -90,12 +95,20 @@
         let leave_free = headroom.reserved_slots(state.peers.online_total(), slots, staleness);
         let settings = &self.context.settings;
         let local = LocalBacklog { name: &settings.instance, domain: &settings.domain, backlog };
-        let targets = headroom.assigned_targets(&local, &state.targets, &state.peers, now);
+        let mut targets = headroom.assigned_targets(&local, &state.targets, &state.peers, now);
+        let has_headroom = |target: &TargetState| {
+            let (online, batch) = state.peers.at_target(target.key);
+            online + batch + leave_free < target.entry.slots
+        };
+        let others = in_service.iter().filter(|target| !targets.contains(&target.key));
+        let free = others.filter(|target| has_headroom(target)).map(|target| target.key).collect();
+        let unused = self.unused_targets().update(free, now);
+        targets.extend(unused);
         StartTargets { leave_free, targets }
     }
 
-    /// Starts an item if there is headroom. Services without headroom are added to `full` and not
-    /// tried again.
+    /// Starts an item if there is headroom. A service without headroom in the item's regions is
+    /// added to `full` and not tried again.
     #[allow(clippy::too_many_arguments)]
     fn start_item(
         self: &Arc<Self>,
@@ -104,7 +117,7 @@
         job: &mut Job,
         item: &ItemId,
         start_targets: &StartTargets,
-        full: &mut HashSet<Arc<str>>,
+        full: &mut HashSet<ItemScope>,
         now: Time,
     ) {
         let Claim::Local { lease, .. } = job.claim else { return };
@@ -136,7 +149,8 @@
             }
             return;
         }
-        if full.contains(attempt.service()) {
+        let scope = attempt.scope();
+        if full.contains(&scope) {
             return;
         }
         let request = PlacementRequest {
@@ -149,7 +163,7 @@
             reserved_slots: Some(start_targets.leave_free),
         };
         let Ok(placement) = choose(&self.context, &request) else {
-            full.insert(attempt.service().into());
+            full.insert(scope);
             return;
         };
         let progress = job.work.waiting.remove(index).progress;
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -18,6 +18,7 @@
 use sesamewall_fleet::ItemSettings;
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::RunTimeEstimate;
+use sesamewall_fleet::UnusedTargets;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
 use sesamewall_ports::Transaction;
@@ -74,6 +75,7 @@
     queues: Mutex<AccountQueues>,
     run_times: Mutex<RunTimeEstimate>,
     headroom: Mutex<BatchHeadroom>,
+    unused_targets: Mutex<UnusedTargets>,
     forecast: Mutex<CompletionForecast>,
     /// Jobs whose acceptance is being written.
     accepting: Mutex<HashSet<JobName>>,
@@ -95,6 +97,7 @@
             queues: Mutex::default(),
             run_times: Mutex::default(),
             headroom: Mutex::default(),
+            unused_targets: Mutex::default(),
             forecast: Mutex::default(),
             accepting: Mutex::default(),
             removals: Mutex::default(),
@@ -119,6 +122,10 @@
         self.headroom.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn unused_targets(&self) -> MutexGuard<'_, UnusedTargets> {
+        self.unused_targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn forecast(&self) -> MutexGuard<'_, CompletionForecast> {
         self.forecast.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sesamewall-fleet/tests/decisions/batch.rs
+++ b/crates/sesamewall-fleet/tests/decisions/batch.rs
@@ -14,6 +14,8 @@
 use sesamewall_fleet::ResultState;
 use sesamewall_fleet::RunTimeEstimate;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::UnusedSettings;
+use sesamewall_fleet::UnusedTargets;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::ItemId;
@@ -99,6 +101,28 @@
     }
 }
 
+/// Guards against items that wait for targets which the worker they are assigned to cannot use, and
+/// against two workers that fill the same slots: a target counts as unused only after it has had
+/// headroom for a while.
+#[test]
+fn targets_that_their_worker_leaves_unused_go_to_others() {
+    let mut unused = UnusedTargets::default();
+    let millis = |ms: u64| at(0) + Duration::from_millis(ms);
+    let delay = UnusedSettings::default().delay;
+    let step = Duration::from_millis(25);
+    let mut now = millis(0);
+    while now.since(millis(0)) < delay {
+        // Target 2 is filled and freed again by its worker.
+        let used = now.since(millis(0)).as_millis() % 500 == 0;
+        let free = if used { HashSet::from([1]) } else { HashSet::from([1, 2]) };
+        assert_eq!(unused.update(free, now), HashSet::new());
+        now = now + step;
+    }
+    assert_eq!(unused.update(HashSet::from([1, 2]), now), HashSet::from([1]));
+    assert_eq!(unused.update(HashSet::new(), now), HashSet::new());
+    assert_eq!(unused.update(HashSet::from([1, 2]), now + step), HashSet::new());
+}
+
 /// Guards against a worker with a long backlog that gets as few slots as one with a single item,
 /// and against results that cross failure domains without need. Load: one account with most of the
 /// items.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,6 +14,8 @@
 mod handover;
 #[path = "platform/hub.rs"]
 mod hub;
+#[path = "platform/item_starts.rs"]
+mod item_starts;
 #[path = "platform/limits.rs"]
 mod limits;
 #[path = "platform/online.rs"]
