Let counts of peers that no sound instance sends overflow nothing

Cause: the first counts of an instance's start are compared with online + batch, added in 16 bits, and starts are added in 32 bits. Counts at the upper end of their types overflow: a build with checks ends the task that receives datagrams (the process then receives nothing more), the release build counts wrong. Change: running requests are added in 32 bits, starts saturate. Measured: the_highest_counts_do_not_overflow failed before at request_counts.rs:123 (attempt to add with overflow), passes now with the other 84 decisions. Datagrams with such counts were not sent to a process.

--- a/crates/sesamewall-fleet/src/request_counts.rs
+++ b/crates/sesamewall-fleet/src/request_counts.rs
@@ -77,7 +77,8 @@
             true => local.count.batch += 1,
             false => local.count.online += 1,
         }
-        *self.group_started.entry(key).or_default() += 1;
+        let started = self.group_started.entry(key).or_default();
+        *started = started.saturating_add(1);
         self.starts.entry(key).or_default().push_back((now, 1));
         self.pending.push_back((self.sequence + 1, key));
         if self.pending.len() > 4 * RETAINED_REPORTS {
@@ -120,13 +121,17 @@
             let before = match peer.started.insert(count.key, count.started) {
                 Some(before) => before,
                 None if known => 0,
-                None => count.started.saturating_sub(u32::from(count.online + count.batch)),
+                None => {
+                    let running = u32::from(count.online) + u32::from(count.batch);
+                    count.started.saturating_sub(running)
+                }
             };
             let new_starts = count.started.saturating_sub(before);
             if new_starts > 0 {
                 self.starts.entry(count.key).or_default().push_back((now, new_starts));
                 if in_group {
-                    *self.group_started.entry(count.key).or_default() += new_starts;
+                    let started = self.group_started.entry(count.key).or_default();
+                    *started = started.saturating_add(new_starts);
                 }
             }
         }
@@ -253,9 +258,8 @@
             return self.recent.get(&key).copied().unwrap_or_default() + local;
         }
         let recent = |(at, _): &&(Time, u32)| now.since(*at) < START_WINDOW;
-        self.starts
-            .get(&key)
-            .map_or(0, |starts| starts.iter().filter(recent).map(|(_, count)| count).sum())
+        let starts = self.starts.get(&key).into_iter().flatten().filter(recent);
+        starts.map(|(_, count)| *count).fold(0, u32::saturating_add)
     }
 
     /// Returns the load of a target for a digest; `None` if there is none.
@@ -265,7 +269,7 @@
         let recent = self.recent_starts(key, now);
         let load =
             TargetLoad { key, online: small(online), batch: small(batch), recent: small(recent) };
-        (online + batch + recent > 0).then_some(load)
+        (online > 0 || batch > 0 || recent > 0).then_some(load)
     }
 
     /// Removes old starts, and local counts of targets that have no request and for which `keep`
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -256,3 +256,23 @@
     }
     assert_eq!(Datagram::decode(b"noise"), None);
 }
+
+/// Guards against sums that overflow for counts that no sound instance sends.
+#[test]
+fn the_highest_counts_do_not_overflow() {
+    let mut peers = hub("own");
+    let highest = count("t1", u16::MAX, u16::MAX, u32::MAX);
+    let none = count("t1", u16::MAX, u16::MAX, 0);
+    for boot_id in 1..4 {
+        for name in ["m1", "m2"] {
+            for (sequence, counts) in [(1, none), (2, highest)] {
+                let report = Report { boot_id, ..report(name, sequence, &[counts]) };
+                assert!(peers.on_report(report, at(boot_id)));
+            }
+        }
+    }
+    assert_eq!(peers.recent_starts(highest.key, at(4)), u32::MAX);
+    let both = 2 * u32::from(u16::MAX);
+    assert_eq!(peers.at_target(highest.key), (both, both));
+    assert_eq!(peers.group_state(at(4)).targets, [highest]);
+}
