--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -14,6 +14,7 @@
 use sesamewall_fleet::Placement;
 use sesamewall_fleet::PlacementRequest;
 use sesamewall_fleet::ResultState;
+use sesamewall_fleet::TargetState;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::Time;
 use slog::info;
@@ -79,13 +80,13 @@
 
     fn start_targets(&self, backlog: u32, now: Time) -> StartTargets {
         let state = self.context.state();
-        let in_service: Vec<_> =
+        let in_service: Vec<&TargetState> =
             state.targets.iter().filter(|target| state.targets.in_service(target, now)).collect();
-        let slots = in_service.iter().map(|target| target.entry.slots).sum();
-        let starts: u32 =
-            in_service.iter().map(|target| state.peers.recent_starts(target.key, now)).sum();
+        let slots = in_service.iter().map(|target| target.entry.slots).fold(0, u32::saturating_add);
+        let recent = |target: &&TargetState| state.peers.recent_starts(target.key, now);
+        let starts: f64 = in_service.iter().map(recent).map(f64::from).sum();
         let mut headroom = self.headroom();
-        headroom.on_starts(f64::from(starts) / in_service.len().max(1) as f64, now);
+        headroom.on_starts(starts / in_service.len().max(1) as f64, now);
         let staleness = state.peers.staleness(now);
         let leave_free = headroom.reserved_slots(state.peers.online_total(), slots, staleness);
         let settings = &self.context.settings;
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -235,8 +235,8 @@
     for target in eligible() {
         let (online, batch) = peers.at_target(target.key);
         let has_headroom = match request.reserved_slots {
-            Some(free) => online + batch + free < target.entry.slots,
-            None => online < target.entry.slots + settings.queue,
+            Some(free) => (online + batch).saturating_add(free) < target.entry.slots,
+            None => online < target.entry.slots.saturating_add(settings.queue),
         };
         if !has_headroom {
             *reason = PlacementError::Full;
@@ -281,11 +281,12 @@
     context: &PlacementContext<'a>,
     candidates: &[Candidate<'a>],
 ) -> Option<Candidate<'a>> {
-    let starts: u32 = candidates
+    let starts: f64 = candidates
         .iter()
         .map(|candidate| context.peers.recent_starts(candidate.target.key, context.now))
+        .map(f64::from)
         .sum();
-    let unseen_starts = f64::from(starts) * context.staleness.as_secs_f64();
+    let unseen_starts = starts * context.staleness.as_secs_f64();
     let count =
         (candidates.len() as f64 / unseen_starts.max(1.0)).ceil().max(settings.min_compared as f64);
     let best = |candidates: &mut dyn Iterator<Item = &Candidate<'a>>| {
--- a/crates/sesamewall-fleet/tests/decisions/placement.rs
+++ b/crates/sesamewall-fleet/tests/decisions/placement.rs
@@ -315,3 +315,16 @@
     receive_counts(&mut peers, "f1", 2, &[count(&cache_target, 7, 0, 7)], at(1000));
     assert_ne!(name(choose(&request, &table, &peers, at(2000))), cache_target);
 }
+
+/// Guards against sums that overflow for entries that an instance of another version has passed on.
+#[test]
+fn the_highest_number_of_slots_does_not_overflow() {
+    let mut table = TargetTable::default();
+    table.upsert(TargetEntry { slots: u32::MAX, ..entry("t1", "a") }, 1, at(0));
+    let domain = DomainName::from("a");
+    let peers = hub("own");
+    for reserved_slots in [None, Some(0), Some(u32::MAX - 1)] {
+        let request = PlacementRequest { reserved_slots, ..request(&domain) };
+        assert_eq!(name(choose(&request, &table, &peers, at(0))), "t1");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,8 @@
 mod hub;
 #[path = "platform/limits.rs"]
 mod limits;
+#[path = "platform/odd_entries.rs"]
+mod odd_entries;
 #[path = "platform/online.rs"]
 mod online;
 #[path = "platform/responses.rs"]
