--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -1,8 +1,12 @@
 //! Entries of the store that another writer left: unreadable, or with absurd values.
 
+use bytes::Bytes;
+use http::Method;
 use serde_json::Value;
 use serde_json::json;
+use sesamewall_platform_standin::StandinClient;
 use sesamewall_platform_standin::StandinTarget;
+use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
 
 use crate::fixture::PROPAGATION_TIME;
@@ -156,3 +160,35 @@
         assert_eq!(response.expect("a response").status, 200, "request {number}");
     }
 }
+
+/// Guards against a process that ends because of a configuration with times that no clock has.
+#[tokio::test(flavor = "multi_thread")]
+async fn absurd_times_of_a_configuration_end_no_process() {
+    let mut fleet = TestFleet::start(1, 1).await;
+    let mut next = configuration(2, 1000.0, 1000.0);
+    next["tenants"][0]["apiKeys"] = json!(["key-1", "key-2"]);
+    for limit in ["headerTimeoutMs", "idleTimeoutMs"] {
+        next["limits"][limit] = json!(1e300);
+    }
+    for route in next["routes"].as_array_mut().expect("routes") {
+        for time in ["timeoutMs", "targetLatencyMs", "gapAimMs", "runAimMs", "keepS", "maxQueued"] {
+            route[time] = json!(1e300);
+        }
+    }
+    next["services"][0]["coldStartS"] = json!(1e300);
+    fleet.store.put("op/config", &next);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    for number in 0..3 {
+        // Each client has connections of its own.
+        let client = StandinClient::default();
+        let front = fleet.fronts[0].caller_address();
+        let body = Bytes::new();
+        let id = format!("id-{number}");
+        let sent = client.send(front, Method::POST, "/talk/x", &id, "key-2", body);
+        let response = sent.await.expect("a response");
+        assert_eq!(response.text(), Some(StandinTarget::text("/talk/x")));
+    }
+    assert_job_completes(&fleet, "job1").await;
+    fleet.fronts[0].terminate();
+    assert!(fleet.fronts[0].wait_exit().await);
+}
