Keep idle connections to targets a minute at most, whatever a target announces

Cause: the time of a Keep-Alive header was added to the clock as it stands. A target that announces 2^64 - 1 s made the task of the request panic after the whole response had arrived ('overflow when adding duration to instant'), with and without overflow checks: the caller's connection broke without an answer, after the request had run. Found while looking for absurd times of entries. Change: the announced time is limited to 60 s, the longest time for which a connection is used again.

--- a/crates/sesamewall-edge/src/target_pool.rs
+++ b/crates/sesamewall-edge/src/target_pool.rs
@@ -24,6 +24,9 @@
 /// Time for which an idle connection is kept if the target sent no `Keep-Alive` header.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 
+/// Longest time for which an idle connection is kept, whatever the target announced.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(60);
+
 /// Most idle connections kept for one address: the usual slots of a target.
 const MAX_IDLE: usize = 8;
 
@@ -114,8 +117,8 @@
         let now = Instant::now();
         // The target closes the connection after its own timeout; a margin keeps requests off
         // closing connections.
-        let keep_alive =
-            keep_alive.map_or(DEFAULT_KEEP_ALIVE, |keep_alive| keep_alive.mul_f64(0.8));
+        let keep_alive = keep_alive
+            .map_or(DEFAULT_KEEP_ALIVE, |announced| announced.min(MAX_KEEP_ALIVE).mul_f64(0.8));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry(connection.address).or_default();
         list.push(IdleConnection { connection, since: now, until: now + keep_alive });
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -1,11 +1,15 @@
 //! Entries of the store that another writer left: unreadable, or with absurd values.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Method;
 use serde_json::Value;
 use serde_json::json;
+use sesamewall_platform_standin::RawTarget;
 use sesamewall_platform_standin::StandinClient;
 use sesamewall_platform_standin::StandinTarget;
+use sesamewall_platform_standin::Step;
 use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
 
@@ -192,3 +196,25 @@
     fleet.fronts[0].terminate();
     assert!(fleet.fronts[0].wait_exit().await);
 }
+
+/// Guards against a response that is lost because its target announces to keep the connection for a
+/// time that no clock has.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_absurd_keep_alive_time_loses_no_response() {
+    let fleet = TestFleet::start(1, 0).await;
+    let target = RawTarget::start(|_, id| {
+        vec![Step::text(format!(
+            "HTTP/1.1 200 OK\r\nsesamewall-request-id: {id}\r\nsesamewall-response-seal: seal-1\r\n\
+             keep-alive: timeout={}\r\ncontent-length: 2\r\n\r\nok",
+            u64::MAX
+        ))]
+    })
+    .await;
+    fleet.replace_all(target.address).await;
+    for number in 0..3 {
+        let response = fleet.chat(0, "/plain/x", &format!("id-{number}")).await;
+        let response = response.expect("a response");
+        assert_eq!((response.status, response.body.as_deref()), (200, Some(&b"ok"[..])));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
