Let one value that is no base64 hide no other entry of a list

Report: the machines that read a list with one odd entry stopped following it. Cause: the client of the store decoded a page or the events of a watch as a whole. With one value that is no base64, or no text, each read failed as without a reply: no complete read ended any more, and the watch got the same events again for ever. Targets, configurations, evacuations and jobs without a worker were followed no more, and the call counted as an outage of the store. Change: pages and watches list such an item with an empty value, which describes no target, no configuration and no claim, and pages count these items. Open: the linearizable read of the hub records still fails for one such record.

--- a/crates/sesamewall-edge/src/store_access.rs
+++ b/crates/sesamewall-edge/src/store_access.rs
@@ -162,8 +162,19 @@
         }
     }
 
-    /// Returns a page of items.
+    /// Returns a page of items. A page with an unreadable item is an error: its readers cannot tell
+    /// the item from an empty one.
     pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        let page = self.page_with_unreadable(prefix, after).await?;
+        if page.unreadable > 0 { Err(StoreError::Unclear) } else { Ok(page) }
+    }
+
+    /// Returns a page of items, the unreadable ones with empty values.
+    pub async fn page_with_unreadable(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+    ) -> Result<Page, StoreError> {
         let call = || StoreCall::Page(prefix.to_owned(), after.map(str::to_owned));
         let decode = |reply| match reply {
             StoreReply::Page(page) => Some(page),
--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -60,7 +60,8 @@
 }
 
 /// Reads all items of a prefix. The revision is that of the first page, so that the watch returns
-/// changes during the read again.
+/// changes during the read again. Unreadable items have empty values, so that one of them does not
+/// hide the others.
 async fn read_all(
     context: &InstanceContext,
     prefix: &str,
@@ -69,8 +70,8 @@
     let mut revision = None;
     loop {
         let after = items.last().map(|item| item.key.clone());
-        let Page { items: page, more, revision: at } =
-            context.store.page(prefix, after.as_deref()).await?;
+        let Page { items: page, more, revision: at, .. } =
+            context.store.page_with_unreadable(prefix, after.as_deref()).await?;
         revision.get_or_insert(at);
         let empty = page.is_empty();
         items.extend(page);
--- a/crates/sesamewall-ports/src/lease_store.rs
+++ b/crates/sesamewall-ports/src/lease_store.rs
@@ -31,6 +31,14 @@
     pub more: bool,
     /// Revision of the store at the read.
     pub revision: u64,
+    /// Number of items whose values were not encoded as the store promises; they are listed with
+    /// empty values.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unreadable: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// A change reported by a watch.
@@ -112,7 +120,8 @@
     /// a regular read.
     async fn stale_page(&self, prefix: &str) -> Result<Page, StoreError>;
 
-    /// Waits at most `wait` for changes after `revision` of keys that start with `prefix`.
+    /// Waits at most `wait` for changes after `revision` of keys that start with `prefix`. An item
+    /// whose value was not encoded as the store promises is reported with an empty value.
     async fn changes(
         &self,
         prefix: &str,
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -15,6 +15,7 @@
 
 use crate::fixture::PROPAGATION_TIME;
 use crate::fixture::TestFleet;
+use crate::fixture::wait_until;
 
 /// Nesting far beyond the limit of the usual parsers.
 const NESTING: usize = 50_000;
@@ -165,6 +166,44 @@
     }
 }
 
+/// Guards against a complete read or a watch that fails for good because one value in it is no
+/// base64.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_value_that_is_not_base64_hides_no_other_entries() {
+    let fleet = TestFleet::start(2, 1).await;
+    for (prefix, number) in [("servers/", 1), ("op/evacuate/", 2), ("sesamewall/job/x/", 3)] {
+        fleet.store.put_text(&format!("{prefix}odd{number}"), "no base64!");
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    for round in 0..2 {
+        assert_followed(&fleet, round).await;
+        let mut next = configuration(2 + round as u64, 1000.0, 1000.0);
+        next["tenants"][0]["apiKeys"] = json!(["key-1", format!("key-{}", 2 + round)]);
+        fleet.store.put("op/config", &next);
+        let front = fleet.fronts[round].caller_address();
+        let key = format!("key-{}", 2 + round);
+        let has_key = || async {
+            let body = Bytes::new();
+            let sent = fleet.client.send(front, Method::POST, "/talk/x", "id", &key, body);
+            sent.await.is_some_and(|response| response.status == 200)
+        };
+        assert!(wait_until(has_key).await, "round {round}: the operators' keys are not followed");
+        assert_job_completes(&fleet, &format!("job{round}")).await;
+        fleet.store.compact();
+        // A valid entry that is replaced by an unreadable one names no target any more.
+        fleet.store.put_text("servers/t2", "no base64!");
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        let before = fleet.targets[1].requests().len();
+        for number in 0..10 {
+            let response = fleet.chat(round, "/talk/x", &format!("id-{number}")).await;
+            assert_eq!(response.expect("a response").status, 200);
+        }
+        assert_eq!(fleet.targets[1].requests().len(), before, "an unreadable entry is used");
+        fleet.store.put("servers/t2", &target_entry(fleet.targets[1].address, "b", false));
+        tokio::time::sleep(PROPAGATION_TIME).await;
+    }
+}
+
 /// Guards against a process that ends because of a configuration with times that no clock has.
 #[tokio::test(flavor = "multi_thread")]
 async fn absurd_times_of_a_configuration_end_no_process() {
