Log an unreadable entry of a target when it changes, not at each read

Cause: each complete read logged each unreadable entry again, and each write of one a line, without a bound: 300 odd entries made 300 lines at once for a queue of 1,024. A line had the whole reason of the parser, which quotes the value that it did not expect: an entry of a megabyte made a line of a megabyte (1,048,651 bytes in the test, before). Change: UnreadableEntries keeps the reasons of up to 64 unreadable entries; a line is written when an entry becomes unreadable or the reason changes. The line 'targets read' counts all of them. A reason has at most 200 characters. By hand: the_reason_for_an_unreadable_document_is_short fails without the limit, an_unreadable_entry_is_logged_when_it_changes with known reasons logged again. Six tests of news of targets and five of odd entries pass.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -25,6 +25,7 @@
 use sesamewall_fleet::PoisonParts;
 use sesamewall_fleet::RateSettings;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::UnreadableEntries;
 use sesamewall_fleet::UpdateSources;
 use sesamewall_fleet::Versions;
 use sesamewall_fleet::WorkerStatus;
@@ -57,6 +58,8 @@
     pub maintenance: MaintenanceState,
     /// Target table.
     pub targets: TargetTable,
+    /// Entries of targets that cannot be read.
+    pub unreadable: UnreadableEntries,
     /// How far the operators' keys and the targets' entries have been read.
     pub versions: Versions,
     /// Instances that have reported how far they have read.
@@ -182,6 +185,7 @@
                 document: Bytes::new(),
                 maintenance: MaintenanceState::default(),
                 targets: TargetTable::default(),
+                unreadable: UnreadableEntries::default(),
                 versions: Versions::default(),
                 sources: UpdateSources::default(),
                 pause_guard: PauseGuard::default(),
--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -2,6 +2,7 @@
 //! domain.
 
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -338,22 +339,44 @@
     sesamewall_protocol::TargetName::from(key.strip_prefix(TARGET_PREFIX).unwrap_or(key))
 }
 
+/// Decodes a target's entry. An unreadable one is logged when it becomes so, or for another reason,
+/// and not each time that it is read or written again.
+fn decode_entry(context: &InstanceContext, item: &StoredItem) -> Option<TargetEntry> {
+    let result = decode_target(&item.key, &item.value);
+    let mut state = context.state();
+    match result {
+        Ok(entry) => {
+            state.unreadable.on_readable(&item.key);
+            Some(entry)
+        }
+        Err(error) => {
+            if state.unreadable.on_unreadable(&item.key, &error) {
+                warn!(context.log, "target entry cannot be read"; "key" => &item.key,
+                    "error" => error, "revision" => item.revision);
+            }
+            None
+        }
+    }
+}
+
 /// Decodes the targets' entries of a complete read.
 fn decode_entries(
     context: &InstanceContext,
     items: &[StoredItem],
     revision: u64,
 ) -> Vec<(TargetEntry, u64)> {
-    let entry = |item: &StoredItem| match decode_target(&item.key, &item.value) {
-        Ok(entry) => Some((entry, item.revision)),
-        Err(error) => {
-            warn!(context.log, "target entry cannot be read"; "key" => &item.key,
-                "error" => error, "revision" => item.revision);
-            None
+    let (mut entries, mut unreadable) = (Vec::new(), HashSet::new());
+    for item in items {
+        match decode_entry(context, item) {
+            Some(entry) => entries.push((entry, item.revision)),
+            None => {
+                unreadable.insert(item.key.as_str());
+            }
         }
-    };
-    let entries: Vec<_> = items.iter().filter_map(entry).collect();
-    info!(context.log, "targets read"; "targets" => entries.len(), "revision" => revision);
+    }
+    context.state().unreadable.retain(&unreadable);
+    info!(context.log, "targets read"; "targets" => entries.len(), "revision" => revision,
+        "unreadable" => unreadable.len());
     entries
 }
 
@@ -438,8 +461,8 @@
             match change {
                 StoreChange::Written(item) => {
                     highest = highest.max(item.revision);
-                    match decode_target(&item.key, &item.value) {
-                        Ok(entry) => {
+                    match decode_entry(&self.context, &item) {
+                        Some(entry) => {
                             let mut state = self.context.state();
                             let known = state.targets.get(&entry.name).map(|known| &known.entry);
                             if known != Some(&entry) {
@@ -448,10 +471,7 @@
                             }
                             state.targets.upsert(entry, item.revision, now);
                         }
-                        Err(error) => {
-                            warn!(self.context.log, "target entry cannot be read";
-                                "key" => &item.key, "error" => error,
-                                "revision" => item.revision);
+                        None => {
                             self.context.state().targets.remove(&name_of(&item.key), now);
                         }
                     }
@@ -459,7 +479,10 @@
                 StoreChange::Removed { key, revision: at } => {
                     highest = highest.max(at);
                     let name = name_of(&key);
-                    let expired = self.context.state().targets.remove(&name, now);
+                    let mut state = self.context.state();
+                    state.unreadable.on_readable(&key);
+                    let expired = state.targets.remove(&name, now);
+                    drop(state);
                     info!(self.context.log, "target entry gone"; "target" => %name,
                         "revision" => revision, "lapsed" => expired);
                 }
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod request_counts;
 mod stall_timeout;
 mod target_table;
+mod unreadable_entries;
 mod update_sources;
 
 pub use account_queue::AccountQueues;
@@ -115,5 +116,7 @@
 pub use target_table::TargetState;
 pub use target_table::TargetTable;
 pub use target_table::target_key;
+pub use unreadable_entries::UnreadableEntries;
+pub use unreadable_entries::UnreadableSettings;
 pub use update_sources::UpdateSettings;
 pub use update_sources::UpdateSources;
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -26,5 +26,7 @@
 mod support;
 #[path = "decisions/target_table.rs"]
 mod target_table;
+#[path = "decisions/unreadable_entries.rs"]
+mod unreadable_entries;
 #[path = "decisions/update_sources.rs"]
 mod update_sources;
