--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -27,6 +27,7 @@
 mod stall_timeout;
 mod target_table;
 mod unused_targets;
+mod unreadable_entries;
 mod update_sources;
 
 pub use account_queue::AccountQueues;
@@ -118,5 +119,7 @@
 pub use target_table::target_key;
 pub use unused_targets::UnusedSettings;
 pub use unused_targets::UnusedTargets;
+pub use unreadable_entries::UnreadableEntries;
+pub use unreadable_entries::UnreadableSettings;
 pub use update_sources::UpdateSettings;
 pub use update_sources::UpdateSources;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -18,6 +18,8 @@
 mod item_starts;
 #[path = "platform/limits.rs"]
 mod limits;
+#[path = "platform/odd_entries.rs"]
+mod odd_entries;
 #[path = "platform/online.rs"]
 mod online;
 #[path = "platform/responses.rs"]
