Write the end of a job until the store has it

Callers saw: 504 for the end of a job; from then on no item of the job runs, though the store has it as open, and nobody else runs it: an accepted item that nobody works on. After 180 s its keys were removed. Cause: Worker::end stops the items, writes the end for 0.9 s and relies on the client to come again. The job is stopped here for good, and the claim keeps all others away. The end by another instance did not count as stored either. Change: the first request for an end starts a task that writes it, with a pause of 1 s after each series of tries, for as long as the worker has the job; it keeps the job in memory, and a drain waits for it. Requests wait 0.9 s for the result. If the worker dies between, its claim ends with its lease and another worker runs the job on, which 504 allows. Evidence: a_job_end_without_a_reply_is_written_again loses all writes of ends for one request of a client that does not come again.

--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -22,8 +22,6 @@
 use sesamewall_platform::decode_job;
 use sesamewall_platform::encode_page;
 use sesamewall_ports::StoreError;
-use sesamewall_ports::StoreWrite;
-use sesamewall_ports::Transaction;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::JobId;
@@ -33,7 +31,6 @@
 
 use crate::InstanceContext;
 use crate::instance_context::wall_millis;
-use crate::job_keys::JobKey;
 use crate::job_keys::JobName;
 use crate::job_messages::JOB_PATH;
 use crate::job_messages::JobOffer;
@@ -457,12 +454,7 @@
         }
         // Only a job that exists can be ended.
         self.load_view(job, account).await?;
-        let key = JobKey::End.of(job);
-        let transaction = Transaction {
-            expect: vec![(key.clone(), 0)],
-            writes: vec![StoreWrite { key, value: Bytes::from_static(b"1"), lease: 0 }],
-            removes: Vec::new(),
-        };
+        let transaction = job_store::end_transaction(job);
         let result = job_store::commit_once(&self.context, &transaction, 0, until).await;
         info!(self.context.log, "job ended by its client"; "job" => %job, "worker" => false,
             "end" => format!("{result:?}"));
--- a/crates/sesamewall-edge/src/job_state.rs
+++ b/crates/sesamewall-edge/src/job_state.rs
@@ -69,6 +69,8 @@
     pub(crate) due: Duration,
     pub(crate) claim: Claim,
     pub(crate) ended: bool,
+    /// Whether the client has ended the job at this worker.
+    pub(crate) end_requested: bool,
     /// Whether the store has confirmed the end of the job.
     pub(crate) end_stored: bool,
     pub(crate) complete: bool,
@@ -90,6 +92,7 @@
             due: DEFAULT_DUE,
             claim,
             ended: false,
+            end_requested: false,
             end_stored: false,
             complete: false,
             writing_since: None,
@@ -103,6 +106,11 @@
         !self.ended && !self.complete
     }
 
+    /// Returns whether the end of the job is still being written.
+    pub(crate) fn is_end_pending(&self) -> bool {
+        self.end_requested && !self.end_stored
+    }
+
     /// Returns the name of the queue that the job waits in.
     pub(crate) fn queue(&self) -> QueueId {
         QueueId { route: self.head.route.clone(), account: self.head.account.clone() }
--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -328,6 +328,14 @@
     }
 }
 
+/// Returns the transaction that ends a job for its client.
+pub fn end_transaction(job: &JobName) -> Transaction {
+    let key = JobKey::End.of(job);
+    let expect = vec![(key.clone(), 0)];
+    let writes = vec![StoreWrite { key, value: Bytes::from_static(b"1"), lease: 0 }];
+    Transaction { expect, writes, removes: Vec::new() }
+}
+
 /// Returns the transaction that appends a group of results under a claim.
 ///
 /// # Errors
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod target_pool;
 mod worker;
 mod worker_commit;
+mod worker_end;
 mod worker_requests;
 
 pub use instance_context::InstanceContext;
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -207,10 +207,13 @@
         self.jobs().values().filter(is_local).map(|job| job.work.waiting.len() as u32).sum()
     }
 
-    /// Returns the number of items that run or have uncommitted results. The process waits for them
-    /// before it ends.
+    /// Returns the number of items that run or have uncommitted results, and of jobs whose end is
+    /// being written. The process waits for them before it ends.
     pub fn running(&self) -> usize {
-        self.jobs().values().map(|job| job.work.running.len() + job.work.results.len()).sum()
+        let running = |job: &Job| {
+            job.work.running.len() + job.work.results.len() + usize::from(job.is_end_pending())
+        };
+        self.jobs().values().map(running).sum()
     }
 
     /// Marks the jobs whose claims ended with a lost lease as free. Their items go on: usually this
@@ -235,7 +238,8 @@
         let now = self.context.now();
         let mut removals = self.removals.lock().unwrap_or_else(PoisonError::into_inner);
         self.jobs().retain(|name, job| {
-            let retained = job.closed.is_none_or(|at| now.since(at) < CLOSED_TTL);
+            let retained =
+                job.is_end_pending() || job.closed.is_none_or(|at| now.since(at) < CLOSED_TTL);
             if !retained {
                 let keys = job_store::all_keys(name, job.head.parts, job.stored_results.groups());
                 removals.push_back((now + REMOVAL_DELAY, keys));
--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -74,6 +74,7 @@
             JobRequest::Adopt { job, head, claim } => self.adopt(job, *head, claim),
             JobRequest::Stop(job) => {
                 self.stop(&job, "its client ended it at another instance");
+                self.on_end_stored(&job);
                 JobReply::Done
             }
             JobRequest::Forward(_) => JobReply::NotHere,
@@ -476,36 +477,6 @@
         JobReply::Body(found.map(|item| Bytes::from(item.body.clone())))
     }
 
-    /// Ends a job for its client: no further item starts, and the end is written to the store for
-    /// all instances.
-    async fn end(&self, name: &JobName) -> JobReply {
-        let end_stored = self.jobs().get(name).map(|job| job.end_stored);
-        match end_stored {
-            Some(true) => return JobReply::Done,
-            Some(false) => {}
-            None => return JobReply::NotHere,
-        }
-        // The items stop now. If the write to the store fails, the client sends the request again.
-        self.stop(name, "its client ended it");
-        let key = JobKey::End.of(name);
-        let transaction = Transaction {
-            expect: vec![(key.clone(), 0)],
-            writes: vec![StoreWrite { key, value: Bytes::from_static(b"1"), lease: 0 }],
-            removes: Vec::new(),
-        };
-        let until = self.context.now() + ACCEPT_TIMEOUT;
-        let result = job_store::commit_once(&self.context, &transaction, 0, until).await;
-        info!(self.context.log, "job ended by its client"; "job" => %name,
-            "end" => format!("{result:?}"));
-        if result.is_err() {
-            return JobReply::Unclear;
-        }
-        if let Some(job) = self.jobs().get_mut(name) {
-            job.end_stored = true;
-        }
-        JobReply::Done
-    }
-
     /// Stops a job permanently.
     pub(crate) fn stop(&self, name: &JobName, cause: &str) {
         let mut jobs = self.jobs();
