Compare hub records and sizes with the store

Callers saw: nothing at once. A failure domain has fewer hubs for as long as an instance lives; an instance that starts works out rates and limits of cold starts from an earlier size of the fleet. Cause: a claim of a hub record without a reply counts as not done. Written late, it names an instance that is a member, or that has claimed another number by then; nobody may claim the number, and its instance takes it for someone else's. The size was written without a condition, so that a late write restores an earlier one, and the hub that has written a size believed for ever that the store has it. Change: each hub, and each member that has sent a claim under its present lease, reads the records of its failure domain every 5 s (a stale page, at most 4 keys) and compares (compare_records, pure): a member takes a record that names it, a hub removes one that it does not keep, under its revision, and claims again if its own is missing. The size is written under the revision read; a conflict or a newer revision replaces what the hub believes. The tests put the late value into the store; a member that takes its record is tested as a decision only.

--- a/crates/sesamewall-edge/src/state_exchange/hub_record.rs
+++ b/crates/sesamewall-edge/src/state_exchange/hub_record.rs
@@ -11,6 +11,9 @@
 use sesamewall_fleet::HUBS_PER_DOMAIN;
 use sesamewall_fleet::HubClaimSettings;
 use sesamewall_fleet::HubStatus;
+use sesamewall_fleet::RecordStep;
+use sesamewall_fleet::StoredRecord;
+use sesamewall_fleet::compare_records;
 use sesamewall_ports::CommitResult;
 use sesamewall_ports::Page;
 use sesamewall_ports::StoreWrite;
@@ -35,6 +38,9 @@
 /// Time for which a changed size of the failure domain has to persist before it is written.
 const SIZE_DELAY: Duration = Duration::from_secs(3);
 
+/// Interval between two comparisons of the records and the size in the store with the local ones.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Delay between attempts to read the hub records at the start.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -46,11 +52,20 @@
     revision: u64,
 }
 
+/// Size of a failure domain as stored.
+#[derive(Clone, Copy, Debug, Default)]
+struct StoredSize {
+    fronts: u32,
+    all: u32,
+    /// Store revision of the size; 0 if there is none.
+    revision: u64,
+}
+
 /// Hub records and sizes of failure domains, as read from the store.
 #[derive(Clone, Debug, Default)]
 struct HubRecords {
     hubs: Vec<HubRecord>,
-    sizes: Vec<(DomainName, u32, u32)>,
+    sizes: Vec<(DomainName, StoredSize)>,
 }
 
 impl HubRecords {
@@ -76,7 +91,7 @@
             let hub = HubStatus { name, address, domain, store_reachable: true, draining: false };
             self.hubs.push(HubRecord { hub, number, revision: item.revision });
         } else if let (Ok(fronts), Ok(all)) = (first.parse(), second.parse()) {
-            self.sizes.push((domain, fronts, all));
+            self.sizes.push((domain, StoredSize { fronts, all, revision: item.revision }));
         }
     }
 }
@@ -88,10 +103,19 @@
     let records = read_initial(&exchange).await;
     let is_local = |record: &&HubRecord| record.hub.name == context.settings.instance;
     let former = records.hubs.iter().find(is_local).cloned();
-    let size = records.sizes.iter().find(|(domain, ..)| *domain == context.settings.domain);
-    let written = size.map(|(_, fronts, all)| (*fronts, *all));
-    let mut keeper =
-        HubRecordKeeper { exchange, settings, lease: 0, size: None, written, vacant_since: None };
+    let size = records.sizes.iter().find(|(domain, _)| *domain == context.settings.domain);
+    let stored_size = size.map(|(_, size)| *size).unwrap_or_default();
+    let mut keeper = HubRecordKeeper {
+        exchange,
+        settings,
+        lease: 0,
+        number: None,
+        claim_lease: 0,
+        compared_at: context.now(),
+        size: None,
+        stored_size,
+        vacant_since: None,
+    };
     match former {
         Some(record) => {
             // The process was restarted. Its members still send to it, so it acts as a hub at once.
@@ -113,6 +137,7 @@
             true => keeper.check_as_hub().await,
             false => keeper.check_as_member().await,
         }
+        keeper.compare().await;
     }
 }
 
@@ -143,8 +168,8 @@
 fn apply_records(context: &InstanceContext, page: &Page) -> HubRecords {
     let records = HubRecords::read(&page.items);
     let hubs: Vec<HubStatus> = records.hubs.iter().map(|record| record.hub.clone()).collect();
-    let fronts = records.sizes.iter().map(|(_, fronts, _)| fronts).sum();
-    let all = records.sizes.iter().map(|(_, _, all)| all).sum();
+    let fronts = records.sizes.iter().map(|(_, size)| size.fronts).sum();
+    let all = records.sizes.iter().map(|(_, size)| size.all).sum();
     let mut state = context.state();
     state.peers.on_hubs(&hubs);
     state.peers.on_fleet_size(fronts, all);
@@ -158,11 +183,17 @@
     settings: HubClaimSettings,
     /// Lease under which the local hub record was claimed; 0 without a record.
     lease: u64,
+    /// Number of the local hub record.
+    number: Option<usize>,
+    /// Lease of the last claim that was sent. As long as it lasts, a claim may take effect.
+    claim_lease: u64,
+    /// Time of the last comparison with the store.
+    compared_at: Time,
     /// Size of the failure domain (fronts, all instances) that was observed last, and the time at
     /// which this size was first observed.
     size: Option<((u32, u32), Time)>,
     /// Size of the failure domain as stored.
-    written: Option<(u32, u32)>,
+    stored_size: StoredSize,
     /// Time from which `vacancy_delay` counts for a vacant hub record of the failure domain; `None`
     /// if none is vacant. It includes the claim delay and may be in the future.
     vacant_since: Option<Time>,
@@ -268,6 +299,7 @@
         let writes = vec![StoreWrite { key: key.clone(), value: value.clone(), lease }];
         let expect = vec![(key.clone(), revision)];
         let transaction = Transaction { expect, writes, removes: Vec::new() };
+        self.claim_lease = lease;
         match context.store.commit(&transaction).await {
             Ok(CommitResult::Done(_)) => {}
             Ok(CommitResult::Conflict(items)) => {
@@ -284,11 +316,13 @@
             }
             Ok(CommitResult::LeaseGone) => return false,
             Err(error) => {
+                info!(context.log, "seat claim got no reply"; "seat" => key, "error" => %error);
                 context.on_store_error(&error);
                 return false;
             }
         }
         self.lease = lease;
+        self.number = Some(number);
         info!(context.log, "seat taken"; "seat" => key, "lease" => lease);
         self.become_hub();
         // Hubs that claimed their records at the same moment are not known yet.
@@ -358,22 +392,99 @@
             _ => self.size = Some((size, now)),
         }
         let Some((_, since)) = self.size else { return };
-        if !writes || self.written == Some(size) || now.since(since) < SIZE_DELAY {
+        let stored = (self.stored_size.fronts, self.stored_size.all);
+        if !writes || stored == size || now.since(since) < SIZE_DELAY {
             return;
         }
         let value = Bytes::from(format!("{} {}", size.0, size.1));
         let key = self.key("size");
+        // The condition keeps a write that takes effect late from restoring an earlier size.
+        let expect = vec![(key.clone(), self.stored_size.revision)];
         let writes = vec![StoreWrite { key, value, lease: 0 }];
-        let transaction = Transaction { expect: Vec::new(), writes, removes: Vec::new() };
+        let transaction = Transaction { expect, writes, removes: Vec::new() };
         match context.store.commit(&transaction).await {
-            Ok(_) => {
-                self.written = Some(size);
+            Ok(CommitResult::Done(revision)) => {
+                self.stored_size = StoredSize { fronts: size.0, all: size.1, revision };
                 info!(context.log, "size written"; "fronts" => size.0, "instances" => size.1);
             }
+            Ok(CommitResult::Conflict(items)) => {
+                let read = HubRecords::read(&items).sizes.pop();
+                let revision = items.first().map_or(0, |item| item.revision);
+                let size = read.map(|(_, size)| size).unwrap_or_default();
+                self.stored_size = StoredSize { revision, ..size };
+                info!(context.log, "size differs"; "fronts" => self.stored_size.fronts,
+                    "instances" => self.stored_size.all, "revision" => revision);
+            }
+            Ok(CommitResult::LeaseGone) => {}
             Err(error) => warn!(context.log, "size not written"; "error" => %error),
         }
     }
 
+    /// Compares the records and the size of the local failure domain in the store with the local
+    /// ones, for as long as a claim of this instance may take effect.
+    async fn compare(&mut self) {
+        let context = self.context().clone();
+        let now = context.now();
+        let lease = self.exchange.lease.number();
+        let hub = context.state().peers.is_hub();
+        let due = now.since(self.compared_at) >= COMPARE_INTERVAL;
+        let current = self.claim_lease == lease && (!hub || self.lease == lease);
+        if lease == 0 || !current || !due || context.store.is_lost() {
+            return;
+        }
+        self.compared_at = now;
+        let page = match context.store.stale_page(&self.key("")).await {
+            Ok(page) => page,
+            Err(error) => {
+                context.on_store_error(&error);
+                return;
+            }
+        };
+        let records = HubRecords::read(&page.items);
+        if let Some((_, size)) = records.sizes.first()
+            && size.revision > self.stored_size.revision
+        {
+            info!(context.log, "size differs"; "fronts" => size.fronts, "instances" => size.all,
+                "revision" => size.revision);
+            self.stored_size = *size;
+        }
+        let stored: Vec<StoredRecord> = records
+            .hubs
+            .into_iter()
+            .map(|HubRecord { hub, number, revision }| StoredRecord {
+                name: hub.name,
+                number,
+                revision,
+            })
+            .collect();
+        let kept = self.number.filter(|_| hub);
+        for step in compare_records(&context.settings.instance, kept, &stored) {
+            info!(context.log, "seat differs"; "domain" => %context.settings.domain,
+                "step" => format!("{step:?}"));
+            match step {
+                RecordStep::Take { number, revision } => {
+                    self.claim(number, revision).await;
+                }
+                RecordStep::Remove { number, revision } => {
+                    self.remove_record(number, revision).await;
+                }
+                // The next check reads the records and claims one.
+                RecordStep::ClaimAgain => self.lease = 0,
+            }
+        }
+    }
+
+    /// Removes a record that names this instance.
+    async fn remove_record(&self, number: usize, revision: u64) {
+        let context = self.context();
+        let key = self.key(&number.to_string());
+        let expect = vec![(key.clone(), revision)];
+        let transaction = Transaction { expect, writes: Vec::new(), removes: vec![key] };
+        if let Err(error) = context.store.commit(&transaction).await {
+            warn!(context.log, "seat not removed"; "number" => number, "error" => %error);
+        }
+    }
+
     /// Claims a hub record that has been vacant for a while.
     async fn check_as_member(&mut self) {
         let context = self.context().clone();
--- a/crates/sesamewall-fleet/src/hub_selection.rs
+++ b/crates/sesamewall-fleet/src/hub_selection.rs
@@ -173,3 +173,63 @@
         self.small_wait.mul_f64(small) + worker + self.spread.mul_f64(draw * small)
     }
 }
+
+/// A hub record of the local failure domain, as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRecord {
+    /// The instance that the record names.
+    pub name: InstanceName,
+    /// Number of the record.
+    pub number: usize,
+    /// Store revision of the record.
+    pub revision: u64,
+}
+
+/// What an instance does about a hub record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordStep {
+    /// Claims the record, which names the instance, and acts as a hub.
+    Take {
+        /// Number of the record.
+        number: usize,
+        /// Store revision of the record.
+        revision: u64,
+    },
+    /// Removes a record that names the instance in addition to the one that it keeps.
+    Remove {
+        /// Number of the record.
+        number: usize,
+        /// Store revision of the record.
+        revision: u64,
+    },
+    /// Claims a record again, since the store does not have the one that the instance keeps.
+    ClaimAgain,
+}
+
+/// Compares the hub records of the local failure domain with the record that the instance `local`
+/// keeps; a member keeps none. A claim without a reply may have taken effect after it was given up,
+/// and its record stays as long as the lease of the instance.
+pub fn compare_records(
+    local: &InstanceName,
+    kept: Option<usize>,
+    records: &[StoredRecord],
+) -> Vec<RecordStep> {
+    let own: Vec<&StoredRecord> = records.iter().filter(|record| record.name == *local).collect();
+    let first = own.first().map(|record| record.number);
+    let (keep, step) = match (kept, first) {
+        (Some(kept), _) if own.iter().any(|record| record.number == kept) => (Some(kept), None),
+        (Some(_), _) => (None, Some(RecordStep::ClaimAgain)),
+        (None, first) => {
+            let take = own.first().map(|record| RecordStep::Take {
+                number: record.number,
+                revision: record.revision,
+            });
+            (first, take)
+        }
+    };
+    let extra = own
+        .iter()
+        .filter(|record| keep.is_some_and(|keep| keep != record.number))
+        .map(|record| RecordStep::Remove { number: record.number, revision: record.revision });
+    step.into_iter().chain(extra).collect()
+}
--- a/crates/sesamewall-fleet/tests/decisions/hub_selection.rs
+++ b/crates/sesamewall-fleet/tests/decisions/hub_selection.rs
@@ -6,6 +6,9 @@
 use sesamewall_fleet::HubSelector;
 use sesamewall_fleet::HubSelectorSettings;
 use sesamewall_fleet::HubStatus;
+use sesamewall_fleet::RecordStep;
+use sesamewall_fleet::StoredRecord;
+use sesamewall_fleet::compare_records;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 
@@ -94,3 +97,27 @@
     assert!(settings.wait(true, 0.5, 0.0) < settings.wait(false, 0.5, 0.0));
     assert!(longest(false, 0.12).as_secs_f64() < 3.0);
 }
+
+fn record(name: &str, number: usize) -> StoredRecord {
+    StoredRecord { name: InstanceName::from(name), number, revision: 10 + number as u64 }
+}
+
+/// Guards against a failure domain with fewer hubs, because a claim that took effect late has
+/// occupied a record for an instance that is a member or has another record.
+#[test]
+fn records_that_an_instance_does_not_keep_are_taken_or_removed() {
+    let local = InstanceName::from("h1");
+    let alone = [record("h0", 0), record("h1", 1), record("h2", 2)];
+    let twice = [record("h0", 0), record("h1", 1), record("h1", 2)];
+    let none = [record("h0", 0)];
+    let take = RecordStep::Take { number: 1, revision: 11 };
+    let remove = |number: usize| RecordStep::Remove { number, revision: 10 + number as u64 };
+    assert_eq!(compare_records(&local, Some(1), &alone), []);
+    assert_eq!(compare_records(&local, None, &alone), [take]);
+    assert_eq!(compare_records(&local, Some(1), &twice), [remove(2)]);
+    assert_eq!(compare_records(&local, Some(2), &twice), [remove(1)]);
+    assert_eq!(compare_records(&local, None, &twice), [take, remove(2)]);
+    assert_eq!(compare_records(&local, Some(2), &alone), [RecordStep::ClaimAgain]);
+    assert_eq!(compare_records(&local, Some(1), &none), [RecordStep::ClaimAgain]);
+    assert_eq!(compare_records(&local, None, &none), []);
+}
--- a/tests/platform/late_effects.rs
+++ b/tests/platform/late_effects.rs
@@ -87,3 +87,34 @@
         assert_eq!(row["output"], StandinTarget::text(&path));
     }
 }
+
+/// Guards against a failure domain with fewer hubs: a claim that took effect late names an instance
+/// that keeps another record.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hub_record_that_its_instance_does_not_keep_is_removed() {
+    let fleet = TestFleet::start(1, 0).await;
+    let kept = || async { fleet.store.value("sesamewall/hub/a/0").is_some() };
+    assert!(wait_until(kept).await);
+    let record = fleet.store.value("sesamewall/hub/a/0").expect("a record");
+    fleet.store.put_bytes("sesamewall/hub/a/2", &record);
+    let removed = || async { fleet.store.value("sesamewall/hub/a/2").is_none() };
+    assert!(wait_until(removed).await, "the record stays for as long as its instance lives");
+    assert_eq!(fleet.store.value("sesamewall/hub/a/0"), Some(record));
+}
+
+/// Guards against rates and limits of cold starts for a fleet of another size, after the write of an
+/// earlier size took effect late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_size_that_was_written_late_is_replaced() {
+    let fleet = TestFleet::start(1, 0).await;
+    let has_size = |size: &'static [u8]| {
+        let store = fleet.store.clone();
+        move || {
+            let stored = store.value("sesamewall/hub/a/size");
+            async move { stored.as_deref() == Some(size) }
+        }
+    };
+    assert!(wait_until(has_size(b"1 1")).await);
+    fleet.store.put_bytes("sesamewall/hub/a/size", b"9 12");
+    assert!(wait_until(has_size(b"1 1")).await, "the earlier size stays");
+}
