--- a/crates/sesamewall-edge/src/job_state.rs
+++ b/crates/sesamewall-edge/src/job_state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sesamewall_fleet::GroupWrites;
 use sesamewall_fleet::ItemProgress;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::ItemSpec;
@@ -69,11 +70,13 @@
     pub(crate) due: Duration,
     pub(crate) claim: Claim,
     pub(crate) ended: bool,
+    /// Whether the client has ended the job at this worker.
+    pub(crate) end_requested: bool,
     /// Whether the store has confirmed the end of the job.
     pub(crate) end_stored: bool,
     pub(crate) complete: bool,
-    /// Time since which a group is being written: the store may already have it.
-    pub(crate) writing_since: Option<Time>,
+    /// Writes of groups that the store may already have.
+    pub(crate) group_writes: GroupWrites,
     /// Results that are known to be in the store.
     pub(crate) stored_results: ResultList,
     /// Time at which the job was ended or completed.
@@ -90,9 +93,10 @@
             due: DEFAULT_DUE,
             claim,
             ended: false,
+            end_requested: false,
             end_stored: false,
             complete: false,
-            writing_since: None,
+            group_writes: GroupWrites::default(),
             stored_results: ResultList::default(),
             closed: None,
             work: Work::default(),
@@ -103,6 +107,11 @@
         !self.ended && !self.complete
     }
 
+    /// Returns whether the end of the job is still being written.
+    pub(crate) fn is_end_pending(&self) -> bool {
+        self.end_requested && !self.end_stored
+    }
+
     /// Returns the name of the queue that the job waits in.
     pub(crate) fn queue(&self) -> QueueId {
         QueueId { route: self.head.route.clone(), account: self.head.account.clone() }
@@ -127,6 +136,11 @@
             }),
         );
         work.committed = committed;
+        if !work.committing {
+            // The results were read under the present claim, and a group that was written under it
+            // has its position.
+            self.group_writes.on_known();
+        }
         work.spec = Some(Arc::new(spec));
     }
 
--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -50,10 +50,6 @@
 /// Interval between two reads of a claim that a write without a reply may have written.
 const RESOLVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time for which the write of a group of results may be in progress before readers are sent to
-/// the store.
-const WRITE_GRACE: Duration = Duration::from_millis(150);
-
 /// Longest time for which a request may wait for results.
 const MAX_WAIT: Duration = Duration::from_millis(1000);
 
@@ -74,6 +70,7 @@
             JobRequest::Adopt { job, head, claim } => self.adopt(job, *head, claim),
             JobRequest::Stop(job) => {
                 self.stop(&job, "its client ended it at another instance");
+                self.on_end_stored(&job);
                 JobReply::Done
             }
             JobRequest::Forward(_) => JobReply::NotHere,
@@ -447,9 +444,8 @@
                     let groups = job.stored_results.groups_from(groups, REPLY_BYTES);
                     return JobReply::Results { head: Box::new(job.head.clone()), groups };
                 }
-                if let Some(since) = job.writing_since {
-                    let expiry = since + WRITE_GRACE;
-                    timeout = timeout.min(expiry.since(now) + Duration::from_millis(1));
+                if let Some(from) = job.group_writes.unknown_from() {
+                    timeout = timeout.min(from.since(now) + Duration::from_millis(1));
                 }
             }
             // Without a change the wait times out, and the next pass of the loop replies.
@@ -463,9 +459,8 @@
             Claim::Local { lease, .. } => self.lease.valid(now) == Some(lease),
             _ => false,
         };
-        let written = job.writing_since.is_none_or(|since| now.since(since) < WRITE_GRACE);
         let loaded = job.work.spec.is_some() || !job.is_open();
-        job.complete || (claimed && written && loaded)
+        job.complete || (claimed && loaded && job.group_writes.are_known(now))
     }
 
     fn body(&self, name: &JobName, item: &str) -> JobReply {
@@ -476,36 +471,6 @@
         JobReply::Body(found.map(|item| Bytes::from(item.body.clone())))
     }
 
-    /// Ends a job for its client: no further item starts, and the end is written to the store for
-    /// all instances.
-    async fn end(&self, name: &JobName) -> JobReply {
-        let end_stored = self.jobs().get(name).map(|job| job.end_stored);
-        match end_stored {
-            Some(true) => return JobReply::Done,
-            Some(false) => {}
-            None => return JobReply::NotHere,
-        }
-        // The items stop now. If the write to the store fails, the client sends the request again.
-        self.stop(name, "its client ended it");
-        let key = JobKey::End.of(name);
-        let transaction = Transaction {
-            expect: vec![(key.clone(), 0)],
-            writes: vec![StoreWrite { key, value: Bytes::from_static(b"1"), lease: 0 }],
-            removes: Vec::new(),
-        };
-        let until = self.context.now() + ACCEPT_TIMEOUT;
-        let result = job_store::commit_once(&self.context, &transaction, 0, until).await;
-        info!(self.context.log, "job ended by its client"; "job" => %name,
-            "end" => format!("{result:?}"));
-        if result.is_err() {
-            return JobReply::Unclear;
-        }
-        if let Some(job) = self.jobs().get_mut(name) {
-            job.end_stored = true;
-        }
-        JobReply::Done
-    }
-
     /// Stops a job permanently.
     pub(crate) fn stop(&self, name: &JobName, cause: &str) {
         let mut jobs = self.jobs();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,8 @@
 mod hub;
 #[path = "platform/item_starts.rs"]
 mod item_starts;
+#[path = "platform/late_effects.rs"]
+mod late_effects;
 #[path = "platform/limits.rs"]
 mod limits;
 #[path = "platform/odd_entries.rs"]
