Show accepted items that nobody runs after a claim took effect late

A worker's claim gets no reply; its next try finds the claim of another worker, and it drops the job. The other worker is suspended, its lease ends, and the first write takes effect.

The test plays this with two workers and fails on this commit: no more items are listed within 20 s, and both workers log `batch work` with no job, while the watch shows the claim of the second one (`claim seen`, revision 17).

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,6 +14,8 @@
 mod handover;
 #[path = "platform/hub.rs"]
 mod hub;
+#[path = "platform/late_writes.rs"]
+mod late_writes;
 #[path = "platform/limits.rs"]
 mod limits;
 #[path = "platform/online.rs"]
