--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -74,6 +74,7 @@
                 JobReply::Done
             }
             JobRequest::Forward(_) => JobReply::NotHere,
+            JobRequest::Compare(report) => self.compare(&report),
         }
     }
 
