Show with tests that the retirement of a worker is an event

What an operator saw: a worker that is asked to retire and stays holds its jobs and never runs them; one whose retirement is taken back never serves again; a status "completed" is written before results are stored, is lost with a long outage of the store, or stands for a machine that works; a front named in such a key stops being ready.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -20,6 +20,8 @@
 mod online;
 #[path = "platform/responses.rs"]
 mod responses;
+#[path = "platform/retirement.rs"]
+mod retirement;
 #[path = "platform/shutdown.rs"]
 mod shutdown;
 #[path = "platform/target_news.rs"]
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -18,11 +18,13 @@
 /// Time after which a worker no longer waits for the result of an acceptance.
 const GIVE_UP_TIME: Duration = Duration::from_millis(1500);
 
-fn items(count: usize) -> Vec<String> {
+/// Returns the names of `count` items.
+pub fn items(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("item{n:02}")).collect()
 }
 
-fn assert_completed(results: &[serde_json::Value], count: usize) {
+/// Checks that the results are those of `count` items, each completed once.
+pub fn assert_completed(results: &[serde_json::Value], count: usize) {
     let ids: BTreeSet<_> = results.iter().filter_map(|row| row["id"].as_str()).collect();
     assert_eq!(ids.len(), count, "each item once");
     for row in results {
--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -48,6 +48,10 @@
         self.file.ip
     }
 
+    pub fn name(&self) -> &str {
+        &self.file.name
+    }
+
     pub fn caller_address(&self) -> SocketAddr {
         self.file.front.expect("a front").0
     }
@@ -264,6 +268,13 @@
         self.store.value(&key)
     }
 
+    /// Returns the index of the worker that has claimed a job.
+    pub fn claim_holder(&self, job: &str) -> Option<usize> {
+        let claim = self.claim(job)?;
+        let holder = |worker: &Process| claim.starts_with(format!("{} ", worker.name()).as_bytes());
+        self.workers.iter().position(holder)
+    }
+
     pub async fn chat(&self, n: usize, path: &str, id: &str) -> Option<ClientResponse> {
         let body = Bytes::from_static(b"hello");
         let front = self.fronts[n].caller_address();
