--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -137,6 +137,7 @@
             self.preempt_items();
             self.claim_free_jobs();
             self.start_items();
+            self.commit_results();
             self.update_backlog();
             self.remove_closed();
             let now = self.context.now();
@@ -170,9 +171,6 @@
     fn update_backlog(&self) {
         let valid = self.lease.valid(self.context.now()).is_some();
         let backlog = if valid && !self.context.is_draining() { self.backlog() } else { 0 };
-        if self.running() == 0 {
-            self.context.worker_idle.notify_waiters();
-        }
         self.sample_free_slots();
         let mut state = self.context.state();
         if state.backlog != backlog {
--- a/crates/sesamewall-edge/src/worker_claims.rs
+++ b/crates/sesamewall-edge/src/worker_claims.rs
@@ -59,12 +59,15 @@
     pub(crate) fn claim_free_jobs(self: &Arc<Self>) {
         let now = self.context.now();
         let Some(lease) = self.lease.valid(now) else { return };
-        if self.context.is_draining() {
+        if self.context.is_stopping() {
             return;
         }
+        let retiring = self.context.is_retiring();
         for (name, job) in self.jobs().iter_mut() {
             let Claim::Free { since, revision } = job.claim else { continue };
-            if job.is_open() && since <= now {
+            // A retiring worker claims a job only to commit the results that it has.
+            let is_wanted = job.is_open() && !(retiring && job.is_idle());
+            if is_wanted && since <= now {
                 job.claim = Claim::Pending;
                 tokio::spawn(self.clone().claim_job(name.clone(), lease, revision));
             }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -28,6 +28,8 @@
 mod online;
 #[path = "platform/responses.rs"]
 mod responses;
+#[path = "platform/retirement.rs"]
+mod retirement;
 #[path = "platform/shutdown.rs"]
 mod shutdown;
 #[path = "platform/target_news.rs"]
