Report a write as undone only if both of its ways say so

StoreError::Unavailable promises that nothing was written. Cause: a call that the store has not answered after 120 ms also goes through another instance, and the error of whichever failed last was returned: Unavailable or RateLimited of the direct call after a lost reply of the other instance, and the reverse. A direct 429 was returned at once while the other call was under way. An ended lease was reported though the other way may have executed the transaction before. Change: an error is Unclear if either way is; LeaseGone is, while the other way has no result. Evidence: a_write_is_unclear_if_one_of_its_ways_is failed before with Err(Unavailable) in place of Err(Unclear), a_write_without_its_lease_may_have_been_executed_the_other_way with Ok(LeaseGone). From reading: no caller turned the difference into a 503 (commit_once retries all errors, and accept_without_worker answers 504 to each).

--- a/crates/sesamewall-edge/src/store_access.rs
+++ b/crates/sesamewall-edge/src/store_access.rs
@@ -50,6 +50,13 @@
     }
 }
 
+/// Result of a call that may have been sent both ways.
+struct Hedged<T> {
+    result: Result<T, StoreError>,
+    /// Whether the call was also sent the other way, where it may have been or may be executed.
+    is_other_open: bool,
+}
+
 impl StoreAccess {
     /// Wraps `inner` with counters. `port` is that of relayed calls.
     pub fn new(inner: Arc<dyn LeaseStore>, metrics: Arc<Metrics>, port: u16) -> Self {
@@ -114,7 +121,7 @@
     }
 
     /// Calls the store directly, and sends the same call through another instance if the store does
-    /// not reply in time. The first reply counts; calls that write carry conditions that make a
+    /// not reply in time. The first result counts; calls that write carry conditions that make a
     /// second execution harmless.
     async fn hedged<T>(
         &self,
@@ -122,28 +129,36 @@
         direct: impl Future<Output = Result<T, StoreError>>,
         call: impl FnOnce() -> StoreCall,
         decode: impl FnOnce(StoreReply) -> Option<T>,
-    ) -> Result<T, StoreError> {
+    ) -> Hedged<T> {
         let mut direct = std::pin::pin!(self.measure(kind, direct));
         match tokio::time::timeout(HEDGE_DELAY, &mut direct).await {
-            Ok(result) => return result,
-            Err(_) if !self.relay.can_help() => return direct.await,
+            Ok(result) => return Hedged { result, is_other_open: false },
+            Err(_) if !self.relay.can_help() => {
+                return Hedged { result: direct.await, is_other_open: false };
+            }
             Err(_) => {}
         }
-        let mut relayed = std::pin::pin!(self.relayed(kind, call()));
-        let reply = tokio::select! {
+        let relayed = async {
+            let reply = self.relayed(kind, call()).await?;
+            let value = decode(reply).ok_or(StoreError::Unclear)?;
+            self.lost.store(true, Ordering::Relaxed);
+            Ok(value)
+        };
+        let mut relayed = std::pin::pin!(relayed);
+        let (first, other) = tokio::select! {
             result = &mut direct => match result {
-                Err(StoreError::Unavailable | StoreError::Unclear) => relayed.await,
-                result => return result,
+                Err(error) => (error, relayed.await),
+                done => return Hedged { result: done, is_other_open: true },
             },
-            reply = &mut relayed => match reply {
-                Err(_) => return direct.await,
-                reply => {
-                    self.lost.store(true, Ordering::Relaxed);
-                    reply
-                }
+            result = &mut relayed => match result {
+                Err(error) => (error, direct.await),
+                done => return Hedged { result: done, is_other_open: true },
             },
         };
-        decode(reply?).ok_or(StoreError::Unclear)
+        let is_other_open = first == StoreError::Unclear;
+        // Nothing was written only if that is certain of both ways.
+        let result = other.map_err(|other| if is_other_open { first } else { other });
+        Hedged { result, is_other_open }
     }
 
     /// Renews a lease by a direct call to the store, without the relay.
@@ -170,7 +185,7 @@
             _ => None,
         };
         if !self.is_relayed() {
-            return self.hedged("page", self.inner.page(prefix, after), call, decode).await;
+            return self.hedged("page", self.inner.page(prefix, after), call, decode).await.result;
         }
         decode(self.relayed("page", call()).await?).ok_or(StoreError::Unclear)
     }
@@ -199,7 +214,14 @@
             _ => None,
         };
         if !self.is_relayed() {
-            return self.hedged("commit", self.inner.commit(transaction), call, decode).await;
+            let direct = self.inner.commit(transaction);
+            return match self.hedged("commit", direct, call, decode).await {
+                // The other way may have executed the transaction before the lease ended.
+                Hedged { result: Ok(CommitResult::LeaseGone), is_other_open: true } => {
+                    Err(StoreError::Unclear)
+                }
+                hedged => hedged.result,
+            };
         }
         decode(self.relayed("commit", call()).await?).ok_or(StoreError::Unclear)
     }
