Do not take a refused write for undone while an earlier try may take effect

A worker answers "nothing was done" to an offer whose acceptance is refused, and the front may answer 503, which promises that the job never runs. Cause: commit_once forgot earlier tries without a reply when a later one met an ended lease (the earlier one may have been executed under it) or a key that must not exist (it may be removed, and the earlier try be executed then). Its error was that of the last try only. Change: after a try without a reply these are Unclear; a failed condition on a revision above 0 still refuses for good, and so do the first key and a write that proves an earlier try (may_take_effect in sesamewall-fleet, pure). Evidence: only_a_changed_revision_stops_an_earlier_try tests the decision; its use in commit_once has no test of its own. The stand-in checks conditions before leases and breaks no connections, so no process test can reach the refusal within the 0.95 s of a front.

--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -9,6 +9,8 @@
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::ResultList;
+use sesamewall_fleet::WriteCondition;
+use sesamewall_fleet::may_take_effect;
 use sesamewall_ports::CommitResult;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
@@ -110,13 +112,23 @@
             Ok(CommitResult::Conflict(items)) => {
                 context.on_store_result(true, &"");
                 let result = conflict(transaction, proof, &items);
+                let is_open = unclear > 0 && may_take_effect(&conditions(transaction, &items));
                 info!(context.log, "write conflicts"; "key" => key, "unclear" => unclear,
-                    "end" => format!("{result:?}"), "present" => describe(&items));
-                return Ok(result);
+                    "end" => format!("{result:?}"), "open" => is_open,
+                    "present" => describe(&items));
+                return match result {
+                    WriteResult::Refused if is_open => Err(StoreError::Unclear),
+                    result => Ok(result),
+                };
             }
             Ok(CommitResult::LeaseGone) => {
                 info!(context.log, "write without its lease"; "key" => key, "unclear" => unclear);
-                return Ok(WriteResult::Refused);
+                // An earlier try may have taken effect before the lease ended.
+                return if unclear > 0 {
+                    Err(StoreError::Unclear)
+                } else {
+                    Ok(WriteResult::Refused)
+                };
             }
             Err(error) => error,
         };
@@ -128,7 +140,7 @@
             context.on_store_result(false, &error);
         }
         if context.now() + RETRY_DELAY >= until || error == StoreError::TooLarge {
-            return Err(error);
+            return Err(if unclear > 0 { StoreError::Unclear } else { error });
         }
         tokio::time::sleep(RETRY_DELAY).await;
         context.wait_for_store(until.since(context.now())).await;
@@ -144,6 +156,15 @@
     items.iter().map(item).collect::<Vec<_>>().join(", ")
 }
 
+/// Returns the conditions of a transaction that met `items`.
+fn conditions(transaction: &Transaction, items: &[StoredItem]) -> Vec<WriteCondition> {
+    let condition = |(key, expected): &(String, u64)| {
+        let present = items.iter().find(|item| item.key == *key);
+        WriteCondition { expected: *expected, present: present.map_or(0, |item| item.revision) }
+    };
+    transaction.expect.iter().map(condition).collect()
+}
+
 fn conflict(transaction: &Transaction, proof: usize, items: &[StoredItem]) -> WriteResult {
     let write = transaction.writes.get(proof);
     let earlier = write.and_then(|write| {
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -8,6 +8,8 @@
 mod completion_forecast;
 #[path = "decisions/hub_selection.rs"]
 mod hub_selection;
+#[path = "decisions/late_writes.rs"]
+mod late_writes;
 #[path = "decisions/pause_guard.rs"]
 mod pause_guard;
 #[path = "decisions/peers.rs"]
