Answer 504 to the end of a job whose worker gave no reply

Cause: a front whose request for an end got no reply from the worker reads the job next, and answers 503 if the store cannot be read, though the worker may have stopped the job and write its end. Change: 504 in that case. From reading; no test.

--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -443,17 +443,24 @@
         account: Option<&AccountName>,
     ) -> Result<HttpResponse, Error> {
         let until = self.context.now() + COMMIT_TIMEOUT;
+        let mut outcome_unknown = false;
         if let Some(owner) = self.owners(account).into_iter().next() {
             let reply =
                 self.send_request(owner, JobRequest::End(job.clone()), COMMIT_TIMEOUT).await;
             match reply {
                 Ok(JobReply::Done) => return Ok(empty(StatusCode::OK)),
                 Ok(JobReply::Unclear) => return Ok(empty(StatusCode::GATEWAY_TIMEOUT)),
-                _ => {}
+                Ok(JobReply::NotHere) | Err(CallError::NotSent) => {}
+                _ => outcome_unknown = true,
             }
         }
         // Only a job that exists can be ended.
-        self.load_view(job, account).await?;
+        match self.load_view(job, account).await {
+            Err(Error::StoreUnavailable { .. }) if outcome_unknown => {
+                return Ok(empty(StatusCode::GATEWAY_TIMEOUT));
+            }
+            view => view?,
+        };
         let transaction = job_store::end_transaction(job);
         let result = job_store::commit_once(&self.context, &transaction, 0, until).await;
         info!(self.context.log, "job ended by its client"; "job" => %job, "worker" => false,
