Do not deny an acceptance that another request has begun

A second submission of a job at the same worker is told "nothing was done", and its front may answer 503, while the first one is accepted. Cause: the second one waits for as long as the job is counted in its account's queue. The queue is dropped when any job of it turns out to be accepted already or refused, also while the first write is under way or has no reply. A worker that drains did not look at all. Change: the wait ends when the acceptance has, and the reply is Accepted if the store has the job, otherwise Unclear; so it is at a worker that drains while the acceptance is written. From reading; no test of its own.

--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -83,7 +83,9 @@
             return JobReply::Accepted(Some(Box::new(job.head.clone())));
         }
         if self.context.is_draining() {
-            return JobReply::NotHere;
+            // Another request may have begun the acceptance.
+            let begun = self.accepting().contains(&name);
+            return if begun { JobReply::Unclear } else { JobReply::NotHere };
         }
         if let Some(reply) = self.refuse_late(&name, &offer).await {
             return reply;
@@ -217,12 +219,14 @@
             if let Some(job) = self.jobs().get(&name) {
                 return JobReply::Accepted(Some(Box::new(job.head.clone())));
             }
-            if !self.queues().jobs(queue).contains(id) {
-                return JobReply::NotHere;
+            let counted = self.queues().jobs(queue).contains(id);
+            if !counted && !self.accepting().contains(&name) {
+                break;
             }
             tokio::time::sleep(ACCEPT_POLL_INTERVAL).await;
         }
-        // Whether another worker has accepted the job is certain only if the store confirms it.
+        // The job may have been accepted by another worker or by a write without a reply, and the
+        // queue is also lost with the acceptance of another job.
         match self.context.store.item(&JobKey::Head.of(&name)).await {
             Ok(Some(_)) => JobReply::Accepted(None),
             _ => JobReply::Unclear,
