Claim a queue again after an acceptance without a reply

Callers saw: on a route with a limit of waiting tokens, 429 for jobs that fit, and 504 for each repeat of a job whose acceptance had got no reply, for as long as the worker holds the queue. Cause: the tokens of such a job stay reserved as pending, since the write may still take effect. No read of the open jobs and nothing else removes a pending job, and each repeat of the job waits for an acceptance that nobody writes any more. Change: after an unclear acceptance the worker drops the queue. The next offer claims it: the new revision ends all writes under the former one, and the read after it counts the job only if the store has it. This also bounds how late such an acceptance can take effect. Evidence: a_lost_acceptance_does_not_fill_the_queue_of_its_account loses one acceptance for 22 s on a route with 1,000 tokens; before, the next job of 900 tokens was not accepted within 20 s ("a job that was never accepted is counted"). Now it and the lost job are accepted and complete; the limits tests pass.

--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -104,6 +104,11 @@
         self.accepting().insert(name.clone());
         tokio::spawn(async move {
             let reply = worker.write_acceptance(&name, &queue, offer, queue_claim).await;
+            if matches!(reply, JobReply::Unclear) {
+                // The next offer claims the queue again. The write cannot take effect after that,
+                // and the job is counted only if the store has it.
+                worker.queues().on_lost(&queue);
+            }
             worker.accepting().remove(&name);
             // A front that no longer waits needs no reply.
             let _ = sender.send(reply);
--- a/tests/platform/late_effects.rs
+++ b/tests/platform/late_effects.rs
@@ -7,7 +7,9 @@
 use serde_json::Value;
 use sesamewall_platform_standin::LateWrites;
 use sesamewall_platform_standin::StandinTarget;
+use sesamewall_platform_standin::configuration;
 
+use crate::fixture::PROPAGATION_TIME;
 use crate::fixture::TestFleet;
 use crate::fixture::wait_until;
 
@@ -17,6 +19,9 @@
 /// Time after which a worker gives up the write of a group of results.
 const GROUP_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time after which a worker gives up the acceptance of a job on a route with a limit.
+const ACCEPTANCE_TIMEOUT: Duration = Duration::from_secs(22);
+
 fn items(count: usize) -> Vec<String> {
     (0..count).map(|n| format!("item{n:02}")).collect()
 }
@@ -118,3 +123,37 @@
     fleet.store.put_bytes("sesamewall/hub/a/size", b"9 12");
     assert!(wait_until(has_size(b"1 1")).await, "the earlier size stays");
 }
+
+/// Guards against an account that is refused for good: the tokens of a job whose acceptance was given
+/// up without a reply stay counted, and each repeat of the job waits for that acceptance.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_acceptance_does_not_fill_the_queue_of_its_account() {
+    let fleet = TestFleet::start(1, 1).await;
+    let mut limited = configuration(2, 1000.0, 1000.0);
+    limited["routes"][4]["maxQueued"] = 1000.into();
+    fleet.store.put("op/config", &limited);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let front = fleet.fronts[0].caller_address();
+    let list = items(9);
+    let is_accepted = |job: &'static str, count: usize| {
+        let (client, list) = (fleet.client.clone(), list[..count].to_vec());
+        move || {
+            let (client, list) = (client.clone(), list.clone());
+            async move {
+                client.submit(front, job, &list).await.is_some_and(|reply| reply.status == 202)
+            }
+        }
+    };
+    assert!(wait_until(is_accepted("job0", 1)).await);
+    fleet.wait_results(0, "job0", 1).await;
+    let lost = LateWrites { key_end: "/claim".to_owned(), delay: NEVER, count: u32::MAX };
+    fleet.store.write_late(Some(lost));
+    let response = fleet.client.submit(front, "job1", &list).await;
+    assert_eq!(response.expect("a response").status, 504);
+    tokio::time::sleep(ACCEPTANCE_TIMEOUT).await;
+    fleet.store.write_late(None);
+    assert!(wait_until(is_accepted("job2", 9)).await, "a job that was never accepted is counted");
+    fleet.wait_results(0, "job2", 9).await;
+    assert!(wait_until(is_accepted("job1", 9)).await, "the job itself cannot be accepted");
+    fleet.wait_results(0, "job1", 9).await;
+}
