--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -9,6 +9,8 @@
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::ResultList;
+use sesamewall_fleet::WriteCondition;
+use sesamewall_fleet::may_take_effect;
 use sesamewall_ports::CommitResult;
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoreWrite;
@@ -98,11 +100,29 @@
     proof: usize,
     until: Time,
 ) -> Result<WriteResult, StoreError> {
-    Ok(match commit_until(context, transaction, until).await? {
-        CommitResult::Done(revision) => WriteResult::Done(revision),
-        CommitResult::Conflict(items) => conflict(transaction, proof, &items),
-        CommitResult::LeaseGone => WriteResult::Refused,
-    })
+    let Commit { result, unclear } = commit_until(context, transaction, until).await?;
+    match result {
+        CommitResult::Done(revision) => Ok(WriteResult::Done(revision)),
+        CommitResult::Conflict(items) => match conflict(transaction, proof, &items) {
+            WriteResult::Refused
+                if unclear > 0 && may_take_effect(&conditions(transaction, &items)) =>
+            {
+                Err(StoreError::Unclear)
+            }
+            result => Ok(result),
+        },
+        // An earlier try may have taken effect before the lease ended.
+        CommitResult::LeaseGone if unclear > 0 => Err(StoreError::Unclear),
+        CommitResult::LeaseGone => Ok(WriteResult::Refused),
+    }
+}
+
+/// The result of the last try of a transaction, and the number of tries before that got no reply.
+pub struct Commit {
+    /// The result.
+    pub result: CommitResult,
+    /// Number of earlier tries that may have taken effect, or may still do so.
+    pub unclear: u32,
 }
 
 /// Commits a transaction, and sends it again until `until` while its result is unknown. A conflict
@@ -111,7 +131,7 @@
     context: &InstanceContext,
     transaction: &Transaction,
     until: Time,
-) -> Result<CommitResult, StoreError> {
+) -> Result<Commit, StoreError> {
     let key = transaction.writes.first().map(|write| write.key.as_str()).unwrap_or_default();
     let mut unclear = 0;
     loop {
@@ -129,7 +149,7 @@
                             "unclear" => unclear);
                     }
                 }
-                return Ok(result);
+                return Ok(Commit { result, unclear });
             }
             Err(error) => error,
         };
@@ -141,7 +161,7 @@
             context.on_store_result(false, &error);
         }
         if context.now() + RETRY_DELAY >= until || error == StoreError::TooLarge {
-            return Err(error);
+            return Err(if unclear > 0 { StoreError::Unclear } else { error });
         }
         tokio::time::sleep(RETRY_DELAY).await;
         context.wait_for_store(until.since(context.now())).await;
@@ -157,6 +177,15 @@
     items.iter().map(item).collect::<Vec<_>>().join(", ")
 }
 
+/// Returns the conditions of a transaction that met `items`.
+fn conditions(transaction: &Transaction, items: &[StoredItem]) -> Vec<WriteCondition> {
+    let condition = |(key, expected): &(String, u64)| {
+        let present = items.iter().find(|item| item.key == *key);
+        WriteCondition { expected: *expected, present: present.map_or(0, |item| item.revision) }
+    };
+    transaction.expect.iter().map(condition).collect()
+}
+
 fn conflict(transaction: &Transaction, proof: usize, items: &[StoredItem]) -> WriteResult {
     let write = transaction.writes.get(proof);
     let earlier = write.and_then(|write| {
--- a/crates/sesamewall-edge/src/worker_claims.rs
+++ b/crates/sesamewall-edge/src/worker_claims.rs
@@ -146,7 +146,8 @@
             expect.extend(closing.iter().map(|key| (key.clone(), 0)));
             let writes = vec![StoreWrite { key: key.clone(), value: value.clone(), lease }];
             let transaction = Transaction { expect, writes, removes: Vec::new() };
-            let items = match job_store::commit_until(&self.context, &transaction, until).await {
+            let commit = job_store::commit_until(&self.context, &transaction, until).await;
+            let items = match commit.map(|commit| commit.result) {
                 Ok(CommitResult::Done(revision)) => return ClaimEnd::Done(revision),
                 Ok(CommitResult::Conflict(items)) => items,
                 Ok(CommitResult::LeaseGone) | Err(_) => return ClaimEnd::Unknown(former),
--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -84,7 +84,9 @@
             return JobReply::Accepted(Some(Box::new(job.head.clone())));
         }
         if self.context.is_draining() {
-            return JobReply::NotHere;
+            // Another request may have begun the acceptance.
+            let begun = self.accepting().contains(&name);
+            return if begun { JobReply::Unclear } else { JobReply::NotHere };
         }
         if let Some(reply) = self.refuse_late(&name, &offer).await {
             return reply;
@@ -103,6 +105,11 @@
         self.accepting().insert(name.clone());
         tokio::spawn(async move {
             let reply = worker.write_acceptance(&name, &queue, offer, queue_claim).await;
+            if matches!(reply, JobReply::Unclear) {
+                // The next offer claims the queue again. The write cannot take effect after that,
+                // and the job is counted only if the store has it.
+                worker.queues().on_lost(&queue);
+            }
             worker.accepting().remove(&name);
             // A front that no longer waits needs no reply.
             let _ = sender.send(reply);
@@ -218,12 +225,14 @@
             if let Some(job) = self.jobs().get(&name) {
                 return JobReply::Accepted(Some(Box::new(job.head.clone())));
             }
-            if !self.queues().jobs(queue).contains(id) {
-                return JobReply::NotHere;
+            let counted = self.queues().jobs(queue).contains(id);
+            if !counted && !self.accepting().contains(&name) {
+                break;
             }
             tokio::time::sleep(ACCEPT_POLL_INTERVAL).await;
         }
-        // Whether another worker has accepted the job is certain only if the store confirms it.
+        // The job may have been accepted by another worker or by a write without a reply, and the
+        // queue is also lost with the acceptance of another job.
         match self.context.store.item(&JobKey::Head.of(&name)).await {
             Ok(Some(_)) => JobReply::Accepted(None),
             _ => JobReply::Unclear,
