Play seeded series of overlapping faults on a fleet of real processes

Tests of single faults did not show accepted jobs that nobody runs. The soak draws a schedule from a seed: frozen, killed, stopped and restarted processes, store outages, silenced and refused instances, lost replies and late writes, retirements, evacuations, configurations, and faults of targets, in series that overlap. Callers keep their connections, and batch clients submit, read, repeat and end jobs meanwhile. Afterwards the record is checked: jobs complete within finishS, positions stay on each front, requests that may run once run once, 429 and 503 mean not run, requests that were passed on have a response, ended jobs stop, and no process ends by itself.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -22,6 +22,8 @@
 mod responses;
 #[path = "platform/shutdown.rs"]
 mod shutdown;
+#[path = "platform/soak.rs"]
+mod soak;
 #[path = "platform/target_news.rs"]
 mod target_news;
 #[path = "platform/unframed.rs"]
--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
@@ -40,10 +41,15 @@
 pub struct Process {
     file: SettingsFile,
     path: PathBuf,
+    logs: Option<PathBuf>,
     child: Option<Child>,
 }
 
 impl Process {
+    pub fn name(&self) -> &str {
+        &self.file.name
+    }
+
     pub fn ip(&self) -> IpAddr {
         self.file.ip
     }
@@ -62,11 +68,11 @@
         self.child = Some(child);
     }
 
-    /// Returns the destination of the log: a file in the folder that `LOG_VARIABLE` names, to
-    /// examine a failure; otherwise nothing is kept.
+    /// Returns the destination of the log: a file in the folder for logs, to examine a failure;
+    /// without one nothing is kept.
     fn log(&self) -> Stdio {
-        let Some(folder) = std::env::var_os(LOG_VARIABLE) else { return Stdio::null() };
-        let path = PathBuf::from(folder).join(format!("{}-{}.log", self.file.name, self.file.port));
+        let Some(folder) = &self.logs else { return Stdio::null() };
+        let path = folder.join(format!("{}-{}.log", self.file.name, self.file.port));
         let file = std::fs::File::options().create(true).append(true).open(path);
         file.expect("a folder for logs").into()
     }
@@ -110,6 +116,11 @@
         text.and_then(|text| text.parse().ok()).expect("a number of kB")
     }
 
+    /// Returns the status with which the process has ended; `None` while it runs, and after `kill`.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut()?.try_wait().ok().flatten()
+    }
+
     pub async fn wait_exit(&mut self) -> bool {
         let child = self.child.as_mut().expect("a started process");
         let deadline = Instant::now() + WAIT_LIMIT;
@@ -129,6 +140,24 @@
     }
 }
 
+/// Size and surroundings of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    pub fronts: usize,
+    pub workers: usize,
+    /// Whether stand-ins hold the hub records of failure domain `a`.
+    pub with_hubs: bool,
+    /// Folder for the logs of the processes.
+    pub logs: Option<PathBuf>,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        let logs = std::env::var_os(LOG_VARIABLE).map(PathBuf::from);
+        Self { fronts: 1, workers: 0, with_hubs: false, logs }
+    }
+}
+
 pub struct TestFleet {
     pub store: StandinStore,
     pub targets: Vec<StandinTarget>,
@@ -159,16 +188,18 @@
     /// Starts a store, two targets, `fronts` fronts and `workers` workers, and waits until the
     /// fronts are ready.
     pub async fn start(fronts: usize, workers: usize) -> Self {
-        Self::start_fleet(fronts, workers, false).await
+        Self::start_with(FleetSettings { fronts, workers, ..FleetSettings::default() }).await
     }
 
     /// Starts a store, two targets, stand-ins for the hubs of failure domain `a`, and one front,
     /// which is a member, and waits until it is ready.
     pub async fn start_member() -> Self {
-        Self::start_fleet(1, 0, true).await
+        Self::start_with(FleetSettings { with_hubs: true, ..FleetSettings::default() }).await
     }
 
-    async fn start_fleet(fronts: usize, workers: usize, with_hubs: bool) -> Self {
+    /// Starts a store, two targets and the processes, and waits until the fronts are ready.
+    pub async fn start_with(settings: FleetSettings) -> Self {
+        let FleetSettings { fronts, workers, with_hubs, logs } = settings;
         let store = StandinStore::start().await;
         let mut targets = Vec::new();
         for (name, domain) in [("t1", "a"), ("t2", "b")] {
@@ -209,7 +240,7 @@
             };
             let path = folder.path().join(format!("{}.toml", file.name));
             file.write(&path).expect("a temporary folder");
-            let mut process = Process { file, path, child: None };
+            let mut process = Process { file, path, logs: logs.clone(), child: None };
             process.start();
             processes.push(process);
         }
