Lose the holders of claims while writes are late, and show that the soak's checks can fail

Two breached records, one of online requests and one of batch jobs, have to be reported by each check. A series of late writes kills or freezes the workers that hold the newest open job one after the other, since a late claim takes effect only if the claim in the store is gone by then.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -1,5 +1,7 @@
 //! Seeded soak: a fleet under series of faults that overlap, with checks on the record afterwards.
 
+#[path = "soak/breaches.rs"]
+mod breaches;
 #[path = "soak/clients.rs"]
 mod clients;
 #[path = "soak/player.rs"]
--- a/tests/platform/soak/clients.rs
+++ b/tests/platform/soak/clients.rs
@@ -149,7 +149,7 @@
         let items = if is_large { rng.random_range(25..=40) } else { rng.random_range(2..=10) };
         let ends_after = rng.random_bool(0.2).then(|| rng.random_range(200..5000));
         plans.push(JobPlan {
-            name: format!("s{seed}j{}", plans.len()),
+            name: format!("s{seed}j{:03}", plans.len()),
             at,
             items,
             ends_after: ends_after.map(Duration::from_millis),
--- a/tests/platform/soak/player.rs
+++ b/tests/platform/soak/player.rs
@@ -101,9 +101,7 @@
 
     /// Ends all faults and waits until each process that was not removed runs.
     pub async fn heal(&mut self) {
-        for number in 0..self.states.len() {
-            self.apply(&Action::Resume(number));
-        }
+        self.apply(&Action::Recover);
         self.silenced.clear();
         self.refused.clear();
         let store = &self.fleet.store;
@@ -126,9 +124,6 @@
             self.heal_target(target);
         }
         self.world.record.end(Harm::Store);
-        for number in 0..self.states.len() {
-            self.apply(&Action::Start(number));
-        }
         while self.states.iter().any(|state| matches!(state, State::Stopping { .. })) {
             tokio::time::sleep(POLL_INTERVAL).await;
             self.poll();
@@ -241,6 +236,20 @@
             | Action::Start(_)
             | Action::Terminate(_)
             | Action::Reload(_) => self.apply_to_process(action),
+            Action::KillHolder | Action::FreezeHolder => {
+                if let Some(number) = self.holder() {
+                    self.apply_to_process(&match action {
+                        Action::KillHolder => Action::Kill(number),
+                        _ => Action::Freeze(number),
+                    });
+                }
+            }
+            Action::Recover => {
+                for number in 0..self.states.len() {
+                    self.apply_to_process(&Action::Resume(number));
+                    self.apply_to_process(&Action::Start(number));
+                }
+            }
             Action::Full(..)
             | Action::Cut(..)
             | Action::Stall(..)
@@ -297,6 +306,19 @@
         }
     }
 
+    /// Returns the worker that holds the claim on the newest open job.
+    fn holder(&self) -> Option<usize> {
+        let jobs = self.world.record.open_jobs();
+        let claims = jobs.iter().rev().filter_map(|job| self.fleet.claim(job));
+        let number = |claim: Vec<u8>| {
+            let text = String::from_utf8_lossy(&claim).into_owned();
+            let name = text.split_whitespace().next()?;
+            let worker = self.fleet.workers.iter().position(|worker| worker.name() == name)?;
+            Some(self.fleet.fronts.len() + worker)
+        };
+        claims.filter_map(number).next()
+    }
+
     fn apply_to_store(&mut self, action: &Action) {
         let store = self.fleet.store.clone();
         match *action {
--- a/tests/platform/soak/schedule.rs
+++ b/tests/platform/soak/schedule.rs
@@ -27,6 +27,11 @@
     Start(usize),
     Terminate(usize),
     Reload(usize),
+    /// Hits the worker that holds the claim on the newest open job.
+    KillHolder,
+    FreezeHolder,
+    /// Resumes or starts all processes.
+    Recover,
     StoreDown(bool),
     Silence(usize, bool),
     Refuse(usize, bool),
@@ -174,20 +179,23 @@
                 let at = self.start();
                 self.push(at, Action::Compact);
             }
-            _ => {
-                let key_end = ["/claim", "/claim", "/end", ""][self.rng.random_range(0..4)];
-                let (delay_ms, count) =
-                    (self.rng.random_range(1000..=6000), self.rng.random_range(1..=4));
-                let at = self.rng.random_range(START_TIME_MS..14_000);
-                self.push(at, Action::WriteLate { key_end, delay_ms, count });
-                // Often the writer dies or freezes meanwhile.
-                if self.flag() {
-                    let (worker, pause) = (self.process(), self.rng.random_range(300..2500));
-                    self.push(at + pause, Action::Freeze(worker));
-                    self.push(at + pause + 4500, Action::Resume(worker));
-                }
-            }
+            _ => self.late_series(),
+        }
+    }
+
+    /// Writes that are executed late, while the workers that hold the jobs are lost one by one.
+    fn late_series(&mut self) {
+        let key_end = ["/claim", "/claim", "/end", ""][self.rng.random_range(0..4)];
+        let (delay_ms, count) = (self.rng.random_range(1000..=6000), self.rng.random_range(1..=6));
+        let mut at = self.rng.random_range(START_TIME_MS..14_000);
+        self.push(at, Action::WriteLate { key_end, delay_ms, count });
+        for _ in 0..self.rng.random_range(0..=3) {
+            at += self.rng.random_range(100..2500);
+            let action = if self.flag() { Action::KillHolder } else { Action::FreezeHolder };
+            self.push(at, action);
         }
+        at += self.rng.random_range(500..5000);
+        self.push(at, Action::Recover);
     }
 
     fn operator_series(&mut self) {
