--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -54,6 +54,10 @@
 /// Time without a start of an item or a new result after which nobody works on an open job.
 const STANDSTILL_TIME: Duration = Duration::from_secs(5);
 
+/// Least time without faults: an end is acknowledged, and its items may start for `cancelMs` after
+/// the instances were stable for `stableMs`.
+const SHORTEST_CALM: Duration = Duration::from_secs(7);
+
 /// Time without faults after which a soak ends although items still run.
 const LONGEST_CALM: Duration = Duration::from_secs(60);
 
@@ -182,13 +186,18 @@
             let requests = targets.iter().flat_map(StandinTarget::requests);
             requests.filter(|request| request.path.starts_with("/jobs/")).count()
         };
+        let mut completed = None;
         let (mut starts, mut last_start) = (item_starts(&self.fleet.targets), healed);
         loop {
             tokio::time::sleep(LOOK_INTERVAL).await;
             self.poll();
             let open = world.record.open_jobs();
-            if open.is_empty() {
-                return healed.elapsed();
+            let complete = open.is_empty().then(|| *completed.get_or_insert(healed.elapsed()));
+            if let Some(time) = complete {
+                if healed.elapsed() >= SHORTEST_CALM {
+                    return time;
+                }
+                continue;
             }
             let count = item_starts(&self.fleet.targets);
             if count != starts {
--- a/tests/platform/soak/player.rs
+++ b/tests/platform/soak/player.rs
@@ -20,7 +20,11 @@
 use crate::soak::schedule::Action;
 use crate::soak::schedule::Event;
 use crate::soak::schedule::ODD_ENTRIES;
+use crate::soak::schedule::OperatorAction;
+use crate::soak::schedule::ProcessAction;
+use crate::soak::schedule::StoreAction;
 use crate::soak::schedule::TARGETS;
+use crate::soak::schedule::TargetAction;
 
 /// Time after SIGTERM at which the platform kills a process (`gracePeriodS`).
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
@@ -60,7 +64,6 @@
     silenced: BTreeSet<usize>,
     refused: BTreeSet<usize>,
     version: u64,
-    extra: bool,
 }
 
 impl Player {
@@ -68,7 +71,7 @@
     pub fn new(fleet: TestFleet, world: Arc<World>) -> Self {
         let states = vec![State::Running; fleet.fronts.len() + fleet.workers.len()];
         let (silenced, refused) = (BTreeSet::new(), BTreeSet::new());
-        let mut player = Self { fleet, world, states, silenced, refused, version: 1, extra: false };
+        let mut player = Self { fleet, world, states, silenced, refused, version: 1 };
         player.configure(false);
         for target in 0..TARGETS {
             player.heal_target(target);
@@ -83,8 +86,10 @@
         }
     }
 
-    fn ips(&mut self, numbers: &BTreeSet<usize>) -> Vec<IpAddr> {
-        numbers.iter().map(|number| self.process(*number).ip()).collect()
+    fn ips(&self, numbers: &BTreeSet<usize>) -> Vec<IpAddr> {
+        let processes = self.fleet.fronts.iter().chain(&self.fleet.workers).enumerate();
+        let chosen = processes.filter(|(number, _)| numbers.contains(number));
+        chosen.map(|(_, process)| process.ip()).collect()
     }
 
     /// Plays all events at their times.
@@ -115,7 +120,7 @@
             store.remove(&key);
         }
         for worker in 0..self.fleet.workers.len() {
-            self.apply(&Action::TakeBack { worker, removes: false });
+            self.end_retirement(worker, false);
         }
         for shape in 0..ODD_ENTRIES {
             self.apply(&Action::OddEntry(shape, false));
@@ -181,7 +186,6 @@
 
     fn configure(&mut self, extra: bool) {
         self.version += 1;
-        self.extra = extra;
         let mut document = configuration(self.version, 1000.0, 1000.0);
         let mut routes = document["routes"].as_array().cloned().unwrap_or_default();
         for route in &mut routes {
@@ -229,80 +233,62 @@
     }
 
     fn apply(&mut self, action: &Action) {
-        match action {
-            Action::Freeze(_)
-            | Action::Resume(_)
-            | Action::Kill(_)
-            | Action::Start(_)
-            | Action::Terminate(_)
-            | Action::Reload(_) => self.apply_to_process(action),
-            Action::KillHolder | Action::FreezeHolder => {
+        match *action {
+            Action::Process(number, action) => self.apply_to_process(number, action),
+            Action::Holder(action) => {
                 if let Some(number) = self.holder() {
-                    self.apply_to_process(&match action {
-                        Action::KillHolder => Action::Kill(number),
-                        _ => Action::Freeze(number),
-                    });
+                    self.apply_to_process(number, action);
                 }
             }
             Action::Recover => {
                 for number in 0..self.states.len() {
-                    self.apply_to_process(&Action::Resume(number));
-                    self.apply_to_process(&Action::Start(number));
+                    self.apply_to_process(number, ProcessAction::Resume);
+                    self.apply_to_process(number, ProcessAction::Start);
                 }
             }
-            Action::Full(..)
-            | Action::Cut(..)
-            | Action::Stall(..)
-            | Action::Slow(..)
-            | Action::Crash(_)
-            | Action::WrongIds(..)
-            | Action::Leave(_)
-            | Action::RemoveEntry(_)
-            | Action::Return(_)
-            | Action::OddEntry(..) => self.apply_to_target(action),
-            Action::Retire(_)
-            | Action::TakeBack { .. }
-            | Action::Evacuate(..)
-            | Action::Configure { .. } => self.apply_as_operator(action),
-            _ => self.apply_to_store(action),
+            Action::Store(ref action) => self.apply_to_store(action),
+            Action::Silence(number, begins) => {
+                self.world.record.begin(Harm::Store);
+                change(&mut self.silenced, number, begins);
+                self.fleet.store.blackhole(&self.ips(&self.silenced));
+            }
+            Action::Refuse(number, begins) => {
+                self.world.record.begin(Harm::Store);
+                change(&mut self.refused, number, begins);
+                self.fleet.store.rate_limit_from(&self.ips(&self.refused));
+            }
+            Action::Operator(ref action) => self.apply_as_operator(action),
+            Action::Target(target, action) => self.apply_to_target(target, action),
+            Action::OddEntry(shape, true) => {
+                let key = format!("servers/odd-{shape}");
+                self.fleet.store.put_bytes(&key, &self.odd_entry(shape));
+            }
+            Action::OddEntry(shape, false) => {
+                self.fleet.store.remove(&format!("servers/odd-{shape}"));
+            }
         }
     }
 
-    fn apply_to_process(&mut self, action: &Action) {
-        let (Action::Freeze(number)
-        | Action::Resume(number)
-        | Action::Kill(number)
-        | Action::Start(number)
-        | Action::Terminate(number)
-        | Action::Reload(number)) = *action
-        else {
-            return;
-        };
-        let runs = matches!(self.states[number], State::Running | State::Stopping { .. });
-        match action {
-            Action::Freeze(_) if runs => {
+    fn apply_to_process(&mut self, number: usize, action: ProcessAction) {
+        match (action, &mut self.states[number]) {
+            (ProcessAction::Start, State::Down) => self.start(number),
+            (ProcessAction::Start, State::Stopping { starts, .. }) => *starts = true,
+            (ProcessAction::Start, _) | (_, State::Down | State::Removed) => {}
+            (ProcessAction::Freeze, _) => {
                 self.world.record.begin(Harm::Frozen(number));
                 self.process(number).signal("STOP");
             }
-            Action::Resume(_) if runs => {
+            (ProcessAction::Resume, _) => {
                 self.process(number).signal("CONT");
                 self.world.record.end(Harm::Frozen(number));
             }
-            Action::Kill(_) if runs => self.kill(number),
-            Action::Start(_) => match &mut self.states[number] {
-                State::Down => self.start(number),
-                State::Stopping { starts, .. } => *starts = true,
-                State::Running | State::Removed => {}
-            },
-            Action::Terminate(_) if self.states[number] == State::Running => {
+            (ProcessAction::Kill, _) => self.kill(number),
+            (ProcessAction::Terminate, State::Running) => {
                 self.process(number).terminate();
-                let since = Instant::now();
-                self.states[number] = State::Stopping { since, starts: false };
-            }
-            Action::Reload(_) if self.states[number] == State::Running => {
-                self.process(number).signal("HUP");
+                self.states[number] = State::Stopping { since: Instant::now(), starts: false };
             }
-            _ => {}
+            (ProcessAction::Reload, State::Running) => self.process(number).signal("HUP"),
+            (ProcessAction::Terminate | ProcessAction::Reload, _) => {}
         }
     }
 
@@ -319,119 +305,91 @@
         claims.filter_map(number).next()
     }
 
-    fn apply_to_store(&mut self, action: &Action) {
-        let store = self.fleet.store.clone();
+    fn apply_to_store(&self, action: &StoreAction) {
+        let store = &self.fleet.store;
         match *action {
-            Action::StoreDown(down) => {
-                self.harm(Harm::Store, true);
-                store.set_down(down);
-            }
-            Action::Silence(number, begins) => {
-                self.harm(Harm::Store, true);
-                change(&mut self.silenced, number, begins);
-                let silenced = self.silenced.clone();
-                store.blackhole(&self.ips(&silenced));
-            }
-            Action::Refuse(number, begins) => {
-                self.harm(Harm::Store, true);
-                change(&mut self.refused, number, begins);
-                let refused = self.refused.clone();
-                store.rate_limit_from(&self.ips(&refused));
-            }
-            Action::DropReplies(count) => {
-                self.harm(Harm::Store, true);
-                store.drop_replies(count);
-            }
-            Action::DropRepliesTo(key_end) => {
-                self.harm(Harm::Store, true);
-                store.drop_replies_to(key_end);
-            }
-            Action::WriteLate { key_end, delay_ms, count } => {
-                self.harm(Harm::Store, true);
+            StoreAction::Compact => return store.compact(),
+            StoreAction::Down(down) => store.set_down(down),
+            StoreAction::DropReplies(count) => store.drop_replies(count),
+            StoreAction::DropRepliesTo(key_end) => store.drop_replies_to(key_end),
+            StoreAction::WriteLate { key_end, delay_ms, count } => {
                 let (key_end, delay) = (key_end.to_owned(), Duration::from_millis(delay_ms));
                 store.write_late(Some(LateWrites { key_end, delay, count }));
             }
-            Action::Compact => store.compact(),
-            _ => {}
         }
+        self.world.record.begin(Harm::Store);
     }
 
-    fn apply_as_operator(&mut self, action: &Action) {
+    fn apply_as_operator(&mut self, action: &OperatorAction) {
         let store = self.fleet.store.clone();
         match *action {
-            Action::Retire(worker) => {
+            OperatorAction::Retire(worker) => {
                 let key = format!("op/retire/{}", self.fleet.workers[worker].name());
                 store.put(&key, &json!({ "periodS": 10 }));
             }
-            Action::TakeBack { worker, removes } => {
-                let (number, name) =
-                    (self.fleet.fronts.len() + worker, self.fleet.workers[worker].name());
-                let (key, status) = (format!("op/retire/{name}"), format!("status/retire/{name}"));
-                if store.value(&key).is_none() || self.states[number] == State::Removed {
-                    return;
-                }
-                let is_empty = store
-                    .value(&status)
-                    .is_some_and(|value| String::from_utf8_lossy(&value).contains("completed"));
-                let removed = self.states.iter().filter(|state| **state == State::Removed);
-                let stay = self.fleet.workers.len() - removed.count() - 1;
-                if removes && is_empty && stay >= FEWEST_WORKERS {
-                    self.kill(number);
-                    self.states[number] = State::Removed;
-                    return;
-                }
-                store.remove(&key);
-                if is_empty {
-                    store.remove(&status);
-                }
+            OperatorAction::EndRetirement { worker, removes } => {
+                self.end_retirement(worker, removes);
             }
-            Action::Evacuate(domain, true) => {
+            OperatorAction::Evacuate(domain, true) => {
                 store.put(&format!("op/evacuate/{domain}"), &json!({}));
             }
-            Action::Evacuate(domain, false) => store.remove(&format!("op/evacuate/{domain}")),
-            Action::Configure { extra } => self.configure(extra),
-            _ => {}
+            OperatorAction::Evacuate(domain, false) => {
+                store.remove(&format!("op/evacuate/{domain}"));
+            }
+            OperatorAction::Configure { extra } => self.configure(extra),
         }
     }
 
-    fn apply_to_target(&mut self, action: &Action) {
-        let targets = self.fleet.targets.clone();
-        match *action {
-            Action::Full(target, full) => targets[target].set_full(full),
-            Action::Cut(target, event) => {
-                self.harm(Harm::Target(target), event.is_some());
-                targets[target].cut_after(event);
-            }
-            Action::Stall(target, event) => {
-                self.harm(Harm::Target(target), event.is_some());
-                targets[target].stall_after(event.map(|event| (event, STALL_TIME)));
-            }
-            Action::Slow(target, slow) => targets[target].set_event_interval(match slow {
-                true => SLOW_EVENT_INTERVAL,
-                false => EVENT_INTERVAL,
-            }),
-            Action::Crash(target) => {
-                self.harm(Harm::Target(target), true);
-                targets[target].crash();
-                self.harm(Harm::Target(target), false);
+    fn end_retirement(&mut self, worker: usize, removes: bool) {
+        let store = self.fleet.store.clone();
+        let (number, name) = (self.fleet.fronts.len() + worker, self.fleet.workers[worker].name());
+        let (key, status) = (format!("op/retire/{name}"), format!("status/retire/{name}"));
+        if store.value(&key).is_none() || self.states[number] == State::Removed {
+            return;
+        }
+        let is_empty = store
+            .value(&status)
+            .is_some_and(|value| String::from_utf8_lossy(&value).contains("completed"));
+        let removed = self.states.iter().filter(|state| **state == State::Removed).count();
+        if removes && is_empty && removed + FEWEST_WORKERS < self.fleet.workers.len() {
+            self.kill(number);
+            self.states[number] = State::Removed;
+            return;
+        }
+        store.remove(&key);
+        if is_empty {
+            store.remove(&status);
+        }
+    }
+
+    fn apply_to_target(&mut self, target: usize, action: TargetAction) {
+        let (standin, harm) = (self.fleet.targets[target].clone(), Harm::Target(target));
+        match action {
+            TargetAction::Full(full) => standin.set_full(full),
+            TargetAction::Cut(event) => {
+                self.harm(harm, event.is_some());
+                standin.cut_after(event);
             }
-            Action::WrongIds(target, wrong) => {
-                self.harm(Harm::Target(target), wrong);
-                targets[target].corrupt_ids(wrong);
+            TargetAction::Stall(event) => {
+                self.harm(harm, event.is_some());
+                standin.stall_after(event.map(|event| (event, STALL_TIME)));
             }
-            Action::Leave(target) => self.put_entry(target, true),
-            Action::RemoveEntry(target) => {
-                self.fleet.store.remove(&format!("servers/{}", targets[target].name));
+            TargetAction::Slow(true) => standin.set_event_interval(SLOW_EVENT_INTERVAL),
+            TargetAction::Slow(false) => standin.set_event_interval(EVENT_INTERVAL),
+            TargetAction::Crash => {
+                self.harm(harm, true);
+                standin.crash();
+                self.harm(harm, false);
             }
-            Action::Return(target) => self.put_entry(target, false),
-            Action::OddEntry(shape, true) => {
-                let key = format!("servers/odd-{shape}");
-                self.fleet.store.put_bytes(&key, &self.odd_entry(shape));
+            TargetAction::WrongIds(wrong) => {
+                self.harm(harm, wrong);
+                standin.corrupt_ids(wrong);
             }
-            Action::OddEntry(shape, false) => {
-                self.fleet.store.remove(&format!("servers/odd-{shape}"));
+            TargetAction::Leave => self.put_entry(target, true),
+            TargetAction::RemoveEntry => {
+                self.fleet.store.remove(&format!("servers/{}", standin.name));
             }
-            _ => {}
+            TargetAction::Return => self.put_entry(target, false),
         }
     }
 
--- a/tests/platform/soak/schedule.rs
+++ b/tests/platform/soak/schedule.rs
@@ -18,52 +18,70 @@
 /// Shapes of entries that name no target to use.
 pub const ODD_ENTRIES: usize = 5;
 
-/// Processes are numbered from 0: fronts, then workers.
+/// What happens to the fleet or its surroundings. Processes are numbered from 0: fronts, then
+/// workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    Freeze(usize),
-    Resume(usize),
-    Kill(usize),
-    Start(usize),
-    Terminate(usize),
-    Reload(usize),
+    Process(usize, ProcessAction),
     /// Hits the worker that holds the claim on the newest open job.
-    KillHolder,
-    FreezeHolder,
+    Holder(ProcessAction),
     /// Resumes or starts all processes.
     Recover,
-    StoreDown(bool),
+    Store(StoreAction),
+    /// Calls of an instance to the store get no reply, or 429.
     Silence(usize, bool),
     Refuse(usize, bool),
+    Operator(OperatorAction),
+    Target(usize, TargetAction),
+    OddEntry(usize, bool),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessAction {
+    Freeze,
+    Resume,
+    Kill,
+    Start,
+    Terminate,
+    Reload,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreAction {
+    Down(bool),
     DropReplies(u32),
     DropRepliesTo(Option<&'static str>),
-    WriteLate {
-        key_end: &'static str,
-        delay_ms: u64,
-        count: u32,
-    },
+    WriteLate { key_end: &'static str, delay_ms: u64, count: u32 },
     Compact,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorAction {
     Retire(usize),
-    /// The operator takes a retirement back, or removes the machine if it has reported.
-    TakeBack {
+    /// Takes a retirement back, or removes the machine if it has reported.
+    EndRetirement {
         worker: usize,
         removes: bool,
     },
     Evacuate(&'static str, bool),
-    /// A new configuration, with or without a second key and the route that comes and goes.
+    /// Writes a configuration, with or without a second key and the route that comes and goes.
     Configure {
         extra: bool,
     },
-    Full(usize, bool),
-    Cut(usize, Option<u64>),
-    Stall(usize, Option<u64>),
-    Slow(usize, bool),
-    Crash(usize),
-    WrongIds(usize, bool),
-    Leave(usize),
-    RemoveEntry(usize),
-    Return(usize),
-    OddEntry(usize, bool),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetAction {
+    Full(bool),
+    Cut(Option<u64>),
+    Stall(Option<u64>),
+    Slow(bool),
+    Crash,
+    WrongIds(bool),
+    /// The entry says that the target leaves, is removed, or is there again.
+    Leave,
+    RemoveEntry,
+    Return,
 }
 
 #[derive(Clone, Debug)]
@@ -137,25 +155,25 @@
             let time = self.rng.random_range(150..5000);
             match kind {
                 0 | 1 => {
-                    self.push(at, Action::Freeze(process));
-                    self.push(at + time, Action::Resume(process));
+                    self.push(at, Action::Process(process, ProcessAction::Freeze));
+                    self.push(at + time, Action::Process(process, ProcessAction::Resume));
                 }
                 2 => {
-                    self.push(at, Action::Kill(process));
-                    self.push(at + time / 2, Action::Start(process));
+                    self.push(at, Action::Process(process, ProcessAction::Kill));
+                    self.push(at + time / 2, Action::Process(process, ProcessAction::Start));
                 }
                 3 => {
-                    self.push(at, Action::Terminate(process));
+                    self.push(at, Action::Process(process, ProcessAction::Terminate));
                     // A start waits for the end of the process.
-                    self.push(at + time, Action::Start(process));
+                    self.push(at + time, Action::Process(process, ProcessAction::Start));
                     at += 3000;
                 }
                 4 => {
-                    self.push(at, Action::Freeze(process));
-                    self.push(at + time, Action::Kill(process));
-                    self.push(at + time + 300, Action::Start(process));
+                    self.push(at, Action::Process(process, ProcessAction::Freeze));
+                    self.push(at + time, Action::Process(process, ProcessAction::Kill));
+                    self.push(at + time + 300, Action::Process(process, ProcessAction::Start));
                 }
-                _ => self.push(at, Action::Reload(process)),
+                _ => self.push(at, Action::Process(process, ProcessAction::Reload)),
             }
             at += time + self.rng.random_range(200..2500);
         }
@@ -163,24 +181,27 @@
 
     fn store_series(&mut self) {
         let process = self.process();
-        match self.rng.random_range(0..8) {
-            0 => self.span(4000, Action::StoreDown(true), Action::StoreDown(false)),
-            1 => self.span(6000, Action::Silence(process, true), Action::Silence(process, false)),
-            2 => self.span(6000, Action::Refuse(process, true), Action::Refuse(process, false)),
-            3 => {
-                let (at, count) = (self.start(), self.rng.random_range(1..=4));
-                self.push(at, Action::DropReplies(count));
+        let key_end = ["/claim", "/end", "/complete"][self.rng.random_range(0..3)];
+        let count = self.rng.random_range(1..=4);
+        let (longest_ms, begin, end) = match self.rng.random_range(0..8) {
+            0 => (4000, StoreAction::Down(true), StoreAction::Down(false)),
+            1 => (6000, StoreAction::DropReplies(count), StoreAction::DropReplies(0)),
+            2 => {
+                let begin = StoreAction::DropRepliesTo(Some(key_end));
+                (3000, begin, StoreAction::DropRepliesTo(None))
             }
+            3 => (3000, StoreAction::Compact, StoreAction::Compact),
             4 => {
-                let end = ["/claim", "/end", "/complete"][self.rng.random_range(0..3)];
-                self.span(3000, Action::DropRepliesTo(Some(end)), Action::DropRepliesTo(None));
+                let end = Action::Silence(process, false);
+                return self.span(6000, Action::Silence(process, true), end);
             }
             5 => {
-                let at = self.start();
-                self.push(at, Action::Compact);
+                let end = Action::Refuse(process, false);
+                return self.span(6000, Action::Refuse(process, true), end);
             }
-            _ => self.late_series(),
-        }
+            _ => return self.late_series(),
+        };
+        self.span(longest_ms, Action::Store(begin), Action::Store(end));
     }
 
     /// Writes that are executed late, while the workers that hold the jobs are lost one by one.
@@ -188,71 +209,56 @@
         let key_end = ["/claim", "/claim", "/end", ""][self.rng.random_range(0..4)];
         let (delay_ms, count) = (self.rng.random_range(1000..=6000), self.rng.random_range(1..=6));
         let mut at = self.rng.random_range(START_TIME_MS..14_000);
-        self.push(at, Action::WriteLate { key_end, delay_ms, count });
+        self.push(at, Action::Store(StoreAction::WriteLate { key_end, delay_ms, count }));
         for _ in 0..self.rng.random_range(0..=3) {
             at += self.rng.random_range(100..2500);
-            let action = if self.flag() { Action::KillHolder } else { Action::FreezeHolder };
-            self.push(at, action);
+            let kills = self.flag();
+            let action = if kills { ProcessAction::Kill } else { ProcessAction::Freeze };
+            self.push(at, Action::Holder(action));
         }
         at += self.rng.random_range(500..5000);
         self.push(at, Action::Recover);
     }
 
     fn operator_series(&mut self) {
-        match self.rng.random_range(0..4) {
-            0 | 1 if self.workers > 2 => {
+        let (longest_ms, begin, end) = match self.rng.random_range(0..4) {
+            0 | 1 => {
                 let worker = self.rng.random_range(0..self.workers);
                 let removes = self.flag();
-                let end = Action::TakeBack { worker, removes };
-                self.span(8000, Action::Retire(worker), end);
+                let end = OperatorAction::EndRetirement { worker, removes };
+                (8000, OperatorAction::Retire(worker), end)
             }
             2 => {
                 let domain = if self.flag() { "a" } else { "b" };
-                let end = Action::Evacuate(domain, false);
-                self.span(4000, Action::Evacuate(domain, true), end);
+                let end = OperatorAction::Evacuate(domain, false);
+                (4000, OperatorAction::Evacuate(domain, true), end)
             }
             _ => {
-                let mut at = self.start();
-                for number in 0..self.rng.random_range(1..=4) {
-                    self.push(at, Action::Configure { extra: number % 2 == 1 });
-                    at += self.rng.random_range(100..1500);
-                }
+                let end = OperatorAction::Configure { extra: self.flag() };
+                (1500, OperatorAction::Configure { extra: true }, end)
             }
-        }
+        };
+        self.span(longest_ms, Action::Operator(begin), Action::Operator(end));
     }
 
     fn target_series(&mut self) {
-        let target = self.rng.random_range(0..TARGETS);
-        match self.rng.random_range(0..8) {
-            0 => self.span(4000, Action::Full(target, true), Action::Full(target, false)),
-            1 => {
-                let event = self.rng.random_range(0..9);
-                self.span(3000, Action::Cut(target, Some(event)), Action::Cut(target, None));
-            }
-            2 => {
-                let event = self.rng.random_range(0..9);
-                self.span(3000, Action::Stall(target, Some(event)), Action::Stall(target, None));
-            }
-            3 => self.span(4000, Action::Slow(target, true), Action::Slow(target, false)),
-            4 => {
-                let mut at = self.start();
-                for _ in 0..self.rng.random_range(1..=3) {
-                    self.push(at, Action::Crash(target));
-                    at += self.rng.random_range(300..2000);
-                }
-            }
-            5 => self.span(2000, Action::WrongIds(target, true), Action::WrongIds(target, false)),
-            6 => {
-                let begin = match self.flag() {
-                    true => Action::Leave(target),
-                    false => Action::RemoveEntry(target),
-                };
-                self.span(5000, begin, Action::Return(target));
-            }
+        let (target, event) =
+            (self.rng.random_range(0..TARGETS), Some(self.rng.random_range(0..9)));
+        let (longest_ms, begin, end) = match self.rng.random_range(0..8) {
+            0 => (4000, TargetAction::Full(true), TargetAction::Full(false)),
+            1 => (3000, TargetAction::Cut(event), TargetAction::Cut(None)),
+            2 => (3000, TargetAction::Stall(event), TargetAction::Stall(None)),
+            3 => (4000, TargetAction::Slow(true), TargetAction::Slow(false)),
+            4 => (2000, TargetAction::Crash, TargetAction::Crash),
+            5 => (2000, TargetAction::WrongIds(true), TargetAction::WrongIds(false)),
+            6 if self.flag() => (5000, TargetAction::Leave, TargetAction::Return),
+            6 => (5000, TargetAction::RemoveEntry, TargetAction::Return),
             _ => {
                 let shape = self.rng.random_range(0..ODD_ENTRIES);
-                self.span(6000, Action::OddEntry(shape, true), Action::OddEntry(shape, false));
+                let end = Action::OddEntry(shape, false);
+                return self.span(6000, Action::OddEntry(shape, true), end);
             }
-        }
+        };
+        self.span(longest_ms, Action::Target(target, begin), Action::Target(target, end));
     }
 }
