--- a/tests/platform/soak/schedule.rs
+++ b/tests/platform/soak/schedule.rs
@@ -206,14 +206,22 @@
 
     /// Writes that are executed late, while the workers that hold the jobs are lost one by one.
     fn late_series(&mut self) {
-        let key_end = ["/claim", "/claim", "/end", ""][self.rng.random_range(0..4)];
+        let key_end = ["/claim", "/claim", "/claim", "/end", ""][self.rng.random_range(0..5)];
         let (delay_ms, count) = (self.rng.random_range(1000..=6000), self.rng.random_range(1..=6));
-        let mut at = self.rng.random_range(START_TIME_MS..14_000);
-        self.push(at, Action::Store(StoreAction::WriteLate { key_end, delay_ms, count }));
-        for _ in 0..self.rng.random_range(0..=3) {
-            at += self.rng.random_range(100..2500);
-            let kills = self.flag();
-            let action = if kills { ProcessAction::Kill } else { ProcessAction::Freeze };
+        let mut at = self.rng.random_range(START_TIME_MS..10_000);
+        // A holder whose lease has ended comes back while the claim of the next one is late.
+        if self.flag() {
+            self.push(at, Action::Holder(ProcessAction::Freeze));
+            let back = at + self.rng.random_range(2500..5000);
+            self.push(back, Action::Recover);
+            at += self.rng.random_range(0..3000);
+        }
+        let late = StoreAction::WriteLate { key_end, delay_ms, count };
+        self.push(at, Action::Store(late));
+        let actions = [ProcessAction::Kill, ProcessAction::Freeze, ProcessAction::Terminate];
+        for _ in 0..self.rng.random_range(1..=3) {
+            at += self.rng.random_range(300..3000);
+            let action = actions[self.rng.random_range(0..actions.len())];
             self.push(at, Action::Holder(action));
         }
         at += self.rng.random_range(500..5000);
