Tell findings apart whose target was late because the machine was busy

Stand-in targets note the requests with an event that was 100 ms later than intended. It stays a finding: the relay ends a stream whose target is silent if no other target has a place (a_stream_waits_for_its_silent_target_if_no_other_has_a_place).

--- a/tests/platform/soak/record.rs
+++ b/tests/platform/soak/record.rs
@@ -244,6 +244,7 @@
         for request in &requests {
             *runs.entry(request.header("sesamewall-request-id")).or_default() += 1;
         }
+        let late: BTreeSet<String> = targets.iter().flat_map(StandinTarget::late_ids).collect();
         let calls = self.lock().calls.clone();
         let mut ends: BTreeMap<String, usize> = BTreeMap::new();
         for call in &calls {
@@ -253,7 +254,9 @@
                 let (sent, ended) = (self.time(call.sent), self.time(call.ended));
                 let Call { id, path, front, .. } = call;
                 let text = format!("{fault}: request {id} {path} at front {front}, sent {sent}");
-                self.find(format!("{text}, ended {ended}, {runs} runs"));
+                let busy =
+                    if late.contains(id) { ", its target late on a busy machine" } else { "" };
+                self.find(format!("{text}, ended {ended}, {runs} runs{busy}"));
             }
         }
         format!("{ends:?}")
