--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -32,6 +32,8 @@
 mod retirement;
 #[path = "platform/shutdown.rs"]
 mod shutdown;
+#[path = "platform/soak.rs"]
+mod soak;
 #[path = "platform/target_news.rs"]
 mod target_news;
 #[path = "platform/unframed.rs"]
