Begin one lease at a time

After a pause of a process its claims on jobs vanish once more 3 s later, and items run twice. Cause: the task that claims the hub record begins a lease whenever the local one is not certainly valid, beside the task that renews it: at the start of a worker, and after each pause, in which the lease may well last on. The second lease replaces the first; nobody renews the first one, and the claims under it, which count as held (they have the value of this process), vanish with it. A lost lease was forgotten even if another had been begun meanwhile. Change: a lease is begun under a lock and only if there is none; an expired one is renewed or replaced by the task that keeps it, and claims of hub records wait for that. Evidence: a_process_begins_one_lease_at_a_time obtains the lease twice at once; before: "left: (Ok(2), Ok(1)), right: (Ok(1), Ok(1))". The processes' part is from reading.

--- a/crates/sesamewall-edge/src/lease.rs
+++ b/crates/sesamewall-edge/src/lease.rs
@@ -29,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct ProcessLease {
     current: Mutex<Current>,
+    /// Held while a lease is begun.
+    beginning: tokio::sync::Mutex<()>,
 }
 
 impl ProcessLease {
@@ -47,10 +49,6 @@
         self.current.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn set(&self, lease: u64, until: Time) {
-        *self.lock() = Current { lease, until };
-    }
-
     /// Ends the lease in the store, which removes its keys at once.
     pub async fn end(&self, context: &InstanceContext) {
         let lease = std::mem::take(&mut *self.lock()).lease;
@@ -61,25 +59,27 @@
         }
     }
 
-    /// Returns the valid lease, or begins one.
+    /// Returns the valid lease, or begins one if there is none.
     ///
     /// # Errors
     ///
-    /// Returns the store's error.
+    /// Returns the store's error, or `Unavailable` while it is unknown whether the lease still
+    /// holds.
     pub async fn obtain(&self, context: &InstanceContext) -> Result<u64, StoreError> {
-        match self.valid(context.now()) {
-            Some(lease) => Ok(lease),
-            None => {
-                self.begin(context).await?;
-                Ok(self.number())
-            }
-        }
+        self.begin(context).await?;
+        self.valid(context.now()).ok_or(StoreError::Unavailable)
     }
 
+    /// Begins a lease unless there is one. A second one would replace it, and the keys under the
+    /// first would expire.
     async fn begin(&self, context: &InstanceContext) -> Result<(), StoreError> {
+        let _guard = self.beginning.lock().await;
+        if self.number() != 0 {
+            return Ok(());
+        }
         let sent = context.now();
         let lease = context.store.new_lease(LEASE_TTL.max(context.settings.min_lease)).await?;
-        self.set(lease, sent + LEASE_TTL);
+        *self.lock() = Current { lease, until: sent + LEASE_TTL };
         info!(context.log, "lease begun"; "lease" => lease);
         Ok(())
     }
@@ -93,15 +93,18 @@
             Err(_) if context.store.is_relayed() => context.store.renew(lease).await?,
             direct => direct?,
         };
-        if renewed {
+        {
             let mut current = self.lock();
-            if current.lease == lease {
-                current.until = sent + LEASE_TTL;
+            match renewed {
+                _ if current.lease != lease => return Ok(()),
+                true => {
+                    current.until = sent + LEASE_TTL;
+                    return Ok(());
+                }
+                false => *current = Current::default(),
             }
-            return Ok(());
         }
         warn!(context.log, "lease lost"; "lease" => lease);
-        self.set(0, Time::ZERO);
         self.begin(context).await
     }
 }
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -35,5 +35,6 @@
 
 pub use instance_context::InstanceContext;
 pub use instance_context::State;
+pub use lease::ProcessLease;
 pub use metrics::Metrics;
 pub use run::run;
--- a/crates/sesamewall-edge/tests/store_calls.rs
+++ b/crates/sesamewall-edge/tests/store_calls.rs
@@ -1,13 +1,16 @@
-//! Tests of calls to the store that are also sent through another instance.
+//! Tests of calls to the store that are also sent through another instance, and of the lease.
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use sesamewall_edge::InstanceContext;
+use sesamewall_edge::ProcessLease;
 use sesamewall_platform::InstanceSettings;
 use sesamewall_platform_standin::SettingsFile;
 use sesamewall_ports::CommitResult;
@@ -24,9 +27,34 @@
 /// Time that the store takes, longer than the delay before a call is sent through another instance.
 const STORE_TIME: Duration = Duration::from_millis(400);
 
-/// A store that replies to each commit after `STORE_TIME`, and to nothing else.
+/// Time after which a lease that is not renewed has expired.
+const LEASE_TIME: Duration = Duration::from_millis(3200);
+
+/// A store that begins leases and replies to commits after `STORE_TIME`, and to nothing else.
 struct SlowStore {
     reply: Result<CommitResult, StoreError>,
+    leases: AtomicU64,
+}
+
+impl SlowStore {
+    fn new(reply: Result<CommitResult, StoreError>) -> Arc<Self> {
+        Arc::new(Self { reply, leases: AtomicU64::new(0) })
+    }
+}
+
+/// Returns the context of an instance with this store. Instances listen on `port`.
+fn context(store: Arc<SlowStore>, ip: IpAddr, port: u16) -> InstanceContext {
+    let file = SettingsFile {
+        name: "front-0".to_owned(),
+        domain: "a".to_owned(),
+        ip,
+        port,
+        front: None,
+        store: SocketAddr::new(ip, port),
+        first_start: true,
+    };
+    let settings = InstanceSettings::parse("test", &file.text()).expect("valid settings");
+    InstanceContext::new(settings, store, slog::Logger::root(slog::Discard, slog::o!()))
 }
 
 #[async_trait]
@@ -58,7 +86,8 @@
     }
 
     async fn new_lease(&self, _ttl: Duration) -> Result<u64, StoreError> {
-        Err(StoreError::Unavailable)
+        tokio::time::sleep(STORE_TIME).await;
+        Ok(self.leases.fetch_add(1, Ordering::Relaxed) + 1)
     }
 
     async fn renew(&self, _lease: u64) -> Result<bool, StoreError> {
@@ -114,18 +143,7 @@
             tokio::spawn(refuse(listener));
         }
     }
-    let file = SettingsFile {
-        name: "front-0".to_owned(),
-        domain: "a".to_owned(),
-        ip,
-        port: address.port(),
-        front: None,
-        store: address,
-        first_start: true,
-    };
-    let settings = InstanceSettings::parse("test", &file.text()).expect("valid settings");
-    let log = slog::Logger::root(slog::Discard, slog::o!());
-    let context = InstanceContext::new(settings, Arc::new(SlowStore { reply }), log);
+    let context = context(SlowStore::new(reply), ip, address.port());
     context.store.relay().set_helpers(vec![ip]);
     context.store.commit(&Transaction::default()).await
 }
@@ -153,3 +171,18 @@
     assert_eq!(commit(gone.clone(), Helper::Silent).await, Err(StoreError::Unclear));
     assert_eq!(commit(gone.clone(), Helper::Gone).await, gone);
 }
+
+/// Guards against claims and hub records under a lease that nobody renews, since two tasks of the
+/// process have each begun one.
+#[tokio::test]
+async fn a_process_begins_one_lease_at_a_time() {
+    let store = SlowStore::new(Err(StoreError::Unavailable));
+    let context = context(store.clone(), IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+    let lease = ProcessLease::default();
+    let both = tokio::join!(lease.obtain(&context), lease.obtain(&context));
+    assert_eq!(both, (Ok(1), Ok(1)));
+    tokio::time::sleep(LEASE_TIME).await;
+    // The task that keeps the lease renews it, or finds that it has ended and begins another.
+    assert_eq!(lease.obtain(&context).await, Err(StoreError::Unavailable));
+    assert_eq!(store.leases.load(Ordering::Relaxed), 1);
+}
