Refuse late requests of a planned stop that cannot end in time, and answer all before the end

Report: in a planned stop of one machine, in calm, requests that came late in the grace were taken and passed on, and were cut with no answer at the end of it, among them requests that may not be repeated. Cause: a front served every request on an open connection with its route's whole time until the process ended. A stream whose head was sent before SIGTERM cannot tell its caller to close the connection, so the next request comes when the stream ends, seconds later. At 7.3 s of 8 the process ended whatever still ran; a plain answer that was not there yet left the caller with a closed connection. Change: PlannedStop decides for each request of a planned stop. One whose time limit fits is served. For 3 s (the load balancer's delay and the time for which a connection without a request is kept) others are served, too, unless the route's requests took longer lately than there is time, or half of it if they may run once: in calm nothing changes. Later only plain requests that may be repeated are served without their whole limit, if they usually end in time; a stream that is cut has no complete answer even if it may be resumed. A refusal is 503 (4004: not run) with Retry-After 0 and Connection: close, before a token is taken or anything is sent. Calls about batch jobs are refused when their longest time does not fit. A target is told no more time than the process has, and 0.15 s before the end whatever is not complete gets 504 (4009, outcome unknown), also what ran at SIGTERM; streams end incomplete. A worker beside callers drains until the same end. Measured: a_late_request_that_cannot_end_in_time_is_refused_at_once failed before (200, passed on), a_request_that_outlasts_the_grace_period_gets_an_answer, too (connection closed, no byte). Now all four tests of late requests, the three of shutdown and a_planned_stop_aborts_no_requests pass, these four unchanged; a_stream_that_outlasts_the_grace_period_ends_incomplete passed before, too. Six decisions are tested without a network. A caller that sends SIGTERM's next request within 3 s on a kept connection is served as before.

--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -22,6 +22,7 @@
 use sesamewall_fleet::RouteSpec;
 use sesamewall_fleet::StallSettings;
 use sesamewall_fleet::StartLimits;
+use sesamewall_fleet::StopRequest;
 use sesamewall_fleet::part_key;
 use sesamewall_fleet::place;
 use sesamewall_platform::ACCOUNT;
@@ -152,6 +153,25 @@
         self.headers.get(LAST_EVENT_ID)?.to_str().ok()?.trim().parse().ok()
     }
 
+    /// Returns whether the instance serves the request although it may be about to end.
+    pub fn is_served(&self, context: &InstanceContext) -> bool {
+        let now = context.now();
+        let state = context.state();
+        let request = StopRequest {
+            kind: self.route.kind,
+            deadline: self.deadline,
+            longest: state.durations.longest(&self.route.name),
+        };
+        state.stop.serves(&request, now)
+    }
+
+    /// Records that the response has ended.
+    pub fn on_end(&self, context: &InstanceContext) {
+        let now = context.now();
+        let duration = now.since(self.arrived);
+        context.state().durations.on_end(&self.route.name, duration, now);
+    }
+
     /// Returns the request id as text.
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
@@ -170,10 +190,17 @@
     }
 
     /// Returns the request for the next attempt. `after` is the id of the last event that was
-    /// forwarded.
-    pub fn attempt_request(&self, after: Option<u64>, now: Time) -> AttemptRequest {
+    /// forwarded. In a planned stop the target gets no more time than the process has.
+    pub fn attempt_request(
+        &self,
+        context: &InstanceContext,
+        after: Option<u64>,
+        now: Time,
+    ) -> AttemptRequest {
         let mut headers = self.headers.clone();
-        let remaining = self.deadline.since(now).saturating_sub(RETURN_MARGIN);
+        let answers_until = context.state().stop.answers_until();
+        let until = answers_until.map_or(self.deadline, |until| until.min(self.deadline));
+        let remaining = until.since(now).saturating_sub(RETURN_MARGIN);
         headers.insert(DEADLINE_MS, HeaderValue::from(remaining.as_millis() as u64));
         if let Some(after) = after {
             headers.insert(LAST_EVENT_ID, HeaderValue::from(after));
--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -22,8 +22,11 @@
 use sesamewall_fleet::PauseGuard;
 use sesamewall_fleet::PeerSettings;
 use sesamewall_fleet::Peers;
+use sesamewall_fleet::PlannedStop;
 use sesamewall_fleet::PoisonParts;
 use sesamewall_fleet::RateSettings;
+use sesamewall_fleet::RouteDurations;
+use sesamewall_fleet::StopSettings;
 use sesamewall_fleet::TargetTable;
 use sesamewall_fleet::UnreadableEntries;
 use sesamewall_fleet::UpdateSources;
@@ -37,6 +40,7 @@
 use sesamewall_protocol::Time;
 use slog::Logger;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::Metrics;
 use crate::byte_budget::ByteBudget;
@@ -76,6 +80,10 @@
     pub poison_parts: PoisonParts,
     /// Items that wait for a free slot at the local worker.
     pub backlog: u32,
+    /// The planned stop of the process.
+    pub stop: PlannedStop,
+    /// How long requests took lately.
+    pub durations: RouteDurations,
 }
 
 impl State {
@@ -148,6 +156,8 @@
     /// Wakes the watches of the store when the instance begins to watch for its failure domain.
     pub watch_started: Notify,
     watches_store: AtomicBool,
+    /// Time by which all answers must be complete, in a planned stop.
+    answers_until: watch::Sender<Option<Time>>,
     state: Mutex<State>,
     store_lost: AtomicBool,
     store_recovered: Notify,
@@ -158,6 +168,10 @@
     pub fn new(settings: InstanceSettings, store: Arc<dyn LeaseStore>, log: Logger) -> Self {
         let metrics = Arc::new(Metrics::default());
         let port = settings.peer_port;
+        let stop_settings = StopSettings {
+            grace_period: settings.platform_limits.grace_period,
+            ..StopSettings::default()
+        };
         let local = Identity {
             name: settings.instance.clone(),
             domain: settings.domain.clone(),
@@ -180,6 +194,7 @@
             update_available: Notify::new(),
             watch_started: Notify::new(),
             watches_store: AtomicBool::new(false),
+            answers_until: watch::Sender::new(None),
             state: Mutex::new(State {
                 catalog: None,
                 document: Bytes::new(),
@@ -194,6 +209,8 @@
                 crash_counts: CrashCounts::default(),
                 poison_parts: PoisonParts::default(),
                 backlog: 0,
+                stop: PlannedStop::new(stop_settings),
+                durations: RouteDurations::default(),
             }),
             store_lost: AtomicBool::new(false),
             store_recovered: Notify::new(),
@@ -239,6 +256,37 @@
         }
     }
 
+    /// Begins a planned stop. Returns the time by which the process must have ended.
+    pub fn begin_stop(&self) -> Time {
+        let now = self.now();
+        let mut state = self.state();
+        state.stop.begin(now);
+        let (answers_until, ends_at) = (state.stop.answers_until(), state.stop.ends_at());
+        drop(state);
+        self.draining.store(true, Ordering::Relaxed);
+        self.answers_until.send_replace(answers_until);
+        self.state_changed.notify_one();
+        ends_at.unwrap_or(now)
+    }
+
+    /// Waits until all answers have to be complete because the process is about to end; without a
+    /// planned stop for ever.
+    pub async fn wait_answers_due(&self) {
+        let mut answers_until = self.answers_until.subscribe();
+        loop {
+            let until = *answers_until.borrow_and_update();
+            let now = self.now();
+            match until {
+                Some(until) if until <= now => return,
+                Some(until) => tokio::time::sleep(until.since(now)).await,
+                None => {
+                    // The sender lives as long as the process.
+                    let _ = answers_until.changed().await;
+                }
+            }
+        }
+    }
+
     /// Returns whether the process stops soon.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -18,6 +18,7 @@
 use sesamewall_fleet::PoisonPart;
 use sesamewall_fleet::RouteKind;
 use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::StopRequest;
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::parse_job_call;
 use sesamewall_protocol::Error;
@@ -56,6 +57,10 @@
 /// Retry time sent to a caller when no better estimate exists.
 const DEFAULT_RETRY: Duration = Duration::from_millis(500);
 
+/// Longest time of a call about a batch job: the wait that a reader may request, and calls to the
+/// worker and the store.
+const JOB_CALL_TIME: Duration = Duration::from_millis(2500);
+
 /// A refusal or failure that is caused by the system itself, not by a target's response.
 struct Refusal {
     error: Error,
@@ -90,7 +95,12 @@
         let id = request.headers().get(REQUEST_ID).cloned();
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
-        let mut response = match self.handle(request, arrived).await {
+        let handled = tokio::select! {
+            biased;
+            handled = self.handle(request, arrived) => handled,
+            () = self.context.wait_answers_due() => Err(Refusal::new(Error::Interrupted)),
+        };
+        let mut response = match handled {
             Ok(response) => response,
             Err(refusal) => {
                 let code = refusal.error.code().to_string();
@@ -129,6 +139,7 @@
         let known_host = !catalog.host_routes(&host).is_empty();
         if let Some(call) = about_job.filter(|_| known_host) {
             let account = authenticate(&catalog, &head.headers, None)?;
+            self.check_job_time()?;
             read_body(body, catalog.limits.body_bytes, DEFAULT_TIMEOUT).await?;
             return self
                 .jobs
@@ -142,6 +153,7 @@
         let account = authenticate(&catalog, &head.headers, Some(&route))?;
         let body = read_body(body, catalog.limits.body_bytes, body_timeout(&route)).await?;
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
+            self.check_job_time()?;
             let submit = self.jobs.submit(&route, account.as_deref(), &host, &head, &body);
             return submit.await.map_err(|(error, retry)| Refusal::later(error, retry));
         }
@@ -158,11 +170,25 @@
             rand::random(),
         );
         let request = request.ok_or_else(|| Refusal::later(no_target, DEFAULT_RETRY))?;
+        if !request.is_served(&self.context) {
+            return Err(Refusal::later(Error::ShuttingDown, Duration::ZERO));
+        }
         self.wait_level(&request).await;
         self.admit(&request)?;
         self.run(Arc::new(request)).await
     }
 
+    /// Refuses a call about a batch job that may get its answer only after the process has ended.
+    fn check_job_time(&self) -> Result<(), Refusal> {
+        let now = self.context.now();
+        let deadline = now + JOB_CALL_TIME;
+        let request = StopRequest { kind: RouteKind::Batch, deadline, longest: None };
+        match self.context.state().stop.serves(&request, now) {
+            true => Ok(()),
+            false => Err(Refusal::later(Error::ShuttingDown, Duration::ZERO)),
+        }
+    }
+
     /// Returns the configuration. Shortly after a start it waits for the configuration, which
     /// usually arrives before the caller could retry.
     async fn wait_catalog(&self) -> Option<Arc<Catalog>> {
@@ -243,6 +269,9 @@
 
     async fn run(&self, request: Arc<CallerRequest>) -> Result<HttpResponse, Refusal> {
         let result = self.run_attempts(&request).await;
+        if !request.is_stream() || result.is_err() {
+            request.on_end(&self.context);
+        }
         if let Err(refusal) = &result
             && refusal.error.status() == 503
             && let Some(account) = &request.account
@@ -268,7 +297,7 @@
             };
             let limit = request
                 .stall_limit(now, runs, |settings, route| settings.first_byte(route, &placement));
-            let attempt_request = request.attempt_request(None, now);
+            let attempt_request = request.attempt_request(&self.context, None, now);
             let (table, newest) = self.context.state().table_revisions(now);
             let result = attempt(&self.context, &placement, &attempt_request, limit).await;
             info!(self.context.log, "attempt"; "request" => request.id_text(),
--- a/crates/sesamewall-edge/src/run.rs
+++ b/crates/sesamewall-edge/src/run.rs
@@ -3,7 +3,6 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -62,9 +61,6 @@
 /// apart.
 const BALANCER_DELAY: Duration = Duration::from_millis(2600);
 
-/// Time before SIGKILL at which a process must have ended.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
-
 /// Shortest time between two watches of the jobs: each watch is billed, and an ended job has to
 /// stop within some seconds.
 const JOB_WATCH_INTERVAL: Duration = Duration::from_millis(1000);
@@ -130,9 +126,7 @@
         Some(listener) => serve_callers(&context, listener, stop).await,
         None => stop.await,
     }
-    let grace = context.settings.platform_limits.grace_period.saturating_sub(KILL_MARGIN);
-    context.draining.store(true, Ordering::Relaxed);
-    context.state_changed.notify_one();
+    let ends_at = context.begin_stop();
     if let Some(worker) = worker {
         info!(context.log, "worker drains"; "items" => worker.running());
         let idle = async {
@@ -140,7 +134,8 @@
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         };
-        let _ = tokio::time::timeout(grace, idle).await;
+        let remaining = ends_at.since(context.now());
+        let _ = tokio::time::timeout(remaining, idle).await;
     }
     state_exchange::announce_departure(&exchange);
     lease.end(&context).await;
@@ -312,8 +307,7 @@
             },
             () = &mut stop, if draining_since.is_none() => {
                 draining_since = Some(tokio::time::Instant::now());
-                context.draining.store(true, Ordering::Relaxed);
-                context.state_changed.notify_one();
+                context.begin_stop();
                 info!(context.log, "instance drains");
             }
             () = sleep_until(until), if until.is_some() => break,
@@ -324,8 +318,7 @@
         serve_caller(context, &online, stream, &closing);
     }
     drop(listener);
-    let remaining =
-        context.settings.platform_limits.grace_period.saturating_sub(BALANCER_DELAY + KILL_MARGIN);
+    let remaining = context.begin_stop().since(context.now());
     closing.send_replace(true);
     if tokio::time::timeout(remaining, closing.closed()).await.is_err() {
         warn!(context.log, "connections left at the end of the grace period");
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -81,6 +81,16 @@
         if self.ended {
             return None;
         }
+        let context = self.context.clone();
+        tokio::select! {
+            biased;
+            events = self.next_events() => events,
+            () = context.wait_answers_due() => self.abort("the instance stops"),
+        }
+    }
+
+    /// Returns the next events, or the end of the stream.
+    async fn next_events(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             match self.complete_events() {
                 Ok(events) if !events.is_empty() => {
@@ -228,7 +238,7 @@
             let limit = self
                 .request
                 .stall_limit(now, self.runs, |stall, route| stall.first_byte(route, &placement));
-            let attempt_request = self.request.attempt_request(self.last_id, now);
+            let attempt_request = self.request.attempt_request(&self.context, self.last_id, now);
             let result = attempt(&self.context, &placement, &attempt_request, limit).await;
             info!(self.context.log, "stream goes on elsewhere"; "request" => self.request.id_text(),
             "after" => self.last_id, "cause" => %error, "target" => %placement.name,
@@ -259,6 +269,7 @@
     }
 
     fn log(&self, end: &str) {
+        self.request.on_end(&self.context);
         info!(self.context.log, "stream ended"; "request" => self.request.id_text(),
             "route" => &*self.request.route.name, "events" => self.events, "last" => self.last_id,
             "runs" => self.runs, "end" => end,
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -14,6 +14,8 @@
 mod peers;
 #[path = "decisions/placement.rs"]
 mod placement;
+#[path = "decisions/planned_stop.rs"]
+mod planned_stop;
 #[path = "decisions/poison_parts.rs"]
 mod poison_parts;
 #[path = "decisions/queue.rs"]
--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -166,6 +166,9 @@
         crashes: u32,
     },
 
+    /// The instance stopped before the response was complete.
+    #[display("the instance stopped before the answer was whole")]
+    Interrupted,
     /// A part of the prompt crashes targets.
     #[display("part {part} of the prompt crashes targets")]
     PoisonPart {
@@ -368,6 +371,7 @@
             Self::Cancelled => 4006,
             Self::Starting => 4007,
             Self::PoisonPart { .. } => 4008,
+            Self::Interrupted => 4009,
             Self::TargetUnreachable { .. } => 5001,
             Self::TargetLost { .. } => 5002,
             Self::AnswerMismatch { .. } => 5003,
@@ -403,6 +407,7 @@
             3001 | 3003 | 3004 | 4001 => 429,
             4005 => 422,
             4006 => 408,
+            4009 => 504,
             5002..=5004 => 502,
             9001 => 500,
             _ => 503,
@@ -435,7 +440,7 @@
             4005 => "change the request; it makes targets crash",
             4008 => "change the prompt; all prompts with this part make targets crash",
             4006 => "send the request again and keep the connection open until its end",
-            5002 | 5003 => "check whether the request took effect before sending it again",
+            4009 | 5002 | 5003 => "check whether the request took effect before sending it again",
             5004 => "see the target's own message",
             6001 => "correct the line and upload the file again",
             6002 => "split the file into several jobs",
@@ -457,6 +462,7 @@
         match self {
             Self::TargetLost { .. }
             | Self::AnswerMismatch { .. }
+            | Self::Interrupted
             | Self::Cancelled
             | Self::ItemUnclear { .. }
             | Self::Internal { .. } => Outcome::Unknown,
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -40,6 +40,7 @@
             Self::Cancelled,
             Self::Starting,
             Self::PoisonPart { part: text("part"), numbers: Vec::new() },
+            Self::Interrupted,
             Self::TargetUnreachable { target: text("target"), detail: text("detail") },
             Self::TargetLost { target: text("target"), detail: text("detail") },
             Self::AnswerMismatch { target: text("target") },
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,6 +14,8 @@
 mod handover;
 #[path = "platform/hub.rs"]
 mod hub;
+#[path = "platform/late_requests.rs"]
+mod late_requests;
 #[path = "platform/limits.rs"]
 mod limits;
 #[path = "platform/odd_entries.rs"]
