--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -18,6 +18,8 @@
 mod item_starts;
 #[path = "platform/late_effects.rs"]
 mod late_effects;
+#[path = "platform/late_requests.rs"]
+mod late_requests;
 #[path = "platform/late_writes.rs"]
 mod late_writes;
 #[path = "platform/limits.rs"]
