--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -54,10 +54,6 @@
         self.file.ip
     }
 
-    pub fn name(&self) -> &str {
-        &self.file.name
-    }
-
     pub fn caller_address(&self) -> SocketAddr {
         self.file.front.expect("a front").0
     }
