Send a record again that has not been written yet after a lost reply

Callers saw, on the product's own interface: 404 "batch does not exist" in answer to a submission, and the job runs. Cause: after a write without a reply the record is read once; a read that does not find it counted as "another value is there", though the write may take effect seconds later. Evidence: a_job_that_is_written_late_is_accepted writes the record of a job 5 s late. Before: status 404 with "batch `batch_de1840440e4633fffb0e1cc1` does not exist", and one job in the list 30 s later. Claims on segments needed nothing: a worker already claims again what it holds and does not run.

--- a/crates/sesamewall-server/src/batch/records.rs
+++ b/crates/sesamewall-server/src/batch/records.rs
@@ -31,6 +31,14 @@
     Error::StoreUnavailable { detail: error.to_string() }
 }
 
+/// Returns whether a precondition holds for an entry.
+fn holds(precondition: Precondition, found: Option<&Versioned>) -> bool {
+    match precondition {
+        Precondition::Absent => found.is_none(),
+        Precondition::Version(version) => found.is_some_and(|entry| entry.version == version),
+    }
+}
+
 pub(super) fn decode<T: DeserializeOwned>(entry: &Versioned) -> Result<T> {
     serde_json::from_slice(&entry.value)
         .map_err(|error| Error::Internal { detail: format!("record {}: {error}", entry.key) })
@@ -57,8 +65,11 @@
         let value = Bytes::from(serde_json::to_vec(record).unwrap_or_default());
         match self.store.put(key, value.clone(), expect).await {
             Ok(version) => Ok(Some(version)),
-            Err(StoreError::Conflict | StoreError::Unclear) if self.read_back => {
-                self.confirm_write(key, &value).await
+            Err(StoreError::Conflict) if self.read_back => {
+                self.confirm_write(key, &value, None).await
+            }
+            Err(StoreError::Unclear) if self.read_back => {
+                self.confirm_write(key, &value, Some(expect)).await
             }
             Err(StoreError::Conflict) => Ok(None),
             Err(error) => Err(unavailable(&error)),
@@ -66,14 +77,26 @@
     }
 
     /// Reads a key after a write without a clear result. Returns the version if the store has
-    /// `value`, or `None` if it has another value.
-    async fn confirm_write(&self, key: &str, value: &Bytes) -> Result<Option<u64>> {
+    /// `value`, or `None` if it has another value. A write without a reply, whose precondition is
+    /// given as `open`, may still take effect while that holds, so it is sent again.
+    async fn confirm_write(
+        &self,
+        key: &str,
+        value: &Bytes,
+        open: Option<Precondition>,
+    ) -> Result<Option<u64>> {
         for _ in 0..READ_BACK_TRIES {
-            match self.store.get(key).await {
-                Ok(Some(entry)) if entry.value == *value => return Ok(Some(entry.version)),
-                Ok(_) => return Ok(None),
-                Err(_) => tokio::time::sleep(READ_BACK_INTERVAL).await,
+            match (self.store.get(key).await, open) {
+                (Ok(Some(entry)), _) if entry.value == *value => return Ok(Some(entry.version)),
+                (Ok(found), Some(expect)) if holds(expect, found.as_ref()) => {
+                    if let Ok(version) = self.store.put(key, value.clone(), expect).await {
+                        return Ok(Some(version));
+                    }
+                }
+                (Ok(_), _) => return Ok(None),
+                (Err(_), _) => {}
             }
+            tokio::time::sleep(READ_BACK_INTERVAL).await;
         }
         // `StoreUnavailable` would mean that nothing was written, which is not certain here.
         Err(Error::Internal { detail: format!("whether {key} was written is not known") })
--- a/crates/sesamewall-server/tests/batch/http.rs
+++ b/crates/sesamewall-server/tests/batch/http.rs
@@ -153,6 +153,23 @@
     assert!(refused_job_exists(without).await, "the test does not detect a missing read-back");
 }
 
+/// Guards against a job that is reported as not existing and runs later: the write of its record gets
+/// no reply and takes effect after a read that does not find it.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_written_late_is_accepted() {
+    let fleet = Fleet::new(7, BatchOptions::default());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (_, file) = fleet.upload("a", &input(MODEL, 2)).await;
+    let late = ("batch/job/", Duration::from_secs(5));
+    *fleet.faults.write_late.lock().unwrap() = Some(late);
+    let (status, body) = fleet.submit("a", file["id"].as_str().unwrap(), MODEL, None).await;
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    let (_, page) = fleet.get("a", "/v1/batches").await;
+    let page: serde_json::Value = serde_json::from_slice(&page).unwrap();
+    assert_eq!(page["data"].as_array().map(Vec::len), Some(1));
+    assert_eq!(status, 200, "{body}");
+}
+
 /// Returns the number of claims for account `a` among the first twelve. Account `a` has three times
 /// the weight of `b`.
 async fn heavy_account_claims(options: BatchOptions) -> usize {
--- a/crates/sesamewall-server/tests/batch/store.rs
+++ b/crates/sesamewall-server/tests/batch/store.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -41,6 +42,9 @@
 pub struct StoreFaults {
     /// Writes to keys with this prefix take effect, but their replies are lost.
     pub drop_replies: Mutex<Option<&'static str>>,
+    /// The next write to a key with this prefix gets no reply and takes effect after this time, if
+    /// its precondition holds then.
+    pub write_late: Mutex<Option<(&'static str, Duration)>>,
     /// The next process that is about to commit is paused before its write.
     pub pause_commit: AtomicBool,
     /// The process that was paused.
@@ -94,6 +98,17 @@
             self.pause_commit(key, &value);
         }
         self.gate.pass().await;
+        let late =
+            self.faults.write_late.lock().unwrap().take_if(|(prefix, _)| key.starts_with(*prefix));
+        if let Some((_, delay)) = late {
+            let (store, key) = (self.inner.clone(), key.to_owned());
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                // The caller has given up the write.
+                let _ = store.put(&key, value, expect).await;
+            });
+            return Err(StoreError::Unclear);
+        }
         let written = self.inner.put(key, value.clone(), expect).await;
         if key.starts_with("batch/segment/") && matches!(written, Ok(_) | Err(StoreError::Unclear))
         {
