--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -207,19 +207,20 @@
 async fn a_job_ended_at_another_instance_stops() {
     let fleet = TestFleet::start(1, 2).await;
     for target in &fleet.targets {
-        target.set_event_interval(Duration::from_millis(300));
+        target.set_event_interval(Duration::from_millis(100));
     }
     let front = fleet.fronts[0].caller_address();
-    let response = fleet.client.submit(front, "job1", &items(40)).await;
+    let response = fleet.client.submit(front, "job1", &items(200)).await;
     assert_eq!(response.expect("a response").status, 202);
     let requests = || fleet.targets.iter().map(|target| target.requests().len()).sum::<usize>();
     assert!(wait_until(|| async { requests() > 0 }).await);
-    // By now both workers watch the jobs.
+    // By now both workers watch the jobs. The items take twelve seconds.
     tokio::time::sleep(Duration::from_millis(1500)).await;
     let claim = fleet.store_keys("sesamewall/job/", "/job1/claim").pop().expect("claimed");
     fleet.store.put_bytes(&claim.replace("/claim", "/end"), b"1");
     tokio::time::sleep(Duration::from_secs(3)).await;
     let before = requests();
+    assert!(before < 200, "all items ran too soon for this test");
     tokio::time::sleep(Duration::from_millis(1500)).await;
     assert_eq!(before, requests());
 }
