Give up the queue claim after an acceptance with an unknown result

A job on a route with a limit whose acceptance got no reply was counted in its queue until the result was known. If the write never took effect, the job stayed counted, and callers who sent it again got 504 each time. A write that did take effect was looked for during 20 s, and not after that.

The worker now waits for the result as long as the front does, and then gives up the queue claim. The next queue claim excludes the late acceptance, or the read after it finds the job; so a job that is sent again is accepted or known. If the write takes effect before that, the reports of the claims in the store bring the job to the worker, without a time limit: the read of 20 s is gone.

An acceptance that conflicts with a claim of the same process counted as done under the present lease. It may be from an earlier lease, and the job may be complete, so the claim is written again first.

--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -184,7 +184,39 @@
 }
 
 /// Index of the claim among the writes of an acceptance that has one.
-pub const CLAIM_WRITE: usize = 1;
+const CLAIM_WRITE: usize = 1;
+
+/// Result of an acceptance with the claim of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AcceptResult {
+    /// This call has accepted and claimed the job. Contains the revision.
+    Done(u64),
+    /// The job was accepted before, and this process has claimed it under its present or an earlier
+    /// lease. Contains the revision of the claim.
+    Claimed(u64),
+    /// The job was accepted before.
+    Known,
+    /// Another precondition failed, or the lease has ended.
+    Refused,
+}
+
+/// Commits an acceptance, and sends it again until `until` while its result is unknown.
+pub async fn accept_once(
+    context: &InstanceContext,
+    transaction: &Transaction,
+    until: Time,
+) -> Result<AcceptResult, StoreError> {
+    let items = match commit_until(context, transaction, until).await? {
+        CommitResult::Done(revision) => return Ok(AcceptResult::Done(revision)),
+        CommitResult::Conflict(items) => items,
+        CommitResult::LeaseGone => return Ok(AcceptResult::Refused),
+    };
+    Ok(match conflict(transaction, CLAIM_WRITE, &items) {
+        WriteResult::Done(revision) => AcceptResult::Claimed(revision),
+        WriteResult::Taken => AcceptResult::Known,
+        WriteResult::Refused => AcceptResult::Refused,
+    })
+}
 
 /// Returns the transaction that accepts a job, and the head of the job.
 ///
--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -31,8 +31,8 @@
 use crate::job_state::Claim;
 use crate::job_state::Job;
 use crate::job_store;
+use crate::job_store::AcceptResult;
 use crate::job_store::Acceptance;
-use crate::job_store::CLAIM_WRITE;
 use crate::job_store::JobHead;
 use crate::job_store::WriteResult;
 use crate::worker::Worker;
@@ -44,12 +44,6 @@
 /// Interval between two checks of an acceptance that another request has begun.
 const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time limit for finding out the result of an acceptance. A write can take effect seconds later.
-const RESOLVE_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Interval between two reads of a claim that a write without a reply may have written.
-const RESOLVE_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time for which the write of a group of results may be in progress before readers are sent to
 /// the store.
 const WRITE_GRACE: Duration = Duration::from_millis(150);
@@ -345,7 +339,6 @@
         queue_claim: Option<(String, u64)>,
     ) -> JobReply {
         let now = self.context.now();
-        let limited = queue_claim.is_some();
         let Some(lease) = self.lease.valid(now) else {
             self.queues().on_closed(queue, &name.id);
             return JobReply::NotHere;
@@ -365,59 +358,35 @@
                 return JobReply::NotHere;
             }
         };
-        // Without a limit no tokens are counted and the front may write the job itself, so the
-        // worker does not wait longer for the result.
-        let until = now + if limited { RESOLVE_TIMEOUT } else { ACCEPT_TIMEOUT };
-        let result = job_store::commit_once(&self.context, &transaction, CLAIM_WRITE, until).await;
+        let until = now + ACCEPT_TIMEOUT;
+        let result = job_store::accept_once(&self.context, &transaction, until).await;
         info!(self.context.log, "job submitted"; "job" => %name, "route" => &*offer.route,
             "items" => offer.spec.items.len(), "tokens" => head.tokens,
             "waiting" => self.queues().waiting(queue), "end" => format!("{result:?}"));
-        match result {
-            Ok(WriteResult::Done(revision)) => {
-                self.queues().on_accepted(queue, &name.id);
-                self.add_job(name, head.clone(), offer, Claim::Local { revision, lease });
-                JobReply::Accepted(Some(Box::new(head)))
-            }
-            Ok(WriteResult::Taken) => {
-                // The job was accepted before. The queue is removed here, so that the remaining
-                // tokens of the job are read when the queue is claimed again.
+        let claim = match result {
+            Ok(AcceptResult::Done(revision)) => Claim::Local { revision, lease },
+            // The claim is written again, since the present one may belong to an earlier lease.
+            Ok(AcceptResult::Claimed(revision)) => Claim::Free { since: now, revision },
+            // The queue is removed here, so that the remaining tokens of the job are read when the
+            // queue is claimed again.
+            Ok(AcceptResult::Known) => {
                 self.queues().on_lost(queue);
-                JobReply::Accepted(None)
+                return JobReply::Accepted(None);
             }
-            Ok(WriteResult::Refused) => {
+            Ok(AcceptResult::Refused) => {
                 self.queues().on_lost(queue);
-                JobReply::NotHere
+                return JobReply::NotHere;
             }
+            // The write may take effect until the queue is claimed again. If it does, the workers
+            // that watch the jobs report the claim.
             Err(_) => {
-                tokio::spawn(self.clone().resolve_acceptance(name.clone(), head));
-                JobReply::Unclear
-            }
-        }
-    }
-
-    /// Adopts a job whose acceptance got no reply, once the store has the claim of this worker. All
-    /// others leave a job with that claim to this worker. The claim is read, since another write
-    /// could accept a job that the front has refused.
-    async fn resolve_acceptance(self: Arc<Self>, name: JobName, head: JobHead) {
-        let key = JobKey::Claim.of(&name);
-        let mut until = self.context.now() + RESOLVE_TIMEOUT;
-        while self.context.now() < until {
-            match self.context.store.item(&key).await {
-                Ok(Some(item)) if item.value == self.claim_value() => {
-                    self.adopt(name, head, item.revision);
-                    return;
-                }
-                Ok(Some(_)) => return,
-                Ok(None) => {}
-                Err(error) => {
-                    warn!(self.context.log, "claim cannot be read"; "job" => %name,
-                        "error" => %error);
-                    self.context.wait_for_store(RESOLVE_TIMEOUT).await;
-                    until = self.context.now() + RESOLVE_TIMEOUT;
-                }
+                self.queues().on_lost(queue);
+                return JobReply::Unclear;
             }
-            tokio::time::sleep(RESOLVE_INTERVAL).await;
-        }
+        };
+        self.queues().on_accepted(queue, &name.id);
+        self.add_job(name, head.clone(), offer, claim);
+        JobReply::Accepted(Some(Box::new(head)))
     }
 
     fn add_job(self: &Arc<Self>, name: &JobName, head: JobHead, offer: JobOffer, claim: Claim) {
