Read the specification of a claimed job again if it cannot be read

A worker that claimed a job and found a part of its specification missing or undecodable logged a line and kept the claim: nothing ran, and nobody else took the job.

a_job_runs_once_its_specification_can_be_read removes the specification while the job moves to another worker, and writes it again.

--- a/crates/sesamewall-edge/src/worker_claims.rs
+++ b/crates/sesamewall-edge/src/worker_claims.rs
@@ -53,6 +53,16 @@
     Closed,
 }
 
+/// The reason why a claimed job cannot run.
+#[derive(Debug)]
+#[derive(derive_more::Display, derive_more::From)]
+enum LoadError {
+    #[display("{_0}")]
+    Store(StoreError),
+    #[display("the specification is not complete or cannot be decoded")]
+    NoSpecification,
+}
+
 impl Worker {
     /// Claims the jobs at this worker that no process has claimed: adopted jobs, and those whose
     /// claims ended with the local lease.
@@ -165,7 +175,7 @@
         }
     }
 
-    async fn load(&self, name: &JobName, parts: usize, claim: Claim) -> Result<(), StoreError> {
+    async fn load(&self, name: &JobName, parts: usize, claim: Claim) -> Result<(), LoadError> {
         let (max_attempts, delay) = LOAD_TRIES;
         let known = self.jobs().get(name).and_then(|job| job.work.spec.clone());
         let mut attempts = 0;
@@ -182,14 +192,11 @@
             };
             match read.await {
                 Ok(spec) => break (spec, results),
-                Err(error) if attempts >= max_attempts => return Err(error),
+                Err(error) if attempts >= max_attempts => return Err(error.into()),
                 Err(_) => tokio::time::sleep(delay).await,
             }
         };
-        let Some(spec) = spec else {
-            warn!(self.context.log, "job without a specification"; "job" => %name);
-            return Ok(());
-        };
+        let spec = spec.ok_or(LoadError::NoSpecification)?;
         let mut jobs = self.jobs();
         let Some(job) = jobs.get_mut(name) else { return Ok(()) };
         if job.claim != claim || !job.is_open() {
--- a/tests/platform/batch.rs
+++ b/tests/platform/batch.rs
@@ -225,6 +225,29 @@
     assert_eq!(before, requests());
 }
 
+/// Guards against a job that nobody runs because its specification could not be read when its worker
+/// claimed it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_runs_once_its_specification_can_be_read() {
+    let mut fleet = TestFleet::start(1, 2).await;
+    for target in &fleet.targets {
+        target.set_event_interval(Duration::from_millis(100));
+    }
+    let response = fleet.client.submit(fleet.fronts[0].caller_address(), "job1", &items(30)).await;
+    assert_eq!(response.expect("a response").status, 202);
+    assert!(wait_until(|| async { fleet.claim("job1").is_some() }).await);
+    let claim = fleet.claim("job1").expect("claimed");
+    let first = usize::from(String::from_utf8_lossy(&claim).starts_with("worker-2"));
+    let part = fleet.store_keys("sesamewall/spec/", "/job1/00").pop().expect("a specification");
+    let value = fleet.store.value(&part).expect("a specification");
+    fleet.store.remove(&part);
+    fleet.workers[first].kill();
+    assert!(wait_until(|| async { fleet.claim("job1").is_some_and(|now| now != claim) }).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.store.put_bytes(&part, &value);
+    assert_completed(&fleet.wait_results(0, "job1", 30).await, 30);
+}
+
 /// Guards against items that are never listed: an item that a target rejects as impossible is given
 /// up at once, and one that fails is given up after the route's attempts.
 #[tokio::test(flavor = "multi_thread")]
