--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -100,7 +100,19 @@
     proof: usize,
     until: Time,
 ) -> Result<WriteResult, StoreError> {
-    let Commit { result, unclear } = commit_until(context, transaction, until).await?;
+    settle(transaction, proof, commit_until(context, transaction, until).await?)
+}
+
+/// Returns what a commit has shown.
+///
+/// # Errors
+///
+/// Returns `Unclear` if an earlier try may have taken effect, or may still do so.
+fn settle(
+    transaction: &Transaction,
+    proof: usize,
+    Commit { result, unclear }: Commit,
+) -> Result<WriteResult, StoreError> {
     match result {
         CommitResult::Done(revision) => Ok(WriteResult::Done(revision)),
         CommitResult::Conflict(items) => match conflict(transaction, proof, &items) {
@@ -213,7 +225,38 @@
 }
 
 /// Index of the claim among the writes of an acceptance that has one.
-pub const CLAIM_WRITE: usize = 1;
+const CLAIM_WRITE: usize = 1;
+
+/// Result of an acceptance with the claim of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AcceptResult {
+    /// This call has accepted and claimed the job. Contains the revision.
+    Done(u64),
+    /// The job was accepted before, and this process has claimed it under its present or an earlier
+    /// lease. Contains the revision of the claim.
+    Claimed(u64),
+    /// The job was accepted before.
+    Known,
+    /// Another precondition failed, or the lease has ended.
+    Refused,
+}
+
+/// Commits an acceptance, and sends it again until `until` while its result is unknown.
+pub async fn accept_once(
+    context: &InstanceContext,
+    transaction: &Transaction,
+    until: Time,
+) -> Result<AcceptResult, StoreError> {
+    let commit = commit_until(context, transaction, until).await?;
+    if let CommitResult::Done(revision) = commit.result {
+        return Ok(AcceptResult::Done(revision));
+    }
+    Ok(match settle(transaction, CLAIM_WRITE, commit)? {
+        WriteResult::Done(revision) => AcceptResult::Claimed(revision),
+        WriteResult::Taken => AcceptResult::Known,
+        WriteResult::Refused => AcceptResult::Refused,
+    })
+}
 
 /// Returns the transaction that accepts a job, and the head of the job.
 ///
