Do not run a job that ended before its worker knew of its claim

Callers saw: 200 for the end of a job, and its items run afterwards. Cause: the worker's acceptance is in the store, its reply is lost; a front finds the job there, writes its end and says 200. The workers that watch the jobs tell the claim's holder to stop the job once, but it does not have the job yet. Its next try meets the conflict, finds its own claim, takes the acceptance for done, and runs the job to its end. A claim on a job found its own value in the same way and did not look at the end either. Change: the acceptance expects that the job has no end, and a conflict counts as done only if no key exists that has to be absent and that the call does not write itself: the end, or the completion. Otherwise the job was accepted before, which the front answers with 202, and it is not run. Evidence: a_job_that_was_ended_before_its_acceptance_is_known_does_not_run withholds the replies to writes of claims for 4 s and ends the job meanwhile.

--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -174,10 +174,15 @@
     let first_failed = first.is_some_and(|(key, revision)| {
         items.iter().any(|item| item.key == *key && item.revision != *revision)
     });
+    // A key that another call has written since, such as the end of the job.
+    let is_written = |key: &String| transaction.writes.iter().any(|write| write.key == *key);
+    let superseded = transaction.expect.iter().any(|(key, revision)| {
+        *revision == 0 && !is_written(key) && items.iter().any(|item| item.key == *key)
+    });
     match (earlier, first_failed) {
-        (Some(item), _) => WriteResult::Done(item.revision),
-        (None, true) => WriteResult::Taken,
-        (None, false) => WriteResult::Refused,
+        (Some(item), _) if !superseded => WriteResult::Done(item.revision),
+        (_, true) => WriteResult::Taken,
+        (_, false) => WriteResult::Refused,
     }
 }
 
@@ -223,7 +228,8 @@
     let name = JobName::new(spec.account.as_ref(), &spec.id);
     let key = JobKey::Head.of(&name);
     let value = encode(&head)?;
-    let mut expect = vec![(key.clone(), 0)];
+    // The client may end the job before the result of an acceptance without a reply is known.
+    let mut expect = vec![(key.clone(), 0), (JobKey::End.of(&name), 0)];
     let mut writes = vec![StoreWrite { key, value: value.clone(), lease: 0 }];
     if let Some((claim, lease)) = &acceptance.job_claim {
         let key = JobKey::Claim.of(&name);
--- a/tests/platform/late_effects.rs
+++ b/tests/platform/late_effects.rs
@@ -157,3 +157,33 @@
     assert!(wait_until(is_accepted("job1", 9)).await, "the job itself cannot be accepted");
     fleet.wait_results(0, "job1", 9).await;
 }
+
+/// Guards against a job that runs after its end: its client ends it before its worker learns that the
+/// acceptance took effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_was_ended_before_its_acceptance_is_known_does_not_run() {
+    let fleet = TestFleet::start(1, 1).await;
+    let mut limited = configuration(2, 1000.0, 1000.0);
+    limited["routes"][4]["maxQueued"] = 10_000.into();
+    fleet.store.put("op/config", &limited);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let front = fleet.fronts[0].caller_address();
+    let accepted = || async {
+        let response = fleet.client.submit(front, "job0", &["first".to_owned()]).await;
+        response.is_some_and(|response| response.status == 202)
+    };
+    assert!(wait_until(accepted).await);
+    fleet.wait_results(0, "job0", 1).await;
+    let ran = || fleet.targets.iter().map(|target| target.requests().len()).sum::<usize>();
+    let before = ran();
+    fleet.store.drop_replies_to(Some("/claim"));
+    let response = fleet.client.submit(front, "job1", &items(4)).await;
+    assert_eq!(response.expect("a response").status, 504);
+    assert!(fleet.claim("job1").is_some());
+    let sent = fleet.client.send(front, Method::DELETE, "/lots/job1", "d1", "key-1", Bytes::new());
+    assert_eq!(sent.await.expect("a response").status, 200);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    fleet.store.drop_replies_to(None);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(ran(), before, "items of a job that its client has ended");
+}
