Count the requests of a member that has become a hub once

What was seen: in the first seconds of a fleet, all items of a worker were preempted within 60 ms of their start, without any online request; the worker took them for 16 at a target with 8 slots.

Cause: an instance that becomes a hub stays in the group of its former hub until its last report is 1.5 s old. Its beacons replace the counts of that report, so the former hub sums them up in its own beacon, and the new hub counts its requests a second time.

Now the first beacon of an instance takes it out of the group.

Evidence: requests_of_a_member_that_became_a_hub_are_counted_once failed before (the group had its 8 items and 2 members). The counted tokens of such an instance were not examined.

--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -176,6 +176,8 @@
         for key in &beacon.departed {
             self.liveness.on_departed(*key, now);
         }
+        // A former member is no part of the group any more.
+        self.members.remove(&name);
         self.counts.on_peer_counts(&name, beacon.boot_id, &beacon.targets, false, now);
         self.hubs.insert(name, HubContact { beacon, received_at: now, direct_at });
         true
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -71,6 +71,19 @@
     assert_eq!(peers.at_target(count("t1", 0, 0, 0).key), (0, 0));
 }
 
+/// Guards against batch items that make way for themselves: a hub sends the requests of a former
+/// member, which is a hub now, back to it as those of its own group.
+#[test]
+fn requests_of_a_member_that_became_a_hub_are_counted_once() {
+    let mut peers = hub("own");
+    assert!(peers.on_report(report("f1", 1, &[count("t1", 0, 1, 1)]), at(0)));
+    assert_eq!(peers.group_state(at(10)).targets, [count("t1", 0, 1, 1)]);
+    receive_counts(&mut peers, "f1", 2, &[count("t1", 0, 8, 8)], at(100));
+    assert_eq!(peers.at_target(count("t1", 0, 0, 0).key), (0, 8));
+    let group = peers.group_state(at(100));
+    assert_eq!((group.targets, group.members.len()), (Vec::new(), 1));
+}
+
 /// Guards against counts of a former process start that are kept beside those of the new one.
 #[test]
 fn a_restart_replaces_the_counts() {
