Test retirements that change while claims are released

The stand-in store can refuse writes for this.

A comparison releases nothing while the instance does not know yet that it retires. Without that, one at the start of the process, or just before the news of a retirement, gave up the claims of idle jobs for a moment. This is from reading; no test shows it.

--- a/crates/sesamewall-edge/src/retirement.rs
+++ b/crates/sesamewall-edge/src/retirement.rs
@@ -76,11 +76,11 @@
             let state = context.state();
             (state.versions.maintenance > 0, state.maintenance.retiring.contains(&name))
         };
-        if retirement.on_asked(context.is_retiring(), now) {
-            match context.is_retiring() {
-                true => info!(context.log, "machine retires"),
-                false => info!(context.log, "retirement taken back"),
-            }
+        let retiring = context.is_retiring();
+        match retirement.on_asked(retiring, now) {
+            true if retiring => info!(context.log, "machine retires"),
+            true => info!(context.log, "retirement taken back"),
+            false => {}
         }
         let Some(worker) = &worker else {
             if named && !was_named {
@@ -244,6 +244,9 @@
     /// retirement is taken back, they are claimed again.
     async fn release_claims(&self) -> Result<bool, StoreError> {
         let context = &self.context;
+        if !context.is_retiring() {
+            return Ok(false);
+        }
         let since = context.now();
         for job in self.jobs().values_mut().filter(|job| job.is_open() && job.is_idle()) {
             if let Claim::Local { revision, .. } = job.claim {
--- a/tests/platform/retirement.rs
+++ b/tests/platform/retirement.rs
@@ -1,6 +1,7 @@
 //! Retirement of workers: an operator asks for it, and may take it back.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use sesamewall_platform_standin::LateWrites;
@@ -22,6 +23,15 @@
 /// Time after which items run again that were preempted right after their start.
 const START_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which a retiring worker preempts its items soon, and a time within which it has tried
+/// to release its claims then.
+const DRAIN_TIME: Duration = Duration::from_millis(1500);
+const STEP_TIME: Duration = Duration::from_millis(700);
+
+/// Seeds of the random run, and the steps of each.
+const SEEDS: Range<u64> = 0..1;
+const STEPS: usize = 24;
+
 /// The value that tells the operators that a machine is empty.
 const COMPLETED: &[u8] = br#"{"state":"completed"}"#;
 
@@ -223,3 +233,110 @@
     assert!(!response.headers.contains_key("connection"), "the front closes its connections");
     assert!(!is_reported(&fleet, name), "a front that serves is reported as empty");
 }
+
+/// Guards against a worker that takes jobs after a restart although its retirement stands.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_restarts_during_its_retirement_stays_retired() {
+    let mut fleet = start(1, 2).await;
+    set_event_interval(&fleet, Duration::from_millis(20));
+    let name = fleet.workers[0].name().to_owned();
+    ask(&fleet, &name);
+    wait_reported(&fleet, &name, true).await;
+    fleet.workers[0].kill();
+    fleet.workers[0].restart();
+    tokio::time::sleep(SETTLE_TIME).await;
+    assert_eq!(submit(&fleet, "job1", 4).await, 1);
+    assert_completed(&fleet.wait_results(0, "job1", 4).await, 4);
+    wait_reported(&fleet, &name, true).await;
+}
+
+/// Guards against a job that nobody runs because a late write gives its claim to a worker that is
+/// already reported as empty.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_claim_of_a_retired_worker_is_released() {
+    let fleet = start(1, 2).await;
+    set_event_interval(&fleet, Duration::from_millis(300));
+    let holder = submit(&fleet, "job1", 40).await;
+    let claim = fleet.claim("job1").expect("claimed");
+    let name = fleet.workers[holder].name();
+    ask(&fleet, name);
+    wait_reported(&fleet, name, true).await;
+    let is_adopted = || async { fleet.claim_holder("job1") == Some(1 - holder) };
+    assert!(wait_until(is_adopted).await, "the other worker has to adopt the job");
+    let key = fleet.store_keys("sesamewall/job/", "/job1/claim").pop().expect("claimed");
+    fleet.store.put_bytes(&key, &claim);
+    set_event_interval(&fleet, Duration::from_millis(5));
+    assert_completed(&fleet.wait_results(0, "job1", 40).await, 40);
+}
+
+/// Guards against a job that its worker forgets although it holds the claim: the retirement is taken
+/// back while the release of the claim has no known result.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_not_forgotten_when_a_retirement_is_taken_back_during_the_release() {
+    for is_done in [false, true] {
+        let fleet = start(1, 1).await;
+        set_event_interval(&fleet, Duration::from_millis(300));
+        submit(&fleet, "job1", 24).await;
+        let name = fleet.workers[0].name();
+        ask(&fleet, name);
+        tokio::time::sleep(DRAIN_TIME).await;
+        match is_done {
+            true => fleet.store.drop_replies(u32::MAX),
+            false => fleet.store.refuse_writes(true),
+        }
+        tokio::time::sleep(STEP_TIME).await;
+        assert!(!is_reported(&fleet, name), "reported too soon for this test");
+        take_back(&fleet, name);
+        tokio::time::sleep(STEP_TIME).await;
+        fleet.store.drop_replies(0);
+        fleet.store.refuse_writes(false);
+        set_event_interval(&fleet, Duration::from_millis(5));
+        assert_completed(&fleet.wait_results(0, "job1", 24).await, 24);
+    }
+}
+
+/// Guards against jobs that nobody runs after retirements that were asked for and taken back in
+/// turn, with lost replies, outages and a suspended worker in between.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_is_lost_while_retirements_are_asked_and_taken_back_in_turn() {
+    for seed in SEEDS {
+        let fleet = start(2, 3).await;
+        set_event_interval(&fleet, Duration::from_millis(30));
+        let mut state = seed.wrapping_mul(2_654_435_761) + 1;
+        let mut draw = |count: u64| {
+            // Constants of Knuth's MMIX generator; the upper bits are the better ones.
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            (state >> 33) % count
+        };
+        let mut jobs = Vec::new();
+        for step in 0..STEPS {
+            let worker = &fleet.workers[draw(3) as usize];
+            match draw(10) {
+                0..3 => ask(&fleet, worker.name()),
+                3..6 => take_back(&fleet, worker.name()),
+                6 => fleet.store.drop_replies(draw(6) as u32),
+                7 => fleet.store.set_down(true),
+                8 => fleet.store.compact(),
+                _ => worker.signal("STOP"),
+            }
+            let job = format!("job{step}");
+            let front = fleet.fronts[draw(2) as usize].caller_address();
+            let response = fleet.client.submit(front, &job, &items(4)).await;
+            if response.is_some_and(|response| response.status == 202) {
+                jobs.push(job);
+            }
+            tokio::time::sleep(Duration::from_millis(100 + draw(800))).await;
+            fleet.store.set_down(false);
+            worker.signal("CONT");
+        }
+        fleet.store.drop_replies(0);
+        fleet.workers.iter().for_each(|worker| take_back(&fleet, worker.name()));
+        assert!(!jobs.is_empty(), "seed {seed}: no job was accepted");
+        for job in &jobs {
+            assert_completed(&fleet.wait_results(0, job, 4).await, 4);
+        }
+        for worker in &fleet.workers {
+            wait_reported(&fleet, worker.name(), false).await;
+        }
+    }
+}
