Repeat the comparison for a front that is named in a retirement

A front that an operator names compared its status with the store once; after a failed call a status that a hub had written while the front was down would have stayed. Fronts and workers now share one loop. From reading; no test shows the fault.

--- a/crates/sesamewall-edge/src/retirement.rs
+++ b/crates/sesamewall-edge/src/retirement.rs
@@ -67,36 +67,31 @@
 /// Retires the local machine, and takes it back, as the operators ask, until the process ends.
 async fn follow_local(context: Arc<InstanceContext>, worker: Option<Arc<Worker>>) {
     let name = context.settings.instance.clone();
+    let machine = worker.as_deref().map_or(Machine::Other, Machine::Worker);
     let mut retirement = Retirement::new(RetirementSettings::default(), context.now());
-    let mut was_named = false;
     loop {
         wait_change(&context).await;
         let now = context.now();
-        let (known, named) = {
+        let (known, asked) = {
             let state = context.state();
             (state.versions.maintenance > 0, state.maintenance.retiring.contains(&name))
         };
-        let retiring = context.is_retiring();
-        match retirement.on_asked(retiring, now) {
-            true if retiring => info!(context.log, "machine retires"),
+        match retirement.on_asked(asked, now) {
+            true if asked && worker.is_none() => {
+                warn!(context.log, "retirement of an instance that is no worker ignored");
+            }
+            true if asked => info!(context.log, "machine retires"),
             true => info!(context.log, "retirement taken back"),
             false => {}
         }
-        let Some(worker) = &worker else {
-            if named && !was_named {
-                warn!(context.log, "retirement of an instance that is no worker ignored");
-                compare_logged(&context, &name, &Machine::Other).await;
-            }
-            was_named = named;
-            continue;
-        };
-        match retirement.step(&worker.remaining_load(), now) {
-            RetirementStep::Preempt => worker.preempt_all(),
-            RetirementStep::Compare if known => {
-                let agreed = compare_logged(&context, &name, &Machine::Worker(worker)).await;
+        let load = worker.as_ref().map(|worker| worker.remaining_load()).unwrap_or_default();
+        match (retirement.step(&load, now), &worker) {
+            (RetirementStep::Preempt, Some(worker)) => worker.preempt_all(),
+            (RetirementStep::Compare, worker) if known && (asked || worker.is_some()) => {
+                let agreed = compare_logged(&context, &name, &machine).await;
                 retirement.on_compared(agreed, context.now());
             }
-            RetirementStep::Compare | RetirementStep::Wait => {}
+            _ => {}
         }
     }
 }
