--- a/crates/sesamewall-edge/src/retirement.rs
+++ b/crates/sesamewall-edge/src/retirement.rs
@@ -67,36 +67,31 @@
 /// Retires the local machine, and takes it back, as the operators ask, until the process ends.
 async fn follow_local(context: Arc<InstanceContext>, worker: Option<Arc<Worker>>) {
     let name = context.settings.instance.clone();
+    let machine = worker.as_deref().map_or(Machine::Other, Machine::Worker);
     let mut retirement = Retirement::new(RetirementSettings::default(), context.now());
-    let mut was_named = false;
     loop {
         wait_change(&context).await;
         let now = context.now();
-        let (known, named) = {
+        let (known, asked) = {
             let state = context.state();
             (state.versions.maintenance > 0, state.maintenance.retiring.contains(&name))
         };
-        if retirement.on_asked(context.is_retiring(), now) {
-            match context.is_retiring() {
-                true => info!(context.log, "machine retires"),
-                false => info!(context.log, "retirement taken back"),
-            }
-        }
-        let Some(worker) = &worker else {
-            if named && !was_named {
+        match retirement.on_asked(asked, now) {
+            true if asked && worker.is_none() => {
                 warn!(context.log, "retirement of an instance that is no worker ignored");
-                compare_logged(&context, &name, &Machine::Other).await;
             }
-            was_named = named;
-            continue;
-        };
-        match retirement.step(&worker.remaining_load(), now) {
-            RetirementStep::Preempt => worker.preempt_all(),
-            RetirementStep::Compare if known => {
-                let agreed = compare_logged(&context, &name, &Machine::Worker(worker)).await;
+            true if asked => info!(context.log, "machine retires"),
+            true => info!(context.log, "retirement taken back"),
+            false => {}
+        }
+        let load = worker.as_ref().map(|worker| worker.remaining_load()).unwrap_or_default();
+        match (retirement.step(&load, now), &worker) {
+            (RetirementStep::Preempt, Some(worker)) => worker.preempt_all(),
+            (RetirementStep::Compare, worker) if known && (asked || worker.is_some()) => {
+                let agreed = compare_logged(&context, &name, &machine).await;
                 retirement.on_compared(agreed, context.now());
             }
-            RetirementStep::Compare | RetirementStep::Wait => {}
+            _ => {}
         }
     }
 }
@@ -244,6 +239,9 @@
     /// retirement is taken back, they are claimed again.
     async fn release_claims(&self) -> Result<bool, StoreError> {
         let context = &self.context;
+        if !context.is_retiring() {
+            return Ok(false);
+        }
         let since = context.now();
         for job in self.jobs().values_mut().filter(|job| job.is_open() && job.is_idle()) {
             if let Claim::Local { revision, .. } = job.claim {
