--- a/tests/platform/soak/player.rs
+++ b/tests/platform/soak/player.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::IpAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -29,6 +30,10 @@
 /// Time after SIGTERM at which the platform kills a process (`gracePeriodS`).
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Number of SIGTERM, and the time in which a process that starts may not handle it yet.
+const TERM_SIGNAL: i32 = 15;
+const START_TIME: Duration = Duration::from_secs(1);
+
 /// Interval between two looks at the processes.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -61,6 +66,8 @@
     pub fleet: TestFleet,
     world: Arc<World>,
     states: Vec<State>,
+    /// Time of the last start of each process.
+    started: Vec<Instant>,
     silenced: BTreeSet<usize>,
     refused: BTreeSet<usize>,
     version: u64,
@@ -71,7 +78,8 @@
     pub fn new(fleet: TestFleet, world: Arc<World>) -> Self {
         let states = vec![State::Running; fleet.fronts.len() + fleet.workers.len()];
         let (silenced, refused) = (BTreeSet::new(), BTreeSet::new());
-        let mut player = Self { fleet, world, states, silenced, refused, version: 1 };
+        let started = vec![Instant::now(); states.len()];
+        let mut player = Self { fleet, world, states, started, silenced, refused, version: 1 };
         player.configure(false);
         for target in 0..TARGETS {
             player.heal_target(target);
@@ -146,8 +154,10 @@
                     self.kill(number);
                     self.start(number);
                 }
-                (State::Stopping { starts, .. }, Some(status)) => {
-                    if !status.success() {
+                (State::Stopping { since, starts }, Some(status)) => {
+                    let is_early = since - self.started[number] < START_TIME;
+                    let is_default = is_early && status.signal() == Some(TERM_SIGNAL);
+                    if !status.success() && !is_default {
                         let name = self.process(number).name().to_owned();
                         self.world.record.find(format!("{name} failed in its stop: {status}"));
                     }
@@ -180,6 +190,7 @@
         let harm = Harm::Ended(number);
         self.world.record.begin(harm);
         self.process(number).restart();
+        self.started[number] = Instant::now();
         self.world.record.end(harm);
         self.states[number] = State::Running;
     }
