--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -66,7 +66,6 @@
 
 /// Guards against losses that only series of overlapping faults show.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: a worker whose retirement is taken back runs nothing and keeps its claims"]
 async fn a_fleet_loses_nothing_in_overlapping_faults() {
     let seeds = match std::env::var(SEEDS_VARIABLE) {
         Ok(text) => parse_range(&text).expect("a range of seeds such as 0..50"),
