Keep a queue claim that was written after the refused one

Cause: a refusal, or a missing reply, under an old claim of a queue dropped whichever claim was present. With several acceptances in progress under the old one, each dropped the queue anew, and the jobs in progress under the new one were refused in turn (503). Found by the review, from reading. Change: on_lost names the revision of the claim that the acceptance used.

--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -345,6 +345,7 @@
             self.queues().on_closed(queue, &name.id);
             return JobReply::NotHere;
         };
+        let queue_revision = queue_claim.as_ref().map(|(_, revision)| *revision);
         let acceptance = Acceptance { job_claim: Some((self.claim_value(), lease)), queue_claim };
         let built = job_store::accept_transaction(
             &offer.spec,
@@ -372,17 +373,17 @@
             // The queue is removed here, so that the remaining tokens of the job are read when the
             // queue is claimed again.
             Ok(AcceptResult::Known) => {
-                self.queues().on_lost(queue);
+                self.lose_queue(queue, queue_revision);
                 return JobReply::Accepted(None);
             }
             Ok(AcceptResult::Refused) => {
-                self.queues().on_lost(queue);
+                self.lose_queue(queue, queue_revision);
                 return JobReply::NotHere;
             }
             // The write may take effect until the queue is claimed again. If it does, the workers
             // that watch the jobs report the claim.
             Err(_) => {
-                self.queues().on_lost(queue);
+                self.lose_queue(queue, queue_revision);
                 return JobReply::Unclear;
             }
         };
@@ -391,6 +392,12 @@
         JobReply::Accepted(Some(Box::new(head)))
     }
 
+    fn lose_queue(&self, queue: &QueueId, revision: Option<u64>) {
+        if let Some(revision) = revision {
+            self.queues().on_lost(queue, revision);
+        }
+    }
+
     fn add_job(self: &Arc<Self>, name: &JobName, head: JobHead, offer: JobOffer, claim: Claim) {
         let now = self.context.now();
         let mut job = Job::new(head, claim, now);
--- a/crates/sesamewall-fleet/src/account_queue.rs
+++ b/crates/sesamewall-fleet/src/account_queue.rs
@@ -148,9 +148,12 @@
         }
     }
 
-    /// Removes a queue that another worker has claimed.
-    pub fn on_lost(&mut self, name: &QueueId) {
-        self.queues.remove(name);
+    /// Removes a queue whose claim with this revision has ended, or has to be written again before
+    /// jobs are accepted. A claim that was written since stays.
+    pub fn on_lost(&mut self, name: &QueueId, claim: u64) {
+        if self.queues.get(name).is_some_and(|queue| queue.claim == claim) {
+            self.queues.remove(name);
+        }
     }
 
     /// Decides whether a job of `tokens` may be accepted. A `limit` of zero means no limit.
--- a/crates/sesamewall-fleet/tests/decisions/queue.rs
+++ b/crates/sesamewall-fleet/tests/decisions/queue.rs
@@ -95,7 +95,7 @@
                     queue.admit(&name(), &write.job, write.tokens, 0, at(now));
                 }
             } else {
-                workers[write.worker].on_lost(&name());
+                workers[write.worker].on_lost(&name(), write.claim);
             }
         }
         if rng.random_bool(0.3) {
@@ -172,6 +172,19 @@
     }
 }
 
+/// Guards against a queue that is given up, with all acceptances in progress, because an acceptance
+/// under a former claim was refused.
+#[test]
+fn a_refusal_under_a_former_claim_keeps_the_present_one() {
+    let mut queues = AccountQueues::default();
+    queues.on_claimed(&name(), 5, Vec::new(), at(0));
+    queues.on_claimed(&name(), 7, Vec::new(), at(1));
+    queues.on_lost(&name(), 5);
+    assert_eq!(queues.waiting(&name()), Some(0));
+    queues.on_lost(&name(), 7);
+    assert_eq!(queues.waiting(&name()), None);
+}
+
 /// Guards against a repeat of an accepted job that is refused because the queue is full, or counted
 /// twice.
 #[test]
