Report no claims while the store does not serve the watching worker

Cause: a worker that the store refuses keeps its lease through another instance and stays one of the two that watch the jobs, with an old view. It would report claims that have long been taken, and its offers make their receivers write and drop, every 2 s. Found by the review, from reading. Change: no reports and no offers while the last direct call to the store failed; the other watching workers go on. Measured: no test of its own; the tests of batch, late writes and retirements pass.

--- a/crates/sesamewall-edge/src/job_adopter.rs
+++ b/crates/sesamewall-edge/src/job_adopter.rs
@@ -125,7 +125,8 @@
     pub async fn run(self: Arc<Self>) {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
-            if self.is_active() {
+            // While the store does not serve this instance, what it has watched may be outdated.
+            if self.is_active() && !self.context().store.is_lost() {
                 for (worker, report) in self.due_reports() {
                     tokio::spawn(self.clone().report(worker, report));
                 }
