Report a machine as empty only once the ends of its jobs are stored

Cause: a job whose end is being written counted as nothing, so its claim was released, another worker ran the job that its client had ended, and the machine was reported as empty. Change: such a job counts as pending work of the retirement. Measured: no test of its own; the tests of retirements pass.

--- a/crates/sesamewall-edge/src/retirement.rs
+++ b/crates/sesamewall-edge/src/retirement.rs
@@ -223,7 +223,9 @@
         WorkerLoad {
             running: open().map(|job| job.work.running.len()).sum(),
             uncommitted: open().map(|job| job.work.results.len()).sum(),
-            pending: accepting + open().filter(|job| job.claim == Claim::Pending).count(),
+            pending: accepting
+                + open().filter(|job| job.claim == Claim::Pending).count()
+                + jobs.values().filter(|job| job.is_end_pending()).count(),
         }
     }
 
