Count a claim only after the job has been read under it

Cause, four points of the review, all from reading: - a job that was claimed again counted as claimed before its results were read, so that the worker reported its old list as complete (positions that another front had listed were missing), started items that had ended, and could overwrite a group that was committed meanwhile; - a claim on a job whose keys are removed was written again every 1.5 s for good; - a job whose end was being written was dropped when its claim was taken, and the end was not stored; - a worker that stops did not claim a job again whose results it still had, and waited for them to the end of the grace period. Change: the claim stays pending until the job is read; the claim on a removed job is released; a job stays until its end is stored; stopping is like retiring.

--- a/crates/sesamewall-edge/src/job_messages.rs
+++ b/crates/sesamewall-edge/src/job_messages.rs
@@ -65,7 +65,7 @@
         /// none.
         claim: u64,
     },
-    /// Stops a job that its client has ended.
+    /// Stops a job that its client has ended. Only earlier versions send it.
     Stop(JobName),
     /// Forwards a request to the worker with this address, which the requester cannot reach.
     Forward(Box<(std::net::IpAddr, JobRequest)>),
--- a/crates/sesamewall-edge/src/job_state.rs
+++ b/crates/sesamewall-edge/src/job_state.rs
@@ -28,12 +28,12 @@
 /// State of the claim on a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Claim {
-    /// No process is known to have claimed the job. `revision` is that of a claim key that a dead
-    /// process left behind, 0 if there is none.
+    /// No process is known to run the job. `revision` is that of the claim in the store which a dead
+    /// process or this one has left, 0 if there is none.
     Free { since: Time, revision: u64 },
     /// This process has claimed the job.
     Local { revision: u64, lease: u64 },
-    /// This process is writing its claim.
+    /// This process is writing its claim, or reading the job under it.
     Pending,
 }
 
--- a/crates/sesamewall-edge/src/worker_claims.rs
+++ b/crates/sesamewall-edge/src/worker_claims.rs
@@ -69,14 +69,11 @@
     pub(crate) fn claim_free_jobs(self: &Arc<Self>) {
         let now = self.context.now();
         let Some(lease) = self.lease.valid(now) else { return };
-        if self.context.is_stopping() {
-            return;
-        }
-        let retiring = self.context.is_retiring();
+        let draining = self.context.is_draining();
         for (name, job) in self.jobs().iter_mut() {
             let Claim::Free { since, revision } = job.claim else { continue };
-            // A retiring worker claims a job only to commit the results that it has.
-            let is_wanted = job.is_open() && !(retiring && job.is_idle());
+            // A worker that drains claims a job only to commit the results that it has.
+            let is_wanted = job.is_open() && !(draining && job.is_idle());
             if is_wanted && since <= now {
                 job.claim = Claim::Pending;
                 tokio::spawn(self.clone().claim_job(name.clone(), lease, revision));
@@ -94,10 +91,14 @@
         let end = self.write_claim(&name, lease, former, until).await;
         info!(self.context.log, "job claimed"; "job" => %name, "former" => former,
             "end" => format!("{end:?}"));
-        let claim = match end {
-            ClaimEnd::Done(revision) => Claim::Local { revision, lease },
+        let revision = match end {
+            ClaimEnd::Done(revision) => revision,
             ClaimEnd::Unknown(revision) => {
-                Claim::Free { since: self.context.now() + CLAIM_RETRY_DELAY, revision }
+                let since = self.context.now() + CLAIM_RETRY_DELAY;
+                if let Some(job) = self.jobs().get_mut(&name) {
+                    job.claim = Claim::Free { since, revision };
+                }
+                return;
             }
             ClaimEnd::Taken { holder } => return self.drop_job(&name, &holder),
             ClaimEnd::Closed => {
@@ -107,32 +108,40 @@
                 return self.drop_job(&name, "");
             }
         };
-        let parts = {
-            let mut jobs = self.jobs();
-            let Some(job) = jobs.get_mut(&name) else { return };
-            job.claim = claim;
-            job.head.parts
+        let Some(parts) = self.jobs().get(&name).map(|job| job.head.parts) else { return };
+        let Err(error) = self.load(&name, parts, Claim::Local { revision, lease }).await else {
+            return;
         };
-        if let Claim::Local { .. } = claim
-            && let Err(error) = self.load(&name, parts, claim).await
-        {
-            warn!(self.context.log, "job cannot be loaded"; "job" => %name, "error" => %error);
-            // The claim's key stays until the lease ends; a later pass claims and reads the job
-            // again.
-            let since = self.context.now() + LOAD_RETRY_DELAY;
-            match (self.jobs().get_mut(&name), claim) {
-                (Some(job), Claim::Local { revision, .. }) if job.claim == claim => {
-                    job.stop();
-                    job.claim = Claim::Free { since, revision };
-                }
-                _ => {}
+        warn!(self.context.log, "job cannot be loaded"; "job" => %name, "error" => %error);
+        if matches!(error, LoadError::NoSpecification) && self.is_removed(&name).await {
+            self.drop_job(&name, "");
+            return self.release_claim(name, revision).await;
+        }
+        // The claim's key stays until the lease ends; a later pass claims and reads the job again.
+        let since = self.context.now() + LOAD_RETRY_DELAY;
+        match self.jobs().get_mut(&name) {
+            Some(job) if job.claim == Claim::Pending => {
+                job.stop();
+                job.claim = Claim::Free { since, revision };
             }
+            _ => {}
         }
     }
 
-    /// Drops a job that `holder` runs, or that is closed if it is empty.
+    /// Returns whether the keys of a job are no longer in the store.
+    async fn is_removed(&self, name: &JobName) -> bool {
+        matches!(self.context.store.item(&JobKey::Head.of(name)).await, Ok(None))
+    }
+
+    /// Drops a job that `holder` runs, or that is closed if it is empty. A job whose end is being
+    /// written stays until the store has the end.
     fn drop_job(&self, name: &JobName, holder: &str) {
-        let Some(mut job) = self.jobs().remove(name) else { return };
+        let mut jobs = self.jobs();
+        if jobs.get(name).is_some_and(Job::is_end_pending) {
+            return;
+        }
+        let Some(mut job) = jobs.remove(name) else { return };
+        drop(jobs);
         info!(self.context.log, "job dropped"; "job" => %name, "holder" => holder,
             "running" => job.work.running.len(), "uncommitted" => job.work.results.len());
         job.stop();
@@ -179,6 +188,8 @@
         }
     }
 
+    /// Reads a job under a new claim. The claim counts only afterwards: until then the results that
+    /// this worker knows may be fewer than those in the store.
     async fn load(&self, name: &JobName, parts: usize, claim: Claim) -> Result<(), LoadError> {
         let (max_attempts, delay) = LOAD_TRIES;
         let known = self.jobs().get(name).and_then(|job| job.work.spec.clone());
@@ -203,9 +214,10 @@
         let spec = spec.ok_or(LoadError::NoSpecification)?;
         let mut jobs = self.jobs();
         let Some(job) = jobs.get_mut(name) else { return Ok(()) };
-        if job.claim != claim || !job.is_open() {
+        if job.claim != Claim::Pending || !job.is_open() {
             return Ok(());
         }
+        job.claim = claim;
         job.stored_results = results;
         job.load(spec);
         self.queues().set_remaining(&job.queue(), &name.id, job.remaining());
