--- a/tests/platform/item_starts.rs
+++ b/tests/platform/item_starts.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use http::Method;
-use serde_json::json;
 use sesamewall_fleet::job_owners;
 use sesamewall_platform_standin::configuration;
+use sesamewall_platform_standin::with_accounts;
 use sesamewall_protocol::AccountName;
 use sesamewall_protocol::InstanceName;
 
@@ -41,9 +41,8 @@
         let mut service = config["services"][0].clone();
         service["name"] = "idle".into();
         config["services"].as_array_mut().expect("a list").push(service);
-        let account = |name: &str, key: &str| json!({ "name": name, "apiKeys": [key], "priority": 1, "ratePerS": 0, "burst": 0 });
-        config["tenants"] =
-            json!([account(&account_of(blocked), "key-1"), account(&account_of(other), "key-2")]);
+        let accounts = [account_of(blocked), account_of(other)];
+        let config = with_accounts(config, &[(&accounts[0], "key-1"), (&accounts[1], "key-2")]);
         fleet.store.put("op/config", &config);
         let front = fleet.fronts[0].caller_address();
         let many: Vec<String> = (0..200).map(|n| format!("blocked-{n}")).collect();
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -6,6 +6,8 @@
 use http::Method;
 use serde_json::Value;
 use serde_json::json;
+use sesamewall_platform_standin::COLD_TIME_FIELD;
+use sesamewall_platform_standin::ROUTE_LIMIT_FIELDS;
 use sesamewall_platform_standin::RawTarget;
 use sesamewall_platform_standin::StandinClient;
 use sesamewall_platform_standin::StandinTarget;
@@ -89,8 +91,8 @@
     let entries = [
         deep,
         entry("concurrency", json!(65_535)),
-        entry("coldLeftMs", json!(1e300)),
-        entry("coldLeftMs", json!(-1)),
+        entry(COLD_TIME_FIELD, json!(1e300)),
+        entry(COLD_TIME_FIELD, json!(-1)),
         entry("born", json!(u64::MAX)),
         entry("zone", json!("")),
     ];
@@ -214,7 +216,7 @@
         next["limits"][limit] = json!(1e300);
     }
     for route in next["routes"].as_array_mut().expect("routes") {
-        for time in ["timeoutMs", "targetLatencyMs", "gapAimMs", "runAimMs", "keepS", "maxQueued"] {
+        for time in ROUTE_LIMIT_FIELDS {
             route[time] = json!(1e300);
         }
     }
--- a/tests/platform/soak/breaches.rs
+++ b/tests/platform/soak/breaches.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::Value;
 use serde_json::json;
+use sesamewall_platform_standin::GIVEN_UP;
 use sesamewall_platform_standin::StandinTarget;
 
 use crate::soak::record::Call;
@@ -122,7 +123,7 @@
     record.add_page("job", 0, &page(3, &[row("job-00")]), FRONT);
     assert_found(&record, &[]);
     let mut given_up = row("job-02");
-    given_up["state"] = "dead_letter".into();
+    given_up["state"] = GIVEN_UP.into();
     record.add_page("job", 0, &page(3, &[row("job-01")]), FRONT);
     record.add_page("job", 0, &page(2, &[]), FRONT);
     for third in [row("job-00"), row("other-02"), given_up] {
