Log the age of the target table and the entry with each attempt

The line attempt now has read_ms, the time since the instance has read that table from the store, the revision of the target's entry, and whether it counts as expired. The times come from the calls of the watches and of the reads beside them; no decision uses them.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -18,6 +18,7 @@
 use sesamewall_fleet::AccountRates;
 use sesamewall_fleet::Catalog;
 use sesamewall_fleet::CrashCounts;
+use sesamewall_fleet::Freshness;
 use sesamewall_fleet::Identity;
 use sesamewall_fleet::PauseGuard;
 use sesamewall_fleet::PeerSettings;
@@ -27,6 +28,7 @@
 use sesamewall_fleet::RateSettings;
 use sesamewall_fleet::RouteDurations;
 use sesamewall_fleet::StopSettings;
+use sesamewall_fleet::TargetState;
 use sesamewall_fleet::TargetTable;
 use sesamewall_fleet::UnreadableEntries;
 use sesamewall_fleet::UpdateSources;
@@ -37,6 +39,7 @@
 use sesamewall_ports::StoreError;
 use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
+use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use slog::Logger;
 use tokio::sync::Notify;
@@ -66,6 +69,8 @@
     pub unreadable: UnreadableEntries,
     /// How far the operators' keys and the targets' entries have been read.
     pub versions: Versions,
+    /// How old that state is.
+    pub freshness: Freshness,
     /// Instances that have reported how far they have read.
     pub sources: UpdateSources,
     /// Pauses of the process.
@@ -99,6 +104,16 @@
         (table_revision(self.versions.table), table_revision(newest))
     }
 
+    /// Returns on what the belief that a target is in service rests.
+    pub fn target_belief(&self, name: &TargetName, now: Time) -> TargetBelief {
+        let target = self.targets.get(name);
+        TargetBelief {
+            read_age: self.freshness.targets_age(now),
+            revision: target.map(|target| target.revision),
+            expired: target.is_some_and(TargetState::is_expired),
+        }
+    }
+
     /// Returns the fleet coverage, the fraction of all instances that is live, for starts at cold
     /// targets.
     pub fn fleet_coverage(&self, now: Time) -> f64 {
@@ -106,6 +121,17 @@
     }
 }
 
+/// What the belief that a target is in service rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetBelief {
+    /// Age of the target table; `None` if the instance has not read it from the store.
+    pub read_age: Option<Duration>,
+    /// Store revision of the target's entry.
+    pub revision: Option<u64>,
+    /// The entry was removed around an outage of the store, and the target stays for the moment.
+    pub expired: bool,
+}
+
 /// Evacuated failure domains and retiring instances, as the operators set them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -208,6 +234,7 @@
                 targets: TargetTable::default(),
                 unreadable: UnreadableEntries::default(),
                 versions: Versions::default(),
+                freshness: Freshness::default(),
                 sources: UpdateSources::default(),
                 pause_guard: PauseGuard::default(),
                 peers: Peers::new(PeerSettings::default(), local),
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -299,9 +299,12 @@
                 .stall_limit(now, runs, |settings, route| settings.first_byte(route, &placement));
             let attempt_request = request.attempt_request(&self.context, None, now);
             let (table, newest) = self.context.state().table_revisions(now);
+            let belief = self.context.state().target_belief(&placement.name, now);
             let result = attempt(&self.context, &placement, &attempt_request, limit).await;
             info!(self.context.log, "attempt"; "request" => request.id_text(),
                 "table" => table, "newest" => newest,
+                "read_ms" => belief.read_age.map(|age| age.as_millis() as u64),
+                "entry" => belief.revision, "expired" => belief.expired,
                 "chosen_ms" => now.since(request.arrived).as_millis() as u64,
                 "route" => &*request.route.name, "version" => request.version,
                 "account" => request.account.as_ref().map(|account| account.name.to_string()),
--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -19,6 +19,7 @@
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoredItem;
 use sesamewall_ports::WatchResult;
+use sesamewall_protocol::Time;
 use slog::info;
 use slog::warn;
 
@@ -53,6 +54,19 @@
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64);
     /// Applies changes.
     fn apply(&mut self, changes: Vec<StoreChange>, revision: u64);
+    /// Called when the store has replied to a read or a watch that was sent at `sent_at`: what was
+    /// applied is complete as of then.
+    fn on_current(&mut self, _sent_at: Time) {}
+}
+
+/// How far a watch has read after a call.
+enum WatchStep {
+    /// The store replied; changes after this revision are not read yet.
+    Current(u64),
+    /// The store no longer has the history after the last revision.
+    HistoryGone,
+    /// The call was given up at this revision, because another instance has read more.
+    GivenUp(u64),
 }
 
 /// Reads all items of a prefix. The revision is that of the first page, so that the watch returns
@@ -97,10 +111,11 @@
                 tokio::time::timeout(ROLE_CHECK_INTERVAL, context.watch_started.notified()).await;
             continue;
         }
+        let sent_at = context.now();
         let result = match revision {
             None => read_all(&context, prefix).await.map(|(items, at)| {
                 handler.replace(items, at);
-                Some(at)
+                WatchStep::Current(at)
             }),
             Some(at) => {
                 let watch = context.store.changes(prefix, at, WATCH_TIMEOUT);
@@ -121,22 +136,28 @@
                             if !changes.is_empty() {
                                 handler.apply(changes, revision);
                             }
-                            Some(revision)
+                            WatchStep::Current(revision)
                         }
                         WatchResult::HistoryGone => {
                             info!(context.log, "history gone";
                                 "prefix" => prefix, "revision" => at);
-                            None
+                            WatchStep::HistoryGone
                         }
                     }),
-                    () = update_overdue => Ok(Some(at)),
+                    () = update_overdue => Ok(WatchStep::GivenUp(at)),
                 }
             }
         };
         match result {
-            Ok(at) => {
+            Ok(step) => {
                 context.on_store_result(true, &"");
-                revision = at;
+                if let WatchStep::Current(_) = step {
+                    handler.on_current(sent_at);
+                }
+                revision = match step {
+                    WatchStep::Current(at) | WatchStep::GivenUp(at) => Some(at),
+                    WatchStep::HistoryGone => None,
+                };
                 delay = shortest;
                 if !min_interval.is_zero() {
                     tokio::time::sleep(min_interval).await;
@@ -235,6 +256,10 @@
         }
         self.publish();
     }
+
+    fn on_current(&mut self, sent_at: Time) {
+        self.context.state().freshness.on_operators_read(sent_at);
+    }
 }
 
 /// Puts a configuration in force unless the current one is as new or newer.
@@ -327,11 +352,13 @@
     newest: &Versions,
 ) -> bool {
     let mut replied = true;
+    let sent_at = context.now();
     if local.table < newest.table {
         match read_all(context, TARGET_PREFIX).await {
             Ok((items, revision)) => {
                 context.on_store_result(true, &"");
                 apply_targets(context, &items, revision, newest.table);
+                context.state().freshness.on_targets_read(sent_at);
             }
             Err(error) => {
                 context.on_store_error(&error);
@@ -345,6 +372,7 @@
                 context.on_store_result(true, &"");
                 let mut watch = OperatorKeyWatch::new(context.clone());
                 watch.replace(items, revision);
+                watch.on_current(sent_at);
             }
             Err(error) => {
                 context.on_store_error(&error);
@@ -431,6 +459,10 @@
         drop(state);
         self.context.state_changed.notify_one();
     }
+
+    fn on_current(&mut self, sent_at: Time) {
+        self.context.state().freshness.on_targets_read(sent_at);
+    }
 }
 
 /// Starts the watches of the operators' keys and of the targets' entries, and the fetching of
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -106,6 +106,12 @@
         now < self.cold_until
     }
 
+    /// Returns whether the target's entry was removed around an outage of the store and the target
+    /// stays until the grace time has passed.
+    pub fn is_expired(&self) -> bool {
+        self.expired_at.is_some()
+    }
+
     /// Returns whether the target has failed and has not responded since.
     pub fn has_failed(&self) -> bool {
         self.failures > 0
