Show four requests that rely on news that no watch has heard

The stand-in store can leave watches without news and break their connections, as the platform does when it drops its history.

--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -16,6 +16,15 @@
 /// fleet.
 const DRAIN_TIME: Duration = Duration::from_millis(2000);
 
+/// Time within which a configuration is in force, by the settings of the fleet.
+const CONFIGURATION_TIME: Duration = Duration::from_millis(2000);
+
+/// Time within which a failure domain that is taken out of service gets no new requests.
+const EVACUATION_TIME: Duration = Duration::from_millis(5000);
+
+/// Time for which watches hear nothing before they are cut.
+const DEAF_TIME: Duration = Duration::from_millis(1100);
+
 /// Time after which a target that has refused a request may get the next one.
 const BACKOFF_TIME: Duration = Duration::from_millis(300);
 
@@ -39,6 +48,81 @@
     assert_eq!(fleet.targets[0].requests().len(), 1, "a leaving target got requests");
 }
 
+/// Starts a fleet whose fronts all watch the store, and sends a first request, which the target in
+/// failure domain `a` answers.
+async fn start_watching_fleet(fronts: usize) -> TestFleet {
+    let fleet = TestFleet::start(fronts, 0).await;
+    let first = fleet.chat(0, "/talk/x", "id-0").await.expect("a response");
+    assert_eq!(first.status, 200);
+    assert_eq!(fleet.targets[0].requests().len(), 1, "the local target comes first");
+    fleet
+}
+
+/// Sends requests and returns how many of them reached the target in failure domain `a`.
+async fn count_at_first_target(fleet: &TestFleet) -> usize {
+    let before = fleet.targets[0].requests().len();
+    for n in 1..7 {
+        let response = fleet.chat(0, "/talk/x", &format!("id-{n}")).await.expect("a response");
+        assert_eq!(response.status, 200);
+    }
+    fleet.targets[0].requests().len() - before
+}
+
+/// Guards against requests to a leaving target while the watches of the store hear nothing.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED: issue 30"]
+async fn a_leaving_target_gets_no_requests_while_watches_hear_nothing() {
+    let fleet = start_watching_fleet(2).await;
+    fleet.store.set_deaf(true);
+    fleet.store.put("servers/t1", &target_entry(fleet.targets[0].address, "a", true));
+    tokio::time::sleep(DRAIN_TIME).await;
+    assert_eq!(count_at_first_target(&fleet).await, 0, "a leaving target got requests");
+}
+
+/// Guards against requests to an evacuated failure domain while the watches of the store hear
+/// nothing.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED: issue 30"]
+async fn an_evacuated_domain_gets_no_requests_while_watches_hear_nothing() {
+    let fleet = start_watching_fleet(2).await;
+    fleet.store.set_deaf(true);
+    fleet.store.put("op/evacuate/a", &serde_json::json!({}));
+    tokio::time::sleep(EVACUATION_TIME).await;
+    assert_eq!(count_at_first_target(&fleet).await, 0, "an evacuated target got requests");
+}
+
+/// Guards against requests with a withdrawn key while the watches of the store hear nothing.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED: issue 30"]
+async fn a_withdrawn_key_stops_working_while_watches_hear_nothing() {
+    let fleet = start_watching_fleet(2).await;
+    fleet.store.set_deaf(true);
+    let mut next = configuration(2, 1000.0, 1000.0);
+    next["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
+    fleet.store.put("op/config", &next);
+    tokio::time::sleep(CONFIGURATION_TIME).await;
+    for n in 0..2 {
+        let response = fleet.chat(n, "/talk/x", "id-1").await.expect("a response");
+        assert_eq!(response.status, 401, "a request ran with a withdrawn key");
+    }
+}
+
+/// Guards against requests to a target whose entry is removed while watches that are cut look like an
+/// outage of the store, around which entries of live targets expire.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "KNOWN-RED: issue 30"]
+async fn a_target_that_leaves_while_watches_are_cut_gets_no_requests() {
+    let fleet = start_watching_fleet(1).await;
+    fleet.store.set_deaf(true);
+    fleet.store.remove("servers/t1");
+    tokio::time::sleep(DEAF_TIME).await;
+    fleet.store.compact();
+    fleet.store.set_deaf(false);
+    fleet.store.cut_watches();
+    tokio::time::sleep(DRAIN_TIME - DEAF_TIME).await;
+    assert_eq!(count_at_first_target(&fleet).await, 0, "a target that has left got requests");
+}
+
 /// Sends requests to a front that is suspended, applies `change` meanwhile, and returns the statuses
 /// of the responses once it runs again.
 async fn send_during_pause(fleet: &TestFleet, change: impl FnOnce()) -> Vec<Option<u16>> {
