Do not let an older entry of a target undo a later one

Callers could see work sent to a target after the instance had read that it leaves. TargetTable::upsert took any entry, whatever its revision, and a complete read could be applied after a watch had returned a later change, for example the read for an overdue update or after a pause.

Now an entry with a lower revision than the known one is skipped, a removal does not remove a later entry, and a complete read that is older than the table is skipped as a whole, which covers removed entries.

an_older_entry_does_not_undo_a_later_one fails with the comparison taken out (seen) and passes with it.

--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -24,6 +24,7 @@
 use slog::warn;
 
 use crate::InstanceContext;
+use crate::State;
 use crate::instance_context::MaintenanceState;
 use crate::peer_updates;
 
@@ -390,6 +391,9 @@
     let entries = decode_entries(context, items, revision);
     let now = context.now();
     let mut state = context.state();
+    if is_outdated(&state, revision) {
+        return;
+    }
     state.targets.replace(entries, now);
     if peer_updates::table_revision(newest) <= revision && !state.targets.has_expired() {
         state.versions.table = state.versions.table.max(newest);
@@ -398,6 +402,12 @@
     context.state_changed.notify_one();
 }
 
+/// Returns whether a complete read of the targets' entries at `revision` is older than the table: a
+/// watch has returned a later change while the read was under way.
+fn is_outdated(state: &State, revision: u64) -> bool {
+    revision < peer_updates::table_revision(state.versions.table)
+}
+
 impl WatchHandler for TargetWatch {
     fn is_needed(&self) -> bool {
         self.context.watches_store()
@@ -407,6 +417,9 @@
         let entries = decode_entries(&self.context, &items, revision);
         let now = self.context.now();
         let mut state = self.context.state();
+        if is_outdated(&state, revision) {
+            return;
+        }
         // A removed key leaves no revision, so the revision of the whole read counts then.
         let any_removed = state
             .targets
@@ -447,7 +460,7 @@
                     let name = name_of(&key);
                     let mut state = self.context.state();
                     state.unreadable.on_readable(&key);
-                    let expired = state.targets.remove(&name, now);
+                    let expired = state.targets.remove_at(&name, at, now);
                     drop(state);
                     info!(self.context.log, "target entry gone"; "target" => %name,
                         "revision" => revision, "lapsed" => expired);
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -182,7 +182,8 @@
         })
     }
 
-    /// Applies an entry. A new start under the same name resets the failures of the former one.
+    /// Applies an entry, unless a later one was applied before: calls that read the store overlap. A
+    /// new start under the same name resets the failures of the former one.
     pub fn upsert(&mut self, entry: TargetEntry, revision: u64, now: Time) {
         let fresh = TargetState {
             key: target_key(&entry.name),
@@ -198,6 +199,9 @@
             expired_at: None,
         };
         let known = self.targets.entry(entry.name.clone()).or_insert_with(|| fresh.clone());
+        if revision < known.revision {
+            return;
+        }
         match known.entry.started_ms != entry.started_ms || known.entry.address != entry.address {
             true => *known = fresh,
             false => {
@@ -206,7 +210,7 @@
                 }
                 // An entry that is written again after it expired may be unchanged; its new
                 // revision makes other instances read it.
-                known.revision = known.revision.max(revision);
+                known.revision = revision;
                 known.entry = entry;
                 known.expired_at = None;
             }
@@ -242,6 +246,13 @@
         before - self.targets.len()
     }
 
+    /// Removes a target whose entry was removed from the store at `revision`, unless a later entry
+    /// is known. Returns whether the target stays.
+    pub fn remove_at(&mut self, name: &TargetName, revision: u64, now: Time) -> bool {
+        let is_later = self.targets.get(name).is_some_and(|target| target.revision > revision);
+        is_later || self.remove(name, now)
+    }
+
     /// Replaces the whole table after a complete read. Entries come with their store revisions.
     pub fn replace(&mut self, entries: Vec<(TargetEntry, u64)>, now: Time) {
         let listed: BTreeSet<_> = entries.iter().map(|(entry, _)| entry.name.clone()).collect();
--- a/crates/sesamewall-fleet/tests/decisions/target_table.rs
+++ b/crates/sesamewall-fleet/tests/decisions/target_table.rs
@@ -27,6 +27,24 @@
     assert!(!in_service(&table, "t2", 0));
 }
 
+/// Guards against a leaving target that returns to service because a read that was sent before its
+/// leaving is applied after it.
+#[test]
+fn an_older_entry_does_not_undo_a_later_one() {
+    let name = TargetName::from("t1");
+    let draining = TargetEntry { draining: true, ..entry("t1", "a") };
+    let mut table = table(&[("t1", "a"), ("t2", "a")]);
+    table.upsert(draining.clone(), 7, at(0));
+    table.replace(vec![(entry("t1", "a"), 1), (entry("t2", "a"), 1)], at(10));
+    assert!(!in_service(&table, "t1", 10) && in_service(&table, "t2", 10));
+    table.upsert(TargetEntry { started_ms: 2, ..entry("t1", "a") }, 9, at(20));
+    table.upsert(draining, 7, at(30));
+    assert!(in_service(&table, "t1", 30), "the entry of a former start came late");
+    assert!(table.remove_at(&name, 8, at(40)), "the former start's entry was removed");
+    assert!(!table.remove_at(&name, 10, at(50)));
+    assert!(!in_service(&table, "t1", 50));
+}
+
 /// Guards against a fleet without targets after an outage of the store in which entries expired:
 /// the targets stay for two seconds after the store's recovery, and those whose entries are not
 /// written again are removed.
