Read the store at once after a gap in its history

A watch whose history is gone waited min_interval before it read again: 600 ms for targets, 1 s for jobs, after up to 1.1 s in which it had heard nothing. The interval bounds the price of changes that come one after the other; after a gap nothing is known of what changed. The wait is gone.

--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -161,7 +161,8 @@
                     WatchStep::HistoryGone => None,
                 };
                 delay = shortest;
-                if !min_interval.is_zero() {
+                // After a gap in the history, nothing is known of the changes since.
+                if !min_interval.is_zero() && revision.is_some() {
                     tokio::time::sleep(min_interval).await;
                 }
             }
--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -22,6 +22,15 @@
 /// Time within which a failure domain that is taken out of service gets no new requests.
 const EVACUATION_TIME: Duration = Duration::from_millis(5000);
 
+/// Gaps in the history of the store in a test.
+const GAPS: u64 = 4;
+
+/// Time between two watches of the targets, with a margin.
+const WATCH_INTERVAL: Duration = Duration::from_millis(800);
+
+/// Time within which an instance reads the store if it does not wait.
+const READ_TIME: Duration = Duration::from_millis(250);
+
 /// Time for which watches hear nothing before they are cut.
 const DEAF_TIME: Duration = Duration::from_millis(1100);
 
@@ -104,6 +113,26 @@
     }
 }
 
+/// Guards against an instance that waits before it reads the store after a gap in the history.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_store_is_read_at_once_after_a_gap_in_its_history() {
+    let fleet = start_watching_fleet(1).await;
+    for round in 1..=GAPS {
+        fleet.store.put("op/config", &configuration(round + 1, 1000.0, 1000.0));
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        fleet.store.set_deaf(true);
+        fleet.store.put("op/other", &serde_json::json!({}));
+        fleet.store.put("servers/t1", &target_entry(fleet.targets[0].address, "a", false));
+        fleet.store.compact();
+        fleet.store.set_deaf(false);
+        fleet.store.cut_watches();
+        tokio::time::sleep(DRAIN_TIME).await;
+    }
+    let times = fleet.store.gap_times();
+    assert!(times.len() >= GAPS as usize, "{times:?}");
+    assert!(times.iter().all(|time| *time < READ_TIME), "{times:?}");
+}
+
 /// Guards against requests to a target whose entry is removed while watches that are cut look like an
 /// outage of the store, around which entries of live targets expire.
 #[tokio::test(flavor = "multi_thread")]
