Tell a cut watch from an outage of the store

Callers' requests went on reaching a target that had left by the removal of its entry, for up to 2 s after the instance had read the removal. Around an outage, entries of live targets expire, so a target whose entry is removed then stays usable until they can be back.

An entry expires after three check-ins without a write, so now only an outage of at least one check-in counts, from the last reply of the store to the first one after it; the reads that bound the age of the state make the last reply recent. The check-in interval comes from the platform's settings.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -208,6 +208,8 @@
         let limits = &settings.platform_limits;
         let freshness_settings =
             FreshnessSettings::within(limits.drain_deadline.min(limits.config_deadline));
+        let mut targets = TargetTable::default();
+        targets.set_heartbeat(settings.target_heartbeat);
         let local = Identity {
             name: settings.instance.clone(),
             domain: settings.domain.clone(),
@@ -235,7 +237,7 @@
                 catalog: None,
                 document: Bytes::new(),
                 maintenance: MaintenanceState::default(),
-                targets: TargetTable::default(),
+                targets,
                 unreadable: UnreadableEntries::default(),
                 versions: Versions::default(),
                 freshness: Freshness::new(freshness_settings),
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -23,6 +23,10 @@
 /// again. The platform guarantees it.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2000);
 
+/// Usual time between two entries of a target if the platform names none. An entry expires after
+/// three of them.
+const DEFAULT_HEARTBEAT: Duration = Duration::from_millis(1200);
+
 /// Time for which a target that could not be reached or has stalled gets no new work. It is the
 /// usual time between two entries of a target.
 const BACKOFF: Duration = Duration::from_millis(1200);
@@ -123,7 +127,13 @@
 pub struct TargetTable {
     targets: BTreeMap<TargetName, TargetState>,
     evacuated: BTreeSet<DomainName>,
+    /// Time between two entries of a target; `None` if the platform names none.
+    heartbeat: Option<Duration>,
+    /// Time at which the store was last known to be reachable.
+    store_reached_at: Option<Time>,
+    /// Time from which the store has not been reachable.
     store_lost_at: Option<Time>,
+    /// End of the last outage in which entries may have expired.
     store_recovered_at: Option<Time>,
     /// Time for which a target is cold after its start.
     cold_time: Duration,
@@ -138,6 +148,11 @@
         self.cold_time = time;
     }
 
+    /// Sets the time between two entries of a target.
+    pub fn set_heartbeat(&mut self, heartbeat: Option<Duration>) {
+        self.heartbeat = heartbeat;
+    }
+
     /// Returns the targets of a service.
     pub fn of_service<'a, 's>(
         &'a self,
@@ -221,7 +236,7 @@
     /// entries of live targets expire; these targets stay until the grace time after the outage has
     /// passed. Returns whether the target stays.
     pub fn remove(&mut self, name: &TargetName, now: Time) -> bool {
-        let outage = self.store_lost_at.is_some()
+        let outage = self.store_lost_at.is_some_and(|lost| self.may_expire_entries(lost, now))
             || self.store_recovered_at.is_some_and(|back| now.since(back) < EXPIRY_GRACE);
         match self.targets.get_mut(name) {
             Some(target) if outage && !target.has_left() => {
@@ -275,13 +290,24 @@
     /// Records whether the store is reachable.
     pub fn on_store(&mut self, reachable: bool, now: Time) {
         match (reachable, self.store_lost_at) {
-            (false, None) => self.store_lost_at = Some(now),
-            (true, Some(_)) => {
+            (false, None) => self.store_lost_at = Some(self.store_reached_at.unwrap_or(now)),
+            (true, Some(lost)) => {
                 self.store_lost_at = None;
-                self.store_recovered_at = Some(now);
+                if self.may_expire_entries(lost, now) {
+                    self.store_recovered_at = Some(now);
+                }
             }
             _ => {}
         }
+        if reachable {
+            self.store_reached_at = Some(now);
+        }
+    }
+
+    /// Returns whether entries of live targets may expire in an outage from `lost` to `now`. A watch
+    /// that is cut looks like an outage, too, but is over before a target misses an entry.
+    fn may_expire_entries(&self, lost: Time, now: Time) -> bool {
+        now.since(lost) >= self.heartbeat.unwrap_or(DEFAULT_HEARTBEAT)
     }
 
     /// Removes the targets whose entries were not written again after an outage, and returns their
--- a/crates/sesamewall-fleet/tests/decisions/target_table.rs
+++ b/crates/sesamewall-fleet/tests/decisions/target_table.rs
@@ -72,18 +72,51 @@
         let mut peers = hub("h1");
         let mut other = beacon("h2", 1);
         other.hub.store_reachable = served;
-        assert!(peers.on_beacon(other, true, at(0)));
-        table.on_store_call(false, &peers, at(10));
+        let mut last = 10;
+        for millis in (10..4000).step_by(400) {
+            other.sequence += 1;
+            assert!(peers.on_beacon(other.clone(), true, at(millis)));
+            table.on_store_call(false, &peers, at(millis));
+            last = millis;
+        }
         // All updates since the cut arrive at once when the path is restored.
-        table.remove(&TargetName::from("t1"), at(20));
-        table.on_store_call(true, &peers, at(20));
-        table.remove(&TargetName::from("t2"), at(600));
+        table.remove(&TargetName::from("t1"), at(last + 10));
+        table.on_store_call(true, &peers, at(last + 10));
+        table.remove(&TargetName::from("t2"), at(last + 600));
         for name in ["t1", "t2"] {
-            assert_eq!(in_service(&table, name, 610), !served, "{name}, others served: {served}");
+            let in_service = in_service(&table, name, last + 610);
+            assert_eq!(in_service, !served, "{name}, others served: {served}");
         }
     }
 }
 
+/// Guards against work for a target that has left while watches were cut, which for a moment looks
+/// like an outage of the store.
+#[test]
+fn a_target_that_leaves_while_watches_are_cut_is_removed() {
+    for (heartbeat, lost) in [(None, 1000), (Some(Duration::from_millis(400)), 300)] {
+        let mut table = table(&[("t1", "a"), ("t2", "a")]);
+        table.set_heartbeat(heartbeat);
+        table.on_store(true, at(0));
+        table.on_store(false, at(lost - 100));
+        table.remove(&TargetName::from("t1"), at(lost));
+        table.on_store(true, at(lost));
+        table.remove(&TargetName::from("t2"), at(lost + 10));
+        assert!(table.is_empty(), "no entry can have expired");
+    }
+}
+
+/// Guards against an outage that counts as short because nobody called the store at its begin.
+#[test]
+fn an_outage_lasts_from_the_last_reply() {
+    let mut table = table(&[("t1", "a")]);
+    table.on_store(true, at(0));
+    table.on_store(false, at(3900));
+    table.on_store(true, at(4000));
+    table.remove(&TargetName::from("t1"), at(4010));
+    assert!(in_service(&table, "t1", 4020));
+}
+
 /// Guards against a stopping target that is kept because of an outage.
 #[test]
 fn a_draining_target_is_removed_even_in_an_outage() {
--- a/tests/platform/target_news.rs
+++ b/tests/platform/target_news.rs
@@ -31,6 +31,9 @@
 /// Time within which an instance reads the store if it does not wait.
 const READ_TIME: Duration = Duration::from_millis(250);
 
+/// Time in which an instance notices that its watches were cut.
+const CUT_TIME: Duration = Duration::from_millis(30);
+
 /// Time for which watches hear nothing before they are cut.
 const DEAF_TIME: Duration = Duration::from_millis(1100);
 
@@ -136,17 +139,22 @@
 /// Guards against requests to a target whose entry is removed while watches that are cut look like an
 /// outage of the store, around which entries of live targets expire.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: issue 30"]
 async fn a_target_that_leaves_while_watches_are_cut_gets_no_requests() {
-    let fleet = start_watching_fleet(1).await;
-    fleet.store.set_deaf(true);
-    fleet.store.remove("servers/t1");
-    tokio::time::sleep(DEAF_TIME).await;
-    fleet.store.compact();
-    fleet.store.set_deaf(false);
-    fleet.store.cut_watches();
-    tokio::time::sleep(DRAIN_TIME - DEAF_TIME).await;
-    assert_eq!(count_at_first_target(&fleet).await, 0, "a target that has left got requests");
+    for deaf_time in [DEAF_TIME, Duration::ZERO] {
+        let fleet = start_watching_fleet(1).await;
+        if deaf_time.is_zero() {
+            fleet.store.cut_watches();
+            tokio::time::sleep(CUT_TIME).await;
+        }
+        fleet.store.set_deaf(!deaf_time.is_zero());
+        fleet.store.remove("servers/t1");
+        tokio::time::sleep(deaf_time).await;
+        fleet.store.compact();
+        fleet.store.set_deaf(false);
+        fleet.store.cut_watches();
+        tokio::time::sleep(DRAIN_TIME - deaf_time).await;
+        assert_eq!(count_at_first_target(&fleet).await, 0, "a target that has left got requests");
+    }
 }
 
 /// Sends requests to a front that is suspended, applies `change` meanwhile, and returns the statuses
