Reset connections to targets when their request is given up

Dropping a connection closes it in order, so the kernel keeps what has not arrived and sends it again once the path is back, also after the process has ended. The work then runs for nobody, or a second time.

Connections to targets now have zero linger from the start: dropping one with an unanswered request, and the end of the process, throw the bytes away. A connection whose response was read to the end is closed in order, so that an idle target sees no reset. The pool serves online requests and batch items alike.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -304,10 +304,11 @@
             .headers
             .get(http::header::CONNECTION)
             .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if let Some(connection) = self.connection.take()
-            && !closing
-        {
-            context.pool.put(connection, keep_alive(&self.headers));
+        if let Some(mut connection) = self.connection.take() {
+            connection.end_request();
+            if !closing {
+                context.pool.put(connection, keep_alive(&self.headers));
+            }
         }
     }
 }
@@ -435,7 +436,7 @@
     if attempt_request.permit.as_ref().is_some_and(|permit| !permit.is_valid(context.now())) {
         return Err(AttemptError::LeaseEnded);
     }
-    let sent = tokio::time::timeout(limit, connection.sender().send_request(request)).await;
+    let sent = tokio::time::timeout(limit, connection.begin_request().send_request(request)).await;
     let response = match sent {
         Err(_) => return Err(AttemptError::Stalled(limit)),
         // Hyper reports a request as cancelled only if it has not written any of it.
--- a/crates/sesamewall-edge/src/target_pool.rs
+++ b/crates/sesamewall-edge/src/target_pool.rs
@@ -11,9 +11,12 @@
 use futures::FutureExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
+use hyper::client::conn::http1::Connection;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use rustix::net::sockopt::set_socket_linger;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 /// Timeout of a new connection. Targets accept within milliseconds, in another region within some
@@ -33,26 +36,60 @@
 /// Bytes of a connection's read buffer, above the largest usual header.
 const READ_BUFFER: usize = 16 << 10;
 
-/// A connection to a target. Dropping it closes it, and the target drops the request on it.
+/// A connection to a target. Dropping it while a request is unanswered resets it: the target drops
+/// the request, and bytes of it that have not arrived yet never do. The end of the process has the
+/// same effect.
 pub struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// Closes the connection in order.
+    close: Option<oneshot::Sender<()>>,
     address: SocketAddr,
-    /// Whether it has carried a request before.
+    /// Whether it has carried a request before, which was answered.
     pub reused: bool,
+    is_open: bool,
 }
 
 impl Drop for TargetConnection {
     fn drop(&mut self) {
-        self.driver.abort();
+        match self.close.take() {
+            // The task has ended if there is no receiver.
+            Some(close) if !self.is_open => drop(close.send(())),
+            _ => self.driver.abort(),
+        }
     }
 }
 
 impl TargetConnection {
-    /// Returns the sending half of the connection.
-    pub fn sender(&mut self) -> &mut SendRequest<Full<Bytes>> {
+    /// Returns the sending half of the connection for a request. The connection counts as one with
+    /// an unanswered request from now on.
+    pub fn begin_request(&mut self) -> &mut SendRequest<Full<Bytes>> {
+        self.is_open = true;
         &mut self.sender
     }
+
+    /// Records that the response to the request has been read to its end.
+    pub fn end_request(&mut self) {
+        self.is_open = false;
+        self.reused = true;
+    }
+}
+
+/// Runs a connection until its end, or until it is to be closed in order.
+async fn drive(
+    mut conn: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    closed: oneshot::Receiver<()>,
+) {
+    tokio::select! {
+        biased;
+        Ok(()) = closed => {
+            let stream = conn.into_parts().io.into_inner();
+            // If the option cannot be set, the idle connection is reset.
+            let _ = set_socket_linger(&stream, None);
+        }
+        // The request on the connection receives its error; an idle connection just ends.
+        _ = &mut conn => {}
+    }
 }
 
 struct IdleConnection {
@@ -95,25 +132,24 @@
             .map_err(|_| "no connection in time".to_owned())?
             .map_err(|error| error.to_string())?;
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        stream.set_zero_linger().map_err(|error| error.to_string())?;
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(READ_BUFFER)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
-        let driver = tokio::spawn(async move {
-            // The request on the connection receives its error; an idle connection just ends.
-            let _ = conn.await;
-        });
-        Ok(TargetConnection { sender, driver, address, reused: false })
+        let (close, closed) = oneshot::channel();
+        let driver = tokio::spawn(drive(conn, closed));
+        let close = Some(close);
+        Ok(TargetConnection { sender, driver, close, address, reused: false, is_open: false })
     }
 
     /// Returns a connection to the pool after its response has been read to the end. `keep_alive`
     /// is the time that the target announced.
-    pub fn put(&self, mut connection: TargetConnection, keep_alive: Option<Duration>) {
+    pub fn put(&self, connection: TargetConnection, keep_alive: Option<Duration>) {
         if connection.sender.is_closed() {
             return;
         }
-        connection.reused = true;
         let now = Instant::now();
         // The target closes the connection after its own timeout; a margin keeps requests off
         // closing connections.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -40,3 +40,5 @@
 mod target_news;
 #[path = "platform/unframed.rs"]
 mod unframed;
+#[path = "platform/unsent_bytes.rs"]
+mod unsent_bytes;
