Reset connections of the product's own interface to targets, too

The same fault in the adapters: a request that HttpTarget gave up, and a control command that was given up after CALL_LIMIT, stayed in the kernel and could reach the target any time later. Leads assume that a command is in flight for 2 s at most, so a late one could act beside the command of the next lead.

Both adapters now open their connections with zero linger, by a connector of their own. Idle connections are reset when the pool drops them; all their responses have been read to the end.

--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -9,10 +9,13 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::Connect;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 
+use crate::reset_connector::ResetConnector;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -31,6 +34,15 @@
 /// A pooled HTTP/1.1 client.
 pub type HyperClient = Client<HttpConnector, Full<Bytes>>;
 
+/// A pooled HTTP/1.1 client for calls to targets.
+pub type TargetClient = Client<ResetConnector, Full<Bytes>>;
+
+/// Returns a new client for calls to targets, with its own connection pool. A call that is given up
+/// resets its connection.
+pub fn new_target_client() -> TargetClient {
+    build(ResetConnector::new(CONNECT_TIMEOUT))
+}
+
 /// Returns a new client with its own connection pool.
 pub fn new_client() -> HyperClient {
     new_client_within(CONNECT_TIMEOUT)
@@ -41,6 +53,10 @@
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(connect));
     connector.set_nodelay(true);
+    build(connector)
+}
+
+fn build<C: Connect + Clone>(connector: C) -> Client<C, Full<Bytes>> {
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
@@ -48,8 +64,8 @@
 }
 
 /// Sends one request and reads the complete response within `limit`.
-pub async fn call(
-    client: &HyperClient,
+pub async fn call<C: Connect + Clone + Send + Sync + 'static>(
+    client: &Client<C, Full<Bytes>>,
     method: Method,
     url: String,
     content_type: &str,
--- a/crates/sesamewall-adapters/src/http_control.rs
+++ b/crates/sesamewall-adapters/src/http_control.rs
@@ -16,7 +16,7 @@
 
 use crate::http_client;
 use crate::http_client::CallError;
-use crate::http_client::HyperClient;
+use crate::http_client::TargetClient;
 
 /// Limits a command to less than the 2 s for which leads assume it may be in flight.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
@@ -25,12 +25,12 @@
 /// Controls engines that accept commands with `POST /orders` and list their models with
 /// `GET /v1/models`.
 pub struct HttpControl {
-    client: HyperClient,
+    client: TargetClient,
 }
 
 impl Default for HttpControl {
     fn default() -> Self {
-        Self { client: http_client::new_client() }
+        Self { client: http_client::new_target_client() }
     }
 }
 
--- a/crates/sesamewall-adapters/src/http_target.rs
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -19,7 +19,7 @@
 use sesamewall_protocol::Class;
 
 use crate::http_client;
-use crate::http_client::HyperClient;
+use crate::http_client::TargetClient;
 use crate::http_client::describe;
 
 /// Header in which an engine echoes the identifier of the attempt.
@@ -38,13 +38,13 @@
 /// Sends requests to targets over HTTP/1.1. Each class has its own connection pool, so that a batch
 /// response never occupies a connection that an online request could use.
 pub struct HttpTarget {
-    online: HyperClient,
-    batch: HyperClient,
+    online: TargetClient,
+    batch: TargetClient,
 }
 
 impl Default for HttpTarget {
     fn default() -> Self {
-        Self { online: http_client::new_client(), batch: http_client::new_client() }
+        Self { online: http_client::new_target_client(), batch: http_client::new_target_client() }
     }
 }
 
--- a/crates/sesamewall-adapters/src/lib.rs
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_instances;
 mod http_store;
 mod http_target;
+mod reset_connector;
 mod tonic_peer;
 
 pub use data_folder::DataFolder;
