Let a started instance wait for its hub before it reads the store

A read is now due at the same age after the start as after a read.

a_started_member_waits_for_its_hub fails before (a read is due at once).

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -156,6 +156,14 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns the time since the machine's boot.
+fn boot_time() -> Time {
+    let time = rustix::time::clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let micros = u64::try_from(time.tv_nsec / 1000).unwrap_or_default();
+    Time::from_micros(seconds * 1_000_000 + micros)
+}
+
 /// State, settings and clients that all parts of a process share.
 pub struct InstanceContext {
     /// Settings of the instance and its machine.
@@ -240,7 +248,7 @@
                 targets,
                 unreadable: UnreadableEntries::default(),
                 versions: Versions::default(),
-                freshness: Freshness::new(freshness_settings),
+                freshness: Freshness::new(freshness_settings, boot_time()),
                 sources: UpdateSources::default(),
                 pause_guard: PauseGuard::default(),
                 peers: Peers::new(PeerSettings::default(), local),
@@ -259,10 +267,7 @@
     /// Returns the time since the machine's boot. It includes the time in which the machine was
     /// suspended, since leases expire during that time too.
     pub fn now(&self) -> Time {
-        let time = rustix::time::clock_gettime(ClockId::Boottime);
-        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-        let micros = u64::try_from(time.tv_nsec / 1000).unwrap_or_default();
-        Time::from_micros(seconds * 1_000_000 + micros)
+        boot_time()
     }
 
     /// Locks the state. The lock must not be held across an await.
--- a/crates/sesamewall-fleet/src/freshness.rs
+++ b/crates/sesamewall-fleet/src/freshness.rs
@@ -93,6 +93,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Freshness {
     settings: FreshnessSettings,
+    started_at: Time,
     read: ReadTimes,
     /// The last confirmation by a hub, which counts once the local instance has read as far.
     confirmed: Option<(Versions, ReadTimes)>,
@@ -103,9 +104,10 @@
 }
 
 impl Freshness {
-    /// Creates the ages of a process that has read nothing.
-    pub fn new(settings: FreshnessSettings) -> Self {
-        Self { settings, ..Self::default() }
+    /// Creates the ages of a process that was started at `started_at` and has read nothing. Its
+    /// watch or a hub gives it the state before a read of its own is due.
+    pub fn new(settings: FreshnessSettings, started_at: Time) -> Self {
+        Self { settings, started_at, ..Self::default() }
     }
 
     /// Records that the operators' keys were read by a call sent at `sent_at`.
@@ -151,14 +153,15 @@
     pub fn due(&self, reader: Reader, now: Time) -> DueReads {
         let age = self.due_age(reader);
         let is_due = |read: Option<Time>| {
-            read.is_none_or(|at| now.since(at) >= age) && now >= self.retry_at().unwrap_or(now)
+            now.since(read.unwrap_or(self.started_at)) >= age
+                && now >= self.retry_at().unwrap_or(now)
         };
         DueReads { operators: is_due(self.read.operators), targets: is_due(self.read.targets) }
     }
 
     /// Returns the time until something has to be read from the store.
     pub fn due_in(&self, reader: Reader, now: Time) -> Duration {
-        let due_at = self.read.oldest().map_or(now, |at| at + self.due_age(reader));
+        let due_at = self.read.oldest().unwrap_or(self.started_at) + self.due_age(reader);
         due_at.max(self.retry_at().unwrap_or(due_at)).since(now)
     }
 
--- a/crates/sesamewall-fleet/tests/decisions/freshness.rs
+++ b/crates/sesamewall-fleet/tests/decisions/freshness.rs
@@ -27,7 +27,7 @@
 }
 
 fn read_at(time: Time) -> Freshness {
-    let mut freshness = Freshness::new(FreshnessSettings::within(DEADLINE));
+    let mut freshness = Freshness::new(FreshnessSettings::within(DEADLINE), at(0));
     freshness.on_operators_read(time);
     freshness.on_targets_read(time);
     freshness
@@ -64,6 +64,16 @@
     assert!(far < freshness.due_in(Reader::Member, at(0)), "{far:?}");
 }
 
+/// Guards against instances that all read the store when the fleet starts.
+#[test]
+fn a_started_member_waits_for_its_hub() {
+    let mut freshness = Freshness::new(FreshnessSettings::within(DEADLINE), at(0));
+    assert_eq!(freshness.due(Reader::Member, at(500)), DueReads::default());
+    assert!(freshness.due_in(Reader::Member, at(500)) > Duration::ZERO);
+    assert!(!freshness.must_wait(at(500)));
+    assert_eq!(freshness.due(Reader::Member, at(1100)), ALL);
+}
+
 /// Guards against an instance that takes a hub's word for a state that it has not read itself.
 #[test]
 fn a_confirmation_counts_once_the_instance_has_read_as_far() {
