--- a/crates/sesamewall-edge/src/state_exchange/confirm.rs
+++ b/crates/sesamewall-edge/src/state_exchange/confirm.rs
@@ -120,7 +120,7 @@
     {
         let state = &mut *context.state();
         // After a pause the datagram may have waited in the socket for as long.
-        if state.pause_guard.is_open() {
+        if state.pause_guard.awaits_confirmation() {
             return;
         }
         state.freshness.on_confirmation(&confirmation, &state.versions, now);
--- a/crates/sesamewall-edge/src/target_pool.rs
+++ b/crates/sesamewall-edge/src/target_pool.rs
@@ -47,14 +47,14 @@
     address: SocketAddr,
     /// Whether it has carried a request before, which was answered.
     pub reused: bool,
-    is_open: bool,
+    has_request: bool,
 }
 
 impl Drop for TargetConnection {
     fn drop(&mut self) {
         match self.close.take() {
             // The task has ended if there is no receiver.
-            Some(close) if !self.is_open => drop(close.send(())),
+            Some(close) if !self.has_request => drop(close.send(())),
             _ => self.driver.abort(),
         }
     }
@@ -64,13 +64,13 @@
     /// Returns the sending half of the connection for a request. The connection counts as one with
     /// an unanswered request from now on.
     pub fn begin_request(&mut self) -> &mut SendRequest<Full<Bytes>> {
-        self.is_open = true;
+        self.has_request = true;
         &mut self.sender
     }
 
     /// Records that the response to the request has been read to its end.
     pub fn end_request(&mut self) {
-        self.is_open = false;
+        self.has_request = false;
         self.reused = true;
     }
 }
@@ -141,7 +141,7 @@
         let (close, closed) = oneshot::channel();
         let driver = tokio::spawn(drive(conn, closed));
         let close = Some(close);
-        Ok(TargetConnection { sender, driver, close, address, reused: false, is_open: false })
+        Ok(TargetConnection { sender, driver, close, address, reused: false, has_request: false })
     }
 
     /// Returns a connection to the pool after its response has been read to the end. `keep_alive`
--- a/crates/sesamewall-fleet/src/pause_guard.rs
+++ b/crates/sesamewall-fleet/src/pause_guard.rs
@@ -58,7 +58,7 @@
 
     /// Returns whether the state has not been confirmed since the last pause. Datagrams may then
     /// have waited in the socket.
-    pub fn is_open(&self) -> bool {
+    pub fn awaits_confirmation(&self) -> bool {
         self.unconfirmed_since.is_some()
     }
 
