Let limits above a target's slots leave batch items and queues as they are

A target that names more requests a second than it has slots would have got no batch item, since the slots left to online requests were as many as its rate, and any number of queued requests. Items now leave half of the slots at most, and the rule against preemption holds only where the limit is below the slots.

a_limit_above_the_slots_changes_little fails with both conditions taken out (seen: no item is placed at an idle target). Found while reading the change.

--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -251,11 +251,13 @@
         let has_headroom = match (request.reserved_slots, &named) {
             (Some(free), None) => (online + batch).saturating_add(free) < slots,
             (Some(free), Some(named)) => {
-                (online + batch).saturating_add(free.max(named.online_slots())) < slots
+                (online + batch).saturating_add(free.max(named.online_slots(slots))) < slots
             }
-            (None, None) => online < slots.saturating_add(settings.queue),
             // A preempted item needs another start, which this target or another one lacks then.
-            (None, Some(named)) => online + batch < slots || online < named.online_slots(),
+            (None, Some(named)) if named.binds(slots) => {
+                online + batch < slots || online < named.online_slots(slots)
+            }
+            (None, _) => online < slots.saturating_add(settings.queue),
         };
         if !has_headroom {
             *reason = PlacementError::Full;
--- a/crates/sesamewall-fleet/src/request_limits.rs
+++ b/crates/sesamewall-fleet/src/request_limits.rs
@@ -63,9 +63,19 @@
         recent + 1.0 <= (self.starts * fraction).max(1.0)
     }
 
-    /// Returns the slots that online requests can use, about as many as start in a second.
-    pub fn online_slots(&self) -> u32 {
-        (self.starts / self.window.as_secs_f64()).ceil() as u32
+    /// Returns whether fewer requests start in a second than a target has slots.
+    pub fn binds(&self, slots: u32) -> bool {
+        self.rate() < f64::from(slots)
+    }
+
+    /// Returns the slots that batch items leave to online requests at a target with `slots` of them:
+    /// about as many as requests start in a second, half of them at most.
+    pub fn online_slots(&self, slots: u32) -> u32 {
+        (self.rate().ceil() as u32).min(slots / 2)
+    }
+
+    fn rate(&self) -> f64 {
+        self.starts / self.window.as_secs_f64()
     }
 }
 
--- a/crates/sesamewall-fleet/tests/decisions/request_limits.rs
+++ b/crates/sesamewall-fleet/tests/decisions/request_limits.rs
@@ -285,6 +285,47 @@
     }
 }
 
+/// Guards against batch items that find no place, and against more requests than a target queues,
+/// where all targets name limits that they never reach.
+#[test]
+fn a_limit_above_the_slots_changes_little() {
+    let domain = DomainName::from("a");
+    let request = |reserved_slots| PlacementRequest {
+        service: "chat",
+        regions: None,
+        domain: &domain,
+        prefix: None,
+        exclude: &[],
+        among: None,
+        reserved_slots,
+    };
+    let regions = HashMap::new();
+    let table = table(&TARGETS[..1]);
+    let key = target_key(&TargetName::from("t1"));
+    let mut peers = hub("h1");
+    peers.on_named_limit(key, Some(100.0), at(0));
+    let place = |peers: &Peers, reserved_slots| {
+        let context = PlacementContext {
+            table: &table,
+            peers,
+            regions: &regions,
+            start_limits: StartLimits::default(),
+            coverage: 1.0,
+            now: at(10),
+            staleness: Duration::ZERO,
+            draw: 1,
+        };
+        place(&PlacementSettings::default(), &request(reserved_slots), &context)
+    };
+    assert!(place(&peers, Some(0)).is_ok(), "an idle target takes an item");
+    let mut online = 0;
+    while place(&peers, None).is_ok() {
+        peers.start(key, false, at(10));
+        online += 1;
+    }
+    assert_eq!(online, 8 + PlacementSettings::default().queue);
+}
+
 /// Guards against an instance that learns of a limit only from its own requests.
 #[test]
 fn a_limit_spreads_through_the_fleet_and_ends_everywhere() {
