Try a target again whose limit nobody has heard of lately

While other targets have room, online requests avoid a target that has named a limit.

a_limit_that_nobody_has_heard_of_lately_is_tried fails without the condition (seen) and passes with it. Placement at targets that have named no limit is unchanged.

--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -285,6 +285,7 @@
         let jitter = (draw(context, target.key) % 1024) as f64 / 10_240.0;
         let limit_cost = match (&named, request.reserved_slots) {
             (None, _) => 0.0,
+            (Some(_), None) if !peers.limits().is_recent(target.key, now) => 0.0,
             (Some(named), None) => settings.limit_cost * (1.0 + recent / named.starts),
             (Some(_), Some(_)) => -settings.limit_cost,
         };
--- a/crates/sesamewall-fleet/src/request_limits.rs
+++ b/crates/sesamewall-fleet/src/request_limits.rs
@@ -148,6 +148,12 @@
         self.rate(key).map(StartAllowance::new)
     }
 
+    /// Returns whether a response of a target was heard a moment ago. Otherwise nobody knows whether
+    /// its limit still holds, and a request has to find out.
+    pub fn is_recent(&self, key: u32, now: Time) -> bool {
+        self.last_heard(key).is_some_and(|heard| now.since(heard.at) < LONGEST_WINDOW)
+    }
+
     /// Removes targets for which `keep` returns false, and limits that ended long ago.
     pub fn on_tick(&mut self, keep: impl Fn(u32) -> bool, now: Time) {
         for heard in [&mut self.group, &mut self.others] {
--- a/crates/sesamewall-fleet/tests/decisions/request_limits.rs
+++ b/crates/sesamewall-fleet/tests/decisions/request_limits.rs
@@ -326,6 +326,28 @@
     assert_eq!(online, 8 + PlacementSettings::default().queue);
 }
 
+/// Guards against a target that is avoided forever because of a limit that has ended: while other
+/// targets have room, no response of it would tell.
+#[test]
+fn a_limit_that_nobody_has_heard_of_lately_is_tried() {
+    let mut fleet = Fleet::new(1, 2.0);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let key = target_key(&TargetName::from("t1"));
+    fleet.hubs[0].on_named_limit(key, Some(2.0), at(0));
+    fleet.rates.clear();
+    for now in 0..12_000 {
+        fleet.end_requests(now);
+        if now % 20 == 0 {
+            fleet.exchange(now, &mut rng);
+        }
+        if now % 200 == 0 {
+            assert_eq!(fleet.request(false, now as usize / 200 % 3, now, rng.random()), Ok(()));
+        }
+    }
+    assert!(fleet.starts.contains_key(&key), "the target got nothing");
+    assert!(fleet.hubs.iter().all(|hub| hub.limits().rate(key).is_none()));
+}
+
 /// Guards against an instance that learns of a limit only from its own requests.
 #[test]
 fn a_limit_spreads_through_the_fleet_and_ends_everywhere() {
