--- a/review/harness/src/bin/held_item.rs
+++ b/review/harness/src/bin/held_item.rs
@@ -1,5 +1,5 @@
-//! Two online requests crash each runner that begins to run them. A sound batch job follows whose prompts
-//! share a part with these requests.
+//! Three online requests crash each runner that begins to run them. A sound batch job follows whose
+//! prompts share a part with these requests.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -41,7 +41,7 @@
 const PART: &str = "template1";
 
 /// Requests that crash their runners, the time before each of them, and that before its retry.
-const DEADLY_REQUESTS: usize = 2;
+const DEADLY_REQUESTS: usize = 3;
 const DEADLY_INTERVAL: Duration = Duration::from_secs(3);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
