Try items with a poison part again, one at a time

Of ten sound items none was listed 33 s after the 202, and by the code none would have been for ten minutes.

Cause, second of two: a part with a verdict is sent nowhere, and only a response clears it.

Change: `ItemTrials` lets one worker send one item to one target 10 s after the last crash; the first event clears the part. Each crash doubles the delay up to 300 s. Workers go one after the other. Worst case, tested for 1 to 14 workers: a deadly part in items crashes 16 targets in the first hour, 12 in later ones; a sound item waits 10 s and 3 s for each worker before its own.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -327,7 +327,7 @@
     let poison = state.poison_parts.poison(run.parts(), run.request());
     drop(state);
     context.state_changed.notify_one();
-    if let Some(PoisonPart { part, crashes, trials, requests, unexplained, others }) = poison {
+    if let Some(PoisonPart { part, crashes, trials, requests, unexplained, others, .. }) = poison {
         info!(context.log, "prompt part is poison"; "part" => format!("{part:016x}"),
             "crashes" => crashes, "trials" => trials, "requests" => requests, "unexplained" => unexplained,
             "others_begun" => others.begun, "others_lost" => others.lost, "target" => %target);
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -13,8 +13,11 @@
 use sesamewall_fleet::LocalBacklog;
 use sesamewall_fleet::Placement;
 use sesamewall_fleet::PlacementRequest;
+use sesamewall_fleet::PoisonPart;
 use sesamewall_fleet::ResultState;
 use sesamewall_fleet::TargetState;
+use sesamewall_fleet::TrialDecision;
+use sesamewall_fleet::trial_rank;
 use sesamewall_protocol::ItemId;
 use sesamewall_protocol::Time;
 use slog::info;
@@ -142,17 +145,22 @@
             return;
         };
         job.due = attempt.due();
-        if let Some(poison) = attempt.poison(&self.context) {
+        let poison = attempt.poison(&self.context);
+        if let Some(poison) = &poison
+            && let TrialDecision::Hold(until) = self.decide_trial(poison, now)
+        {
             let keep = attempt.keep();
             let expired = !keep.is_zero() && now.since(job.accepted_at) > keep;
             info!(self.context.log, "item has a poison part"; "job" => %name, "item" => %item,
                 "part" => format!("{:016x}", poison.part), "crashes" => poison.crashes,
+                "trial_ms" => until.since(now).as_millis() as u64,
                 "end" => if expired { "given up" } else { "held" });
             if expired {
                 let removed = job.work.waiting.remove(index);
                 self.add_result(name, job, &removed.spec, ResultState::GivenUp, Vec::new(), now);
             } else {
-                job.work.waiting[index].progress.hold(now + POISON_CHECK_INTERVAL);
+                let until = until.min(now + POISON_CHECK_INTERVAL);
+                job.work.waiting[index].progress.hold(until);
             }
             return;
         }
@@ -173,6 +181,12 @@
             full.insert(scope);
             return;
         };
+        let trial = poison.map(|poison| poison.part);
+        if let Some(part) = trial {
+            self.item_trials().on_started(part);
+            info!(self.context.log, "item is a trial of a poison part"; "job" => %name,
+                "item" => %item, "part" => format!("{part:016x}"), "target" => %placement.name);
+        }
         let progress = job.work.waiting.remove(index).progress;
         let cancel = CancellationToken::new();
         let attempt_id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -198,10 +212,22 @@
             guard,
             permit,
             cancel,
+            trial,
         );
         tokio::spawn(task);
     }
 
+    /// Decides whether an item with a poison part is sent as a trial.
+    fn decide_trial(&self, poison: &PoisonPart, now: Time) -> TrialDecision {
+        let state = self.context.state();
+        let local = &self.context.settings.instance;
+        let workers = state.peers.workers(now).into_iter();
+        let others = workers.filter(|worker| !worker.draining && worker.name != *local);
+        let rank = trial_rank(local, others.map(|worker| &worker.name), poison.part);
+        drop(state);
+        self.item_trials().decide(poison.part, poison.last_crash, rank, now)
+    }
+
     /// Records the result of an item; it is committed with the next group.
     fn add_result(
         self: &Arc<Self>,
@@ -227,12 +253,16 @@
         guard: InFlightGuard,
         permit: LeasePermit,
         cancel: CancellationToken,
+        trial: Option<u64>,
     ) {
         let events_before = progress.events();
         let result = tokio::select! {
             end = attempt.run(&self.context, &placement, &mut progress, guard, permit) => end,
             () = cancel.cancelled() => ItemEnd::MadeWay,
         };
+        if let Some(part) = trial {
+            self.item_trials().on_ended(part);
+        }
         let now = self.context.now();
         let label = format!("{result:?}");
         self.context.metrics.items.with_label_values(&[&label]).inc();
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -248,7 +248,7 @@
     /// Refuses a request with a part that crashes targets.
     fn check_poison(&self, request: &CallerRequest, runs: u32) -> Result<(), Refusal> {
         let Some(poison) = request.poison(&self.context) else { return Ok(()) };
-        let PoisonPart { part, crashes, trials, requests, unexplained, others } = poison;
+        let PoisonPart { part, crashes, trials, requests, unexplained, others, .. } = poison;
         let detail = format!("part {part:016x} of the prompt was at {crashes} crashes in a row");
         Err(match runs {
             0 => {
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -15,6 +15,7 @@
 use sesamewall_fleet::CompletionForecast;
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemSettings;
+use sesamewall_fleet::ItemTrials;
 use sesamewall_fleet::RunTimeEstimate;
 use sesamewall_fleet::UnusedTargets;
 use sesamewall_ports::Transaction;
@@ -65,6 +66,8 @@
     headroom: Mutex<BatchHeadroom>,
     unused_targets: Mutex<UnusedTargets>,
     forecast: Mutex<CompletionForecast>,
+    /// Trials of items with a poison part.
+    item_trials: Mutex<ItemTrials>,
     /// Jobs whose acceptance is being written.
     accepting: Mutex<HashSet<JobName>>,
     /// Keys of old jobs, and the times at which they are removed.
@@ -87,6 +90,7 @@
             headroom: Mutex::default(),
             unused_targets: Mutex::default(),
             forecast: Mutex::default(),
+            item_trials: Mutex::default(),
             accepting: Mutex::default(),
             removals: Mutex::default(),
         })
@@ -118,6 +122,10 @@
         self.forecast.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn item_trials(&self) -> MutexGuard<'_, ItemTrials> {
+        self.item_trials.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn accepting(&self) -> MutexGuard<'_, HashSet<JobName>> {
         self.accepting.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/sesamewall-fleet/src/job_owner.rs
+++ b/crates/sesamewall-fleet/src/job_owner.rs
@@ -9,7 +9,7 @@
 /// Workers of the fleet that adopt jobs without a worker. Two sustain the loss of one.
 const JOB_ADOPTERS: usize = 2;
 
-fn score(worker: &InstanceName, seed: u64) -> u64 {
+pub(crate) fn score(worker: &InstanceName, seed: u64) -> u64 {
     xxh3_64_with_seed(worker.as_str().as_bytes(), seed)
 }
 
--- a/crates/sesamewall-fleet/src/poison_parts.rs
+++ b/crates/sesamewall-fleet/src/poison_parts.rs
@@ -117,6 +117,8 @@
     pub unexplained: usize,
     /// Attempts of all instances without the part.
     pub others: OtherAttempts,
+    /// Time at which the local instance learned of the newest of these crashes.
+    pub last_crash: Time,
 }
 
 /// The last evidence of another instance or group, by part.
@@ -254,7 +256,22 @@
         };
         let is_poison = lost_share.powi(trials as i32) <= settings.max_error
             && lost_share.powi(unexplained as i32) <= max_error;
-        is_poison.then_some(PoisonPart { part, crashes, trials, requests, unexplained, others })
+        let last_crash = self.last_known(&record);
+        is_poison.then_some(PoisonPart {
+            part,
+            crashes,
+            trials,
+            requests,
+            unexplained,
+            others,
+            last_crash,
+        })
+    }
+
+    /// Returns when the local instance learned of the newest crash of a record.
+    fn last_known(&self, record: &PartRecord) -> Time {
+        let known = record.open().filter_map(|entry| self.known_at.get(&entry.crash));
+        known.max().copied().unwrap_or_default()
     }
 
     /// Returns how the attempts of all instances without the part ended.
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -12,6 +12,8 @@
 mod freshness;
 #[path = "decisions/hub_selection.rs"]
 mod hub_selection;
+#[path = "decisions/item_trials.rs"]
+mod item_trials;
 #[path = "decisions/late_writes.rs"]
 mod late_writes;
 #[path = "decisions/pause_guard.rs"]
