Believe that a route is gone only from a configuration as new as the job

Cause: `Worker::start_item` took "not in my configuration" for "removed". Neither the offer nor the head of a job carried the version of the configuration under which it was accepted. Paths and headers that do not parse and routes without a service ended the same way, with the same log line.

Change: the offer and the head in the store carry the version, so an adopter has it, too. `RouteAbsence` believes an absence only from a confirmed configuration at least as new; otherwise the item is held for 250 ms. `ItemError` tells the causes apart; a route without a service holds its items. Heads are written with field names, so that earlier builds can read them; requests between instances of different builds about jobs cannot.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -300,7 +300,9 @@
         }
     }
 
-    fn is_unconfirmed(&self) -> bool {
+    /// Returns whether the state is older than a pause of the process, or has not been confirmed for
+    /// too long.
+    pub fn is_unconfirmed(&self) -> bool {
         let now = self.now();
         let state = &mut *self.state();
         state.pause_guard.is_unconfirmed(now) || state.freshness.must_wait(now)
--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -50,6 +50,21 @@
     regions: Option<BTreeSet<Arc<str>>>,
 }
 
+/// Why no request can be built from an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum ItemError {
+    /// The configuration has no route for the item.
+    #[display("no route")]
+    RouteUnknown,
+    /// The item's route has no service.
+    #[display("its route has no service")]
+    NoService,
+    /// The item does not form a valid request in any configuration.
+    #[display("no valid request: {_0}")]
+    Invalid(&'static str),
+}
+
 /// A batch item with its route in the current configuration.
 pub struct ItemAttempt {
     item: Arc<ItemSpec>,
@@ -63,13 +78,21 @@
     uri: Uri,
 }
 
+fn header_value(text: &str, field: &'static str) -> Result<HeaderValue, ItemError> {
+    HeaderValue::from_str(text).map_err(|_| ItemError::Invalid(field))
+}
+
 impl ItemAttempt {
-    /// Looks up the item's route. Returns `None` if the route no longer exists or the item does not
-    /// form a valid request.
-    pub fn new(catalog: &Catalog, job: &JobSpec, item: Arc<ItemSpec>) -> Option<Self> {
-        let uri: Uri = item.path.parse().ok()?;
-        let route = catalog.route(&job.host, uri.path())?.clone();
-        let service = route.service(xxh3_64(item.id.as_str().as_bytes()))?.clone();
+    /// Looks up the item's route in `catalog`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no route or no valid request.
+    pub fn new(catalog: &Catalog, job: &JobSpec, item: Arc<ItemSpec>) -> Result<Self, ItemError> {
+        let uri: Uri = item.path.parse().map_err(|_| ItemError::Invalid("path"))?;
+        let route = catalog.route(&job.host, uri.path()).ok_or(ItemError::RouteUnknown)?.clone();
+        let draw = xxh3_64(item.id.as_str().as_bytes());
+        let service = route.service(draw).ok_or(ItemError::NoService)?.clone();
         let account = job.account.as_ref().and_then(|name| catalog.account(name));
         let regions = Catalog::regions(&route, account.map(|account| &**account));
         let mut headers = HeaderMap::new();
@@ -81,15 +104,15 @@
             };
             headers.append(name, value);
         }
-        headers.insert(header::HOST, HeaderValue::from_str(&job.host).ok()?);
-        headers.insert(REQUEST_ID, HeaderValue::from_str(item.id.as_str()).ok()?);
+        headers.insert(header::HOST, header_value(&job.host, "host")?);
+        headers.insert(REQUEST_ID, header_value(item.id.as_str(), "identifier")?);
         if let Some(name) = &job.account {
-            headers.insert(ACCOUNT, HeaderValue::from_str(name.as_str()).ok()?);
+            headers.insert(ACCOUNT, header_value(name.as_str(), "account")?);
         }
         let prefix = prompt_prefix(&headers).map(|parts| xxh3_64(parts.as_bytes()));
         let parts = shared_parts(&headers).map(part_key).collect();
         let hash = request_hash(&uri, job.account.as_ref(), &item.body);
-        Some(Self { item, route, service, regions, prefix, parts, hash, headers, uri })
+        Ok(Self { item, route, service, regions, prefix, parts, hash, headers, uri })
     }
 
     /// Returns the item.
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -15,6 +15,7 @@
 use sesamewall_fleet::PlacementRequest;
 use sesamewall_fleet::PoisonPart;
 use sesamewall_fleet::ResultState;
+use sesamewall_fleet::RouteAbsence;
 use sesamewall_fleet::TargetState;
 use sesamewall_fleet::TrialDecision;
 use sesamewall_fleet::trial_rank;
@@ -26,6 +27,7 @@
 use crate::attempt::InFlightGuard;
 use crate::caller_request::choose;
 use crate::item_attempt::ItemAttempt;
+use crate::item_attempt::ItemError;
 use crate::item_attempt::ItemScope;
 use crate::job_keys::JobName;
 use crate::job_state::Claim;
@@ -38,6 +40,9 @@
 /// Time between two checks of an item that is held because of a part of its prompt.
 const POISON_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time between two checks of an item whose route the worker does not know.
+const ROUTE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Targets at which new items may start.
 #[derive(Default)]
 struct StartTargets {
@@ -136,13 +141,13 @@
         else {
             return;
         };
-        let Some(attempt) = ItemAttempt::new(catalog, &spec, job.work.waiting[index].spec.clone())
-        else {
-            info!(self.context.log, "item given up"; "job" => %name, "item" => %item,
-                "cause" => "its route is gone", "version" => catalog.version);
-            let removed = job.work.waiting.remove(index);
-            self.add_result(name, job, &removed.spec, ResultState::GivenUp, Vec::new(), now);
-            return;
+        let attempt = ItemAttempt::new(catalog, &spec, job.work.waiting[index].spec.clone());
+        let attempt = match attempt {
+            Ok(attempt) => attempt,
+            Err(error) => {
+                self.on_item_error(catalog, name, job, index, &error, now);
+                return;
+            }
         };
         job.due = attempt.due();
         let poison = attempt.poison(&self.context);
@@ -217,6 +222,40 @@
         tokio::spawn(task);
     }
 
+    /// Gives up an item that cannot be sent, or delays it if a newer configuration may have its
+    /// route.
+    fn on_item_error(
+        self: &Arc<Self>,
+        catalog: &Catalog,
+        name: &JobName,
+        job: &mut Job,
+        index: usize,
+        error: &ItemError,
+        now: Time,
+    ) {
+        let absence = RouteAbsence {
+            accepted_version: job.head.version,
+            local_version: catalog.version,
+            confirmed: !self.context.is_unconfirmed(),
+        };
+        let ends = match error {
+            ItemError::RouteUnknown => absence.is_certain(),
+            // The route exists, so its items may still run.
+            ItemError::NoService => false,
+            ItemError::Invalid(_) => true,
+        };
+        let item = job.work.waiting[index].spec.clone();
+        info!(self.context.log, "item cannot be sent"; "job" => %name, "item" => %item.id,
+            "cause" => %error, "version" => catalog.version, "accepted" => job.head.version,
+            "confirmed" => absence.confirmed, "end" => if ends { "given up" } else { "held" });
+        if ends {
+            job.work.waiting.remove(index);
+            self.add_result(name, job, &item, ResultState::GivenUp, Vec::new(), now);
+        } else {
+            job.work.waiting[index].progress.hold(now + ROUTE_CHECK_INTERVAL);
+        }
+    }
+
     /// Decides whether an item with a poison part is sent as a trial.
     fn decide_trial(&self, poison: &PoisonPart, now: Time) -> TrialDecision {
         let state = self.context.state();
--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -120,6 +120,7 @@
     pub async fn submit(
         &self,
         route: &RouteSpec,
+        version: u64,
         account: Option<&AccountSpec>,
         host: &str,
         head: &Parts,
@@ -143,6 +144,7 @@
         let offer = JobOffer {
             spec,
             route: route.name.clone(),
+            version,
             limit: route.max_waiting,
             accepted_ms: wall_millis(),
         };
@@ -264,6 +266,7 @@
         let built = job_store::accept_transaction(
             &offer.spec,
             &offer.route,
+            offer.version,
             offer.accepted_ms,
             &acceptance,
         );
--- a/crates/sesamewall-edge/src/job_messages.rs
+++ b/crates/sesamewall-edge/src/job_messages.rs
@@ -25,6 +25,8 @@
     pub spec: JobSpec,
     /// Name of its route.
     pub route: Arc<str>,
+    /// Version of the configuration in which the front found the route.
+    pub version: u64,
     /// Most tokens that the account's unfinished items on the route may have; 0 for no limit.
     pub limit: u64,
     /// Time of the acceptance in Unix milliseconds, the same in each attempt to submit the job.
--- a/crates/sesamewall-edge/src/job_store.rs
+++ b/crates/sesamewall-edge/src/job_store.rs
@@ -58,6 +58,9 @@
     pub tokens: u64,
     /// Name of the route at the time of the acceptance.
     pub route: Arc<str>,
+    /// Version of the configuration under which the job was accepted; 0 in heads of earlier builds.
+    #[serde(default)]
+    pub version: u64,
 }
 
 /// Result of a conditional write.
@@ -75,6 +78,11 @@
     rmp_serde::to_vec(value).map(Bytes::from).map_err(|_| StoreError::TooLarge)
 }
 
+/// Encodes a head with the names of its fields, so that earlier builds pass over new ones.
+fn encode_head(head: &JobHead) -> Result<Bytes, StoreError> {
+    rmp_serde::to_vec_named(head).map(Bytes::from).map_err(|_| StoreError::TooLarge)
+}
+
 fn decode<T: for<'a> Deserialize<'a>>(
     context: &InstanceContext,
     key: &str,
@@ -271,6 +279,7 @@
 pub fn accept_transaction(
     spec: &JobSpec,
     route: &Arc<str>,
+    version: u64,
     accepted_ms: u64,
     acceptance: &Acceptance,
 ) -> Result<(Transaction, JobHead), StoreError> {
@@ -288,10 +297,11 @@
         accepted_ms,
         tokens: spec.tokens(),
         route: route.clone(),
+        version,
     };
     let name = JobName::new(spec.account.as_ref(), &spec.id);
     let key = JobKey::Head.of(&name);
-    let value = encode(&head)?;
+    let value = encode_head(&head)?;
     // The client may end the job before the result of an acceptance without a reply is known.
     let mut expect = vec![(key.clone(), 0), (JobKey::End.of(&name), 0)];
     let mut writes = vec![StoreWrite { key, value: value.clone(), lease: 0 }];
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -154,7 +154,8 @@
         let body = read_body(body, catalog.limits.body_bytes, body_timeout(&route)).await?;
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
             self.check_job_time()?;
-            let submit = self.jobs.submit(&route, account.as_deref(), &host, &head, &body);
+            let submit =
+                self.jobs.submit(&route, catalog.version, account.as_deref(), &host, &head, &body);
             return submit.await.map_err(|(error, retry)| Refusal::later(error, retry));
         }
         let no_target = Error::NoTarget { model: route.name.to_string() };
--- a/crates/sesamewall-edge/src/worker_requests.rs
+++ b/crates/sesamewall-edge/src/worker_requests.rs
@@ -350,6 +350,7 @@
         let built = job_store::accept_transaction(
             &offer.spec,
             &offer.route,
+            offer.version,
             offer.accepted_ms,
             &acceptance,
         );
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -32,6 +32,8 @@
 mod request_limits;
 #[path = "decisions/retirement.rs"]
 mod retirement;
+#[path = "decisions/route_absence.rs"]
+mod route_absence;
 #[path = "decisions/stall_timeout.rs"]
 mod stall_timeout;
 #[path = "decisions/streams.rs"]
