Read jobs whose host has no route any more

Cause: `Online::handle` took a call for one about a job only if the host had a route.

Change: a call about a job is one on any host; account and id name the job. A repeated submission without a route is answered 202 if the job was accepted before, 404 if the store says that it was not, 503 if that cannot be said.

--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -308,6 +308,24 @@
         }
     }
 
+    /// Returns whether a job of an account was accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns `StoreUnavailable` if that cannot be said.
+    pub async fn was_accepted(
+        &self,
+        job: &JobId,
+        account: Option<&AccountSpec>,
+    ) -> Result<bool, Error> {
+        let account = account.map(|account| &account.name);
+        match self.load_view(&JobName::new(account, job), account).await {
+            Ok(_) => Ok(true),
+            Err(Error::NotFound { .. }) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
     fn cached_view(&self, job: &JobName) -> Option<Arc<JobView>> {
         let now = self.context.now();
         let mut views = self.views();
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -9,6 +9,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -20,8 +21,10 @@
 use sesamewall_fleet::RouteSpec;
 use sesamewall_fleet::StopRequest;
 use sesamewall_platform::REQUEST_ID;
+use sesamewall_platform::decode_job;
 use sesamewall_platform::parse_job_call;
 use sesamewall_protocol::Error;
+use sesamewall_protocol::JobId;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use slog::info;
@@ -34,6 +37,7 @@
 use crate::caller_request::DEFAULT_TIMEOUT;
 use crate::job_api::JobApi;
 use crate::response::HttpResponse;
+use crate::response::empty;
 use crate::response::error_response;
 use crate::response::full;
 use crate::response::strip_connection_headers;
@@ -136,8 +140,8 @@
         let (head, body) = request.into_parts();
         let host = request_host(&head.headers, &head.uri).to_owned();
         let about_job = parse_job_call(&head.method, &head.uri);
-        let known_host = !catalog.host_routes(&host).is_empty();
-        if let Some(call) = about_job.filter(|_| known_host) {
+        // A job stays readable after its route has gone, so its host need not have a route.
+        if let Some(call) = about_job {
             let account = authenticate(&catalog, &head.headers, None)?;
             self.check_job_time()?;
             read_body(body, catalog.limits.body_bytes, DEFAULT_TIMEOUT).await?;
@@ -147,9 +151,9 @@
                 .await
                 .map_err(|error| Refusal::later(error, DEFAULT_RETRY));
         }
-        let route_unknown =
-            || Refusal::new(Error::RouteUnknown { path: head.uri.path().to_owned() });
-        let route = catalog.route(&host, head.uri.path()).cloned().ok_or_else(route_unknown)?;
+        let Some(route) = catalog.route(&host, head.uri.path()).cloned() else {
+            return self.serve_unrouted(&catalog, &head, body).await;
+        };
         let account = authenticate(&catalog, &head.headers, Some(&route))?;
         let body = read_body(body, catalog.limits.body_bytes, body_timeout(&route)).await?;
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
@@ -179,6 +183,35 @@
         self.run(Arc::new(request)).await
     }
 
+    /// Answers a request without a route: a job that was accepted before its route was removed is
+    /// accepted again, anything else is refused.
+    async fn serve_unrouted(
+        &self,
+        catalog: &Catalog,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<HttpResponse, Refusal> {
+        let unknown = || Refusal::new(Error::RouteUnknown { path: head.uri.path().to_owned() });
+        let is_post = head.method == http::Method::POST;
+        let (Some(id), Ok(account), true) = (
+            head.headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()),
+            authenticate(catalog, &head.headers, None),
+            is_post,
+        ) else {
+            return Err(unknown());
+        };
+        let body = read_body(body, catalog.limits.body_bytes, DEFAULT_TIMEOUT).await?;
+        if decode_job(&body).is_err() {
+            return Err(unknown());
+        }
+        self.check_job_time()?;
+        match self.jobs.was_accepted(&JobId::from(id), account.as_deref()).await {
+            Ok(true) => Ok(empty(StatusCode::ACCEPTED)),
+            Ok(false) => Err(unknown()),
+            Err(error) => Err(Refusal::later(error, DEFAULT_RETRY)),
+        }
+    }
+
     /// Refuses a call about a batch job that may get its answer only after the process has ended.
     fn check_job_time(&self) -> Result<(), Refusal> {
         let now = self.context.now();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -30,6 +30,8 @@
 mod odd_entries;
 #[path = "platform/online.rs"]
 mod online;
+#[path = "platform/removed_route.rs"]
+mod removed_route;
 #[path = "platform/responses.rs"]
 mod responses;
 #[path = "platform/retirement.rs"]
