Return an empty page of results only if nothing is at its position

Cause: `JobApi::results` fetched at most 600 kB for a new view and once more, and then answered with what it had, if the reader allowed no further wait.

Change: it fetches until the view reaches the position, or the worker or the store has returned no further group; 503 if that takes a second longer than the wait that the reader allows.

--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -59,6 +59,10 @@
 /// Longest wait for a result that a client may request.
 const MAX_WAIT: Duration = Duration::from_millis(1000);
 
+/// Time, after the wait that a reader allows, within which the results before its position have to
+/// be read. Clients wait somewhat longer.
+const READ_TIME: Duration = Duration::from_millis(1000);
+
 /// Time for the way to a worker and back, in addition to the time that the worker itself takes.
 const ROUND_TRIP_TIME: Duration = Duration::from_millis(300);
 
@@ -402,32 +406,38 @@
                 let results = view.results.lock().await;
                 (results.len(), results.groups())
             };
-            let remaining = until.since(self.context.now());
-            let complete = known >= view.head.total;
-            let mut read_store = false;
-            if known <= after && !complete {
-                match self.fetch_results(job, account, groups, remaining).await {
-                    Some((_, new_groups)) => {
-                        append(&mut *view.results.lock().await, groups, new_groups);
-                    }
-                    None => {
-                        let mut results = view.results.lock().await;
-                        let read =
-                            job_store::read_new_results(&self.context, job, &mut results).await;
-                        read.map_err(|error| store_failed(&error))?;
-                        read_store = true;
-                    }
+            if known > after || known >= view.head.total {
+                let results = view.results.lock().await;
+                let page = results.page(after, PAGE_BYTES);
+                return Ok(json(StatusCode::OK, encode_page(view.head.total, after, page)));
+            }
+            let now = self.context.now();
+            if now >= until + READ_TIME {
+                let detail = format!("results from {known} to {after} were not read in time");
+                return Err(Error::StoreUnavailable { detail });
+            }
+            let fetched = self.fetch_results(job, account, groups, until.since(now)).await;
+            let from_store = fetched.is_none();
+            match fetched {
+                Some((_, new_groups)) => {
+                    append(&mut *view.results.lock().await, groups, new_groups);
+                }
+                None => {
+                    let mut results = view.results.lock().await;
+                    let read = job_store::read_new_results(&self.context, job, &mut results).await;
+                    read.map_err(|error| store_failed(&error))?;
                 }
             }
-            let results = view.results.lock().await;
+            // A reply has a part of the results at most. Only a reply without a further one shows
+            // that there is nothing at the position.
+            if view.results.lock().await.groups() > groups {
+                continue;
+            }
             let remaining = until.since(self.context.now());
-            let done = results.len() > after || results.len() >= view.head.total;
-            if done || remaining.is_zero() {
-                let page = results.page(after, PAGE_BYTES);
-                return Ok(json(StatusCode::OK, encode_page(view.head.total, after, page)));
+            if remaining.is_zero() {
+                return Ok(json(StatusCode::OK, encode_page(view.head.total, after, &[])));
             }
-            drop(results);
-            if read_store {
+            if from_store {
                 tokio::time::sleep(remaining.min(STORE_READ_INTERVAL)).await;
             }
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -34,6 +34,8 @@
 mod removed_route;
 #[path = "platform/responses.rs"]
 mod responses;
+#[path = "platform/result_pages.rs"]
+mod result_pages;
 #[path = "platform/retirement.rs"]
 mod retirement;
 #[path = "platform/shutdown.rs"]
