Bound what is kept of a batch item's answer on the own interface

And an answer above 4 MB to an item that cannot be resumed was listed with status 200, cut off.

Cause: the text of an item was assembled without a limit on bytes, and `remaining` of a plain response was passed over for items.

Change: an item's events have at most 8 MB; beyond it the events are discarded, the engine is reported as failed, and the item starts again at another one. A kept answer above 4 MB fails. Error 5006, AnswerTooLarge.

--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -208,6 +208,14 @@
         /// HTTP status of the response.
         status: u16,
     },
+    /// The target sent more than an answer may have.
+    #[display("target `{target}` sent more than {limit} bytes")]
+    AnswerTooLarge {
+        /// The target.
+        target: String,
+        /// Most bytes that are read.
+        limit: usize,
+    },
     /// The target refused the request and did not run it.
     #[display("target `{target}` refused the request: {reason}")]
     TargetRefused {
@@ -377,6 +385,7 @@
             Self::AnswerMismatch { .. } => 5003,
             Self::TargetFailed { .. } => 5004,
             Self::TargetRefused { .. } => 5005,
+            Self::AnswerTooLarge { .. } => 5006,
             Self::BatchLineInvalid { .. } => 6001,
             Self::BatchTooLarge { .. } => 6002,
             Self::JobState { .. } => 6003,
@@ -408,7 +417,7 @@
             4005 => 422,
             4006 => 408,
             4009 => 504,
-            5002..=5004 => 502,
+            5002..=5004 | 5006 => 502,
             9001 => 500,
             _ => 503,
         }
@@ -442,6 +451,7 @@
             4006 => "send the request again and keep the connection open until its end",
             4009 | 5002 | 5003 => "check whether the request took effect before sending it again",
             5004 => "see the target's own message",
+            5006 => "request a shorter answer; if it should be short, the target is faulty",
             6001 => "correct the line and upload the file again",
             6002 => "split the file into several jobs",
             6003 => "see the job's state with GET /v1/batches/ID",
@@ -467,7 +477,7 @@
             | Self::ItemUnclear { .. }
             | Self::Internal { .. } => Outcome::Unknown,
             Self::ItemFailed { outcome, .. } => *outcome,
-            Self::TargetFailed { .. } => Outcome::Run,
+            Self::TargetFailed { .. } | Self::AnswerTooLarge { .. } => Outcome::Run,
             _ => Outcome::NotRun,
         }
     }
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -46,6 +46,7 @@
             Self::AnswerMismatch { target: text("target") },
             Self::TargetFailed { target: text("target"), status: 0 },
             Self::TargetRefused { target: text("target"), reason: text("reason") },
+            Self::AnswerTooLarge { target: text("target"), limit: 0 },
             Self::BatchLineInvalid { line: 0, detail: text("detail") },
             Self::BatchTooLarge { limit: 0 },
             Self::JobState { job: text("job"), state: text("state") },
--- a/crates/sesamewall-server/src/caller/completions.rs
+++ b/crates/sesamewall-server/src/caller/completions.rs
@@ -48,7 +48,7 @@
             return target_status(status, body, outcome, &request);
         }
         Some(StreamOutput::Failed(error)) => return error_response(&error, &request),
-        None => {
+        Some(StreamOutput::Restarted) | None => {
             let detail = "the call ended without an answer".to_owned();
             return error_response(&Error::Internal { detail }, &request);
         }
@@ -58,6 +58,9 @@
         StreamOutput::Status { status, .. } => error_event(&Error::Internal {
             detail: format!("status {status} in the middle of a stream"),
         }),
+        StreamOutput::Restarted => error_event(&Error::Internal {
+            detail: "the call started again in the middle of a stream".to_owned(),
+        }),
         StreamOutput::Failed(error) => error_event(&error),
     });
     let events = stream::once(async move { first }).chain(rest).map(Ok::<_, std::io::Error>);
--- a/crates/sesamewall-server/src/execute/attempt.rs
+++ b/crates/sesamewall-server/src/execute/attempt.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Returns the error for a response of which more than `limit` bytes were read.
+    pub fn too_large(target: &str, limit: usize) -> Self {
+        let error = Error::AnswerTooLarge { target: target.to_owned(), limit };
+        Self { error, end: SlotResult::Failed, not_run: false }
+    }
+
     /// Returns the error for a response that ended without a transport error but is incomplete.
     pub fn incomplete(target: &str, detail: &str) -> Self {
         let detail = detail.to_owned();
--- a/crates/sesamewall-server/src/execute/engine_call.rs
+++ b/crates/sesamewall-server/src/execute/engine_call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use sesamewall_protocol::Class;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::Outcome;
 use sesamewall_protocol::Time;
@@ -24,6 +25,10 @@
 /// Time limit between two tokens of a stream; beyond it the stream counts as lost.
 const TOKEN_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Most bytes of the events of one batch item. They are kept until the item ends, and an engine may
+/// send events without an end.
+const ITEM_LIMIT_BYTES: usize = 8 << 20;
+
 /// Output of a running stream.
 #[derive(Debug)]
 pub enum StreamOutput {
@@ -38,6 +43,9 @@
         /// Whether the target ran the request.
         outcome: Outcome,
     },
+    /// The call starts from its beginning at another target; the events so far are not used. Only
+    /// batch items start again.
+    Restarted,
     /// The call failed.
     Failed(Error),
 }
@@ -54,6 +62,8 @@
     Preempted,
     /// The attempt failed.
     Failed(AttemptError),
+    /// The target sent more than an item may have, and nothing that it sent is used.
+    TooLarge(AttemptError),
 }
 
 /// Progress of a call across its attempts.
@@ -61,6 +71,8 @@
 struct Progress {
     started: Time,
     generated: u64,
+    /// Bytes of the events so far.
+    bytes: usize,
     first_us: Option<u64>,
 }
 
@@ -77,7 +89,7 @@
                 return;
             }
         };
-        let mut progress = Progress { started, generated: call.resume_from, first_us: None };
+        let mut progress = Progress { started, generated: call.resume_from, ..Progress::default() };
         let result = loop {
             let guard = match self.acquire_slot(call, &mut attempts, progress.generated).await {
                 Ok(guard) => guard,
@@ -101,6 +113,15 @@
                 }
                 AttemptResult::Cancelled => break Err(Error::Cancelled),
                 AttemptResult::Preempted => {}
+                AttemptResult::TooLarge(failure) => {
+                    progress.generated = call.resume_from;
+                    progress.bytes = 0;
+                    // A run whose receiver is gone ends with its next attempt.
+                    let _ = outputs.send(StreamOutput::Restarted).await;
+                    if let Err(error) = self.retry(call, &mut attempts, &slot, failure, false) {
+                        break Err(attempts.final_error(error));
+                    }
+                }
                 // A resumed stream repeats no delivered token, so a partly delivered response can
                 // still be retried.
                 AttemptResult::Failed(failure) => {
@@ -144,7 +165,7 @@
                 AttemptResult::Status(status) if *status < 500 => SlotResult::Whole,
                 AttemptResult::Status(_) => SlotResult::Failed,
                 AttemptResult::Cancelled | AttemptResult::Preempted => SlotResult::Cancelled,
-                AttemptResult::Failed(failure) => failure.end,
+                AttemptResult::Failed(failure) | AttemptResult::TooLarge(failure) => failure.end,
             },
             first_token_us: progress.first_us,
             work: call.prompt + progress.generated - generated_before,
@@ -207,6 +228,12 @@
                     progress.first_us = Some(micros(since));
                     self.observe_first_token(call, progress);
                 }
+                progress.bytes += event.bytes.len();
+                let is_kept = call.class == Class::Batch && !call.forwarded;
+                if is_kept && progress.bytes > ITEM_LIMIT_BYTES {
+                    let failure = AttemptError::too_large(target, ITEM_LIMIT_BYTES);
+                    return AttemptResult::TooLarge(failure);
+                }
                 let last = event.last;
                 let token = has_token(&event);
                 if outputs.send(StreamOutput::Event(event)).await.is_err() {
--- a/crates/sesamewall-server/src/execute/item_runner.rs
+++ b/crates/sesamewall-server/src/execute/item_runner.rs
@@ -13,6 +13,7 @@
 use sesamewall_protocol::Result;
 use tokio::sync::mpsc;
 
+use super::Call;
 use super::Executor;
 use super::engine_call::StreamOutput;
 use crate::ItemRequest;
@@ -45,20 +46,22 @@
         call.urgent = item.urgent;
         call.trace = Some(item.trace.clone());
         if !request.is_resumable() {
-            let response = self.executor.run_plain(&call).await?;
-            return Ok((response.status, response.body));
+            return self.run_whole(&call).await;
         }
         call.body = request.streamed_body();
         let (sender, mut outputs) = mpsc::channel(OUTPUT_BUFFER);
         let executor = self.executor.clone();
         let run = tokio::spawn(async move { executor.run_stream(&call, sender).await });
-        let mut assembler =
-            ResponseAssembler { chat: item.path.contains("chat"), ..ResponseAssembler::default() };
+        let chat = item.path.contains("chat");
+        let mut assembler = ResponseAssembler { chat, ..ResponseAssembler::default() };
         let mut result = Ok(());
         while let Some(output) = outputs.recv().await {
             match output {
                 StreamOutput::Event(event) => assembler.add(&event.bytes),
                 StreamOutput::Status { status, body, .. } => return Ok((status, body)),
+                StreamOutput::Restarted => {
+                    assembler = ResponseAssembler { chat, ..ResponseAssembler::default() };
+                }
                 StreamOutput::Failed(error) => result = Err(error),
             }
         }
@@ -70,8 +73,16 @@
         let configuration = self.executor.context.config.current();
         let mut call = plain_route_call(&configuration, item)?;
         call.cancel = item.cancel.clone();
-        let response = self.executor.run_plain(&call).await?;
-        Ok((response.status, response.body))
+        self.run_whole(&call).await
+    }
+
+    /// Runs a call whose answer has to fit into memory as a whole.
+    async fn run_whole(&self, call: &Call) -> Result<(u16, Bytes)> {
+        let response = self.executor.run_plain(call).await?;
+        match response.remaining {
+            None => Ok((response.status, response.body)),
+            Some(rest) => Err(rest.reject()),
+        }
     }
 }
 
--- a/crates/sesamewall-server/src/execute/plain_call.rs
+++ b/crates/sesamewall-server/src/execute/plain_call.rs
@@ -181,6 +181,15 @@
 }
 
 impl RemainingBody {
+    /// Ends the call without reading the rest, and returns the error for an answer that is too
+    /// large to be kept.
+    pub fn reject(self) -> Error {
+        let target = self.guard.slot.target.as_str();
+        let failure = AttemptError::too_large(target, BUFFER_LIMIT_BYTES);
+        self.guard.finish(SlotReport { end: failure.end, first_token_us: None, work: 1 });
+        failure.error
+    }
+
     /// Returns the remaining body as a stream that reports the slot at its end. An error closes the
     /// caller's connection, so that the caller does not take the response for a complete one.
     pub fn into_stream(self) -> impl futures::Stream<Item = std::io::Result<Bytes>> {
--- a/crates/sesamewall-server/tests/path.rs
+++ b/crates/sesamewall-server/tests/path.rs
@@ -4,6 +4,8 @@
 
 #[path = "path/answers.rs"]
 mod answers;
+#[path = "path/endless.rs"]
+mod endless;
 #[path = "path/fleet.rs"]
 mod fleet;
 #[path = "path/input.rs"]
