--- a/crates/sesamewall-server/tests/path/endless.rs
+++ b/crates/sesamewall-server/tests/path/endless.rs
@@ -73,23 +73,10 @@
 
 /// Submits a job with these items and returns the lines of its results once it has ended.
 async fn run_job(fleet: &Fleet, items: &[Value]) -> Vec<Value> {
-    let lines: Vec<String> = items.iter().map(Value::to_string).collect();
-    let form = format!(
-        "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
-         --XX\r\ncontent-disposition: form-data; name=\"file\"; filename=\"in.jsonl\"\r\n\r\n\
-         {}\r\n--XX--\r\n",
-        lines.join("\n")
-    );
+    let job = fleet.submit_job(CHAT, items).await;
     let a = bearer(KEY_A);
-    let kind = "multipart/form-data; boundary=XX";
-    let headers = [("authorization", &*a), ("content-type", kind)];
-    let file = fleet.send(0, Method::POST, "/v1/files", &headers, &form).await;
-    let job = json!({ "input_file_id": file.json()["id"], "endpoint": CHAT,
-                      "completion_window": "24h" });
     let headers = [("authorization", &*a)];
-    let job = fleet.send(0, Method::POST, "/v1/batches", &headers, &job.to_string()).await;
-    assert_eq!(job.status, 200, "{} {}", file.text, job.text);
-    let path = format!("/v1/batches/{}", job.json()["id"].as_str().unwrap());
+    let path = format!("/v1/batches/{job}");
     for _ in 0..600 {
         let state = fleet.send(0, Method::GET, &path, &headers, "").await.json();
         if state["status"] == "completed" {
--- a/crates/sesamewall-server/tests/path/fleet.rs
+++ b/crates/sesamewall-server/tests/path/fleet.rs
@@ -201,6 +201,27 @@
         self.send(instance, Method::POST, CHAT, &[("authorization", &bearer(KEY_A))], &body).await
     }
 
+    /// Submits a batch job of account `a` with these items, and returns its id.
+    pub async fn submit_job(&self, endpoint: &str, items: &[Value]) -> String {
+        let lines: Vec<String> = items.iter().map(Value::to_string).collect();
+        let form = format!(
+            "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
+             --XX\r\ncontent-disposition: form-data; name=\"file\"; filename=\"in.jsonl\"\r\n\r\n\
+             {}\r\n--XX--\r\n",
+            lines.join("\n")
+        );
+        let a = bearer(KEY_A);
+        let kind = "multipart/form-data; boundary=XX";
+        let headers = [("authorization", &*a), ("content-type", kind)];
+        let file = self.send(0, Method::POST, "/v1/files", &headers, &form).await;
+        let job = json!({ "input_file_id": file.json()["id"], "endpoint": endpoint,
+                          "completion_window": "24h" });
+        let headers = [("authorization", &*a)];
+        let job = self.send(0, Method::POST, "/v1/batches", &headers, &job.to_string()).await;
+        assert_eq!(job.status, 200, "{} {}", file.text, job.text);
+        job.json()["id"].as_str().unwrap().to_owned()
+    }
+
     /// Sends a request to the operator API of an instance.
     pub async fn fetch_operator(&self, instance: usize, path: &str) -> HttpResponse {
         let url = format!("http://{}{path}", self.running[instance].operator_addr);
--- a/crates/sesamewall-server/tests/path/keys.rs
+++ b/crates/sesamewall-server/tests/path/keys.rs
@@ -129,20 +129,7 @@
         .await;
     let url = format!("/service/x?kept=1&api_key={KEY_A}");
     let item = json!({ "custom_id": "1", "method": "POST", "url": url, "body": {} });
-    let form = format!(
-        "--XX\r\ncontent-disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
-         --XX\r\ncontent-disposition: form-data; name=\"file\"; filename=\"in.jsonl\"\r\n\r\n\
-         {item}\r\n--XX--\r\n"
-    );
-    let a = bearer(KEY_A);
-    let kind = "multipart/form-data; boundary=XX";
-    let headers = [("authorization", &*a), ("content-type", kind)];
-    let file = fleet.send(0, Method::POST, "/v1/files", &headers, &form).await;
-    let job = json!({ "input_file_id": file.json()["id"], "endpoint": url,
-                      "completion_window": "24h" });
-    let headers = [("authorization", &*a)];
-    let job = fleet.send(0, Method::POST, "/v1/batches", &headers, &job.to_string()).await;
-    assert_eq!(job.status, 200, "{} {}", file.text, job.text);
+    fleet.submit_job(&url, &[item]).await;
     for _ in 0..1000 {
         if !target.received().is_empty() {
             break;
