Log what an attempt knew of a target's cold state and starts

Cause: the log of an attempt cannot tell a front that did not know its target to be cold from one that did not know of the starts of others.

Change: the lines of an attempt and of a resumed stream have the target's cold state and recent starts, as the front knew them when it chose.

--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -382,6 +382,7 @@
                 "route" => &*request.route.name, "version" => request.version,
                 "account" => request.account.as_ref().map(|account| account.name.to_string()),
                 "target" => %placement.name, "online" => placement.online, "batch" => placement.batch,
+                "cold" => placement.cold, "recent" => placement.recent,
                 "new_version" => new_version,
                 "end" => match &result {
                     Ok(response) => format!("status {}", response.status.as_u16()),
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -286,6 +286,7 @@
             let result = attempt(&self.context, target, &attempt_request, limit).await;
             info!(self.context.log, "stream goes on elsewhere"; "request" => self.request.id_text(),
             "after" => self.last_id, "cause" => %error, "target" => %placement.name,
+            "cold" => placement.cold, "recent" => placement.recent,
             "end" => match &result {
                 Ok(response) => format!("status {}", response.status.as_u16()),
                 Err(error) => error.to_string(),
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -107,6 +107,10 @@
     pub online: u32,
     /// Batch items at the target, by the known counts.
     pub batch: u32,
+    /// Whether the target is known to be cold.
+    pub cold: bool,
+    /// Starts of all instances at the target in the window of its limit, by the known counts.
+    pub recent: u32,
 }
 
 /// The reason why no target was chosen.
@@ -186,6 +190,8 @@
     target: &'a TargetState,
     online: u32,
     batch: u32,
+    cold: bool,
+    recent: u32,
 }
 
 /// Chooses the target with the lowest cost. The load cost rises with the square of the used
@@ -271,7 +277,7 @@
 
 impl From<Candidate<'_>> for Placement {
     fn from(candidate: Candidate<'_>) -> Self {
-        let Candidate { target, online, batch, .. } = candidate;
+        let Candidate { target, online, batch, cold, recent, .. } = candidate;
         Self {
             name: target.entry.name.clone(),
             address: target.entry.address,
@@ -279,6 +285,8 @@
             slots: target.entry.slots,
             online,
             batch,
+            cold,
+            recent,
         }
     }
 }
@@ -343,7 +351,8 @@
         let far = target.entry.domain != *request.domain;
         let cold = target.is_cold(now);
         let limit = if cold { context.start_limits.cold } else { context.start_limits.warm };
-        let recent = f64::from(peers.recent_starts(target.key, now));
+        let recent_starts = peers.recent_starts(target.key, now);
+        let recent = f64::from(recent_starts);
         // Starts by peers since the last datagrams are unknown, most of all in another failure
         // domain.
         let batch_limit = context.start_limits.cold * settings.batch_fraction;
@@ -373,7 +382,7 @@
             + if cold && limit > 0.0 { settings.cold_cost * recent / limit } else { 0.0 }
             + limit_cost
             + jitter;
-        candidates.push(Candidate { cost, target, online, batch });
+        candidates.push(Candidate { cost, target, online, batch, cold, recent: recent_starts });
     }
     candidates
 }
--- a/crates/sesamewall-fleet/tests/decisions/stall_timeout.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stall_timeout.rs
@@ -41,6 +41,8 @@
         slots: 8,
         online,
         batch,
+        cold: false,
+        recent: 0,
     }
 }
 
