Add failing tests of cold starts by instances with late counts

Cause: each instance limits the starts at a cold target by the sum that it knows of, and may use all that is left of it. Until the next datagrams arrive, the others do the same.

--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -10,6 +10,8 @@
 mod batch;
 #[path = "decisions/claim_comparison.rs"]
 mod claim_comparison;
+#[path = "decisions/cold_starts.rs"]
+mod cold_starts;
 #[path = "decisions/completion_forecast.rs"]
 mod completion_forecast;
 #[path = "decisions/domain_flow.rs"]
