Give each front a share of the starts at a cold target

Cause: each instance kept the limit by the sum of starts that it knows of. The starts of others arrive with their next datagrams; until then every instance uses all that is left.

Change: each front has a share of the limit at each cold target of its failure domain. The shares add up to no more than the limit and need no counts, only the list of the domain's fronts, which hubs know from beacons and send to their members. The limit on the known sum stays.

--- a/crates/sesamewall-edge/src/state_exchange/hub_record.rs
+++ b/crates/sesamewall-edge/src/state_exchange/hub_record.rs
@@ -170,9 +170,14 @@
     let hubs: Vec<HubStatus> = records.hubs.iter().map(|record| record.hub.clone()).collect();
     let fronts = records.sizes.iter().map(|(_, size)| size.fronts).sum();
     let all = records.sizes.iter().map(|(_, size)| size.all).sum();
+    let local = &context.settings.domain;
+    let local_size = records.sizes.iter().find(|(domain, _)| domain == local);
     let mut state = context.state();
     state.peers.on_hubs(&hubs);
     state.peers.on_fleet_size(fronts, all);
+    if let Some((_, size)) = local_size {
+        state.peers.on_domain_size(size.fronts);
+    }
     drop(state);
     context.state_changed.notify_one();
     records
--- a/crates/sesamewall-edge/src/state_exchange/receive.rs
+++ b/crates/sesamewall-edge/src/state_exchange/receive.rs
@@ -45,6 +45,10 @@
             Datagram::Confirmation(confirmation) => {
                 confirm::on_confirmation(&exchange, confirmation);
             }
+            Datagram::DomainFronts(keys) => {
+                let now = exchange.context.now();
+                exchange.context.state().peers.on_domain_fronts(&keys, now);
+            }
         }
     }
 }
--- a/crates/sesamewall-edge/src/state_exchange/send.rs
+++ b/crates/sesamewall-edge/src/state_exchange/send.rs
@@ -242,6 +242,10 @@
     if lists {
         times.lists = now;
     }
+    if lists {
+        let fronts = Datagram::DomainFronts(context.state().peers.domain_fronts()).encode();
+        members.iter().for_each(|(address, _)| send_datagram(exchange, &fronts, *address));
+    }
     let digest = build_digest(context, times, lists, now);
     let any_worker = members.iter().any(|(_, worker)| *worker);
     let for_workers = any_worker.then(|| {
--- a/crates/sesamewall-fleet/src/datagrams.rs
+++ b/crates/sesamewall-fleet/src/datagrams.rs
@@ -316,6 +316,8 @@
     Digest(Box<Digest>),
     /// From a hub that has read the store to all hubs, and from each hub to its members.
     Confirmation(Confirmation),
+    /// From a hub to its members: the keys of the fronts of their failure domain, live or not.
+    DomainFronts(Vec<u32>),
 }
 
 impl Datagram {
@@ -347,7 +349,7 @@
             Self::Beacon(beacon) => Some(&beacon.rollouts),
             Self::Report(report) => Some(&report.rollouts),
             Self::Digest(digest) => Some(&digest.rollouts),
-            Self::Hello(_) | Self::Hubs(_) | Self::Confirmation(_) => None,
+            Self::Hello(_) | Self::Hubs(_) | Self::Confirmation(_) | Self::DomainFronts(_) => None,
         }
     }
 
@@ -356,7 +358,7 @@
             Self::Beacon(beacon) => Some(&mut beacon.rollouts),
             Self::Report(report) => Some(&mut report.rollouts),
             Self::Digest(digest) => Some(&mut digest.rollouts),
-            Self::Hello(_) | Self::Hubs(_) | Self::Confirmation(_) => None,
+            Self::Hello(_) | Self::Hubs(_) | Self::Confirmation(_) | Self::DomainFronts(_) => None,
         }
     }
 }
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::Beacon;
 use crate::Digest;
+use crate::DomainFronts;
 use crate::DomainLoads;
 use crate::FleetCoverage;
 use crate::HubStatus;
@@ -75,6 +76,7 @@
     counts: RequestCounts,
     outcomes: PeerOutcomes,
     liveness: Liveness,
+    fronts: DomainFronts,
     hubs: BTreeMap<InstanceName, HubContact>,
     last_direct: HashMap<InstanceName, Time>,
     members: BTreeMap<InstanceName, MemberContact>,
@@ -93,6 +95,7 @@
         Self {
             liveness: Liveness::new(settings.liveness.clone()),
             settings,
+            fronts: DomainFronts::new(instance_key(&local.name)),
             local,
             is_hub: false,
             counts: RequestCounts::default(),
@@ -132,6 +135,27 @@
         self.liveness.on_fleet_size(fronts, all);
     }
 
+    /// Sets the number of fronts of the local failure domain as read from the store.
+    pub fn on_domain_size(&mut self, fronts: u32) {
+        self.fronts.on_stored_size(fronts);
+    }
+
+    /// Adds fronts of the local failure domain that its hub lists, by their keys.
+    pub fn on_domain_fronts(&mut self, keys: &[u32], now: Time) {
+        self.fronts.on_listed(keys.iter().copied(), now);
+    }
+
+    /// Returns the keys of the known fronts of the local failure domain.
+    pub fn domain_fronts(&self) -> Vec<u32> {
+        self.fronts.keys()
+    }
+
+    /// Returns whether the local instance has used its share of the `limit` on the starts a second
+    /// at a cold target of the local failure domain.
+    pub fn has_used_share(&self, key: u32, limit: f64, now: Time) -> bool {
+        self.counts.local_starts(key, now) >= self.fronts.share(key, limit)
+    }
+
     /// Applies a hub's beacon. `direct` is true if it came from the hub itself. Returns false for a
     /// beacon that is not newer than the last one.
     pub fn on_beacon(&mut self, beacon: Beacon, direct: bool, now: Time) -> bool {
@@ -150,6 +174,10 @@
         let peers: Vec<Member> =
             beacon.members.iter().filter(|member| member.key != local_key).copied().collect();
         self.domains_heard.insert(domain_key(&beacon.hub.domain), now);
+        if beacon.hub.domain == self.local.domain {
+            let fronts = beacon.members.iter().filter(|member| member.front);
+            self.fronts.on_listed(fronts.map(|member| member.key), now);
+        }
         self.liveness.on_live(&peers, now);
         let missing: Vec<_> =
             beacon.missing.iter().filter(|entry| entry.member.key != local_key).copied().collect();
@@ -185,6 +213,7 @@
             return false;
         }
         self.liveness.on_live(&[Member { key, front: report.front }], now);
+        self.fronts.on_listed(report.front.then_some(key), now);
         self.counts.limits_mut().on_member_limits(&report.limits, now);
         self.counts.on_peer_counts(&name, report.boot_id, &report.targets, true, now);
         let outcomes = &report.rollouts.outcomes;
@@ -263,6 +292,7 @@
         self.counts.on_tick(keep, now);
         self.outcomes.on_tick(now);
         self.liveness.on_tick(now);
+        self.fronts.on_tick(now);
     }
 
     fn live_timeout(&self) -> Duration {
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -138,6 +138,8 @@
     pub cold: f64,
     /// Limit for all other targets, which may have turned cold a moment ago.
     pub warm: f64,
+    /// Sum of the shares of all fronts of a failure domain at one of its cold targets.
+    pub share: f64,
 }
 
 /// Fraction of the platform's limit for cold targets up to which other targets are used. The rest
@@ -152,11 +154,10 @@
         if rate <= 0.0 {
             return Self::default();
         }
-        let allowed = coverage * (rate * factor + extra);
-        Self {
-            cold: rate.min(allowed),
-            warm: rate.max(WARM_FRACTION * (rate * factor + extra)).min(allowed),
-        }
+        let share = rate * factor + extra;
+        let allowed = coverage * share;
+        let warm = rate.max(WARM_FRACTION * share).min(allowed);
+        Self { cold: rate.min(allowed), warm, share }
     }
 }
 
@@ -361,7 +362,12 @@
             _ if named.is_some_and(|named| !named.allows(recent, batch_fraction)) => true,
             _ if limit <= 0.0 => false,
             Some(_) => cold || recent + 1.0 > batch_limit.max(1.0),
-            None => (cold && far) || recent + 1.0 > limit.max(1.0),
+            None if cold => {
+                let share = context.start_limits.share;
+                let shared = share > 0.0 && peers.has_used_share(target.key, share, now);
+                far || shared || recent + 1.0 > limit.max(1.0)
+            }
+            None => recent + 1.0 > limit.max(1.0),
         };
         if at_limit {
             *reason = PlacementError::StartRate;
--- a/crates/sesamewall-fleet/src/request_counts.rs
+++ b/crates/sesamewall-fleet/src/request_counts.rs
@@ -16,6 +16,10 @@
 /// Window of the limit on starts at a target that has named none itself.
 const START_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time over which the local starts count against the share of a cold target: the second of the
+/// limit, and the time by which requests may arrive closer together than they were chosen.
+const SHARE_WINDOW: Duration = Duration::from_millis(1100);
+
 /// Time for which a report lists a target after its last request started. It spans several reports,
 /// so that no start is missed when some of them are lost.
 const IDLE_LISTING: Duration = Duration::from_millis(1500);
@@ -59,6 +63,8 @@
     /// Starts of the local group since the start of the process.
     group_started: HashMap<u32, u32>,
     starts: HashMap<u32, VecDeque<(Time, u32)>>,
+    /// Times of the starts of the local instance.
+    local_starts: HashMap<u32, VecDeque<Time>>,
     limits: RequestLimits,
     /// Loads by failure domain, from digests.
     digest_loads: HashMap<u32, Vec<TargetLoad>>,
@@ -83,6 +89,7 @@
         let started = self.group_started.entry(key).or_default();
         *started = started.saturating_add(1);
         self.starts.entry(key).or_default().push_back((now, 1));
+        self.local_starts.entry(key).or_default().push_back(now);
         self.pending.push_back((self.sequence + 1, key));
         if self.pending.len() > 4 * RETAINED_REPORTS {
             self.pending.pop_front();
@@ -277,6 +284,12 @@
         starts.map(|(_, count)| *count).fold(0, u32::saturating_add)
     }
 
+    /// Returns the starts of the local instance at a target that count against its share.
+    pub fn local_starts(&self, key: u32, now: Time) -> u32 {
+        let starts = self.local_starts.get(&key).into_iter().flatten();
+        starts.filter(|at| now.since(**at) < SHARE_WINDOW).count() as u32
+    }
+
     /// Returns the load of a target for a digest; `None` if there is none.
     pub fn load(&self, key: u32, now: Time) -> Option<TargetLoad> {
         let small = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
@@ -296,6 +309,12 @@
             }
         }
         self.starts.retain(|_, starts| !starts.is_empty());
+        for starts in self.local_starts.values_mut() {
+            while starts.front().is_some_and(|at| now.since(*at) >= SHARE_WINDOW) {
+                starts.pop_front();
+            }
+        }
+        self.local_starts.retain(|_, starts| !starts.is_empty());
         self.limits.on_tick(&keep, now);
         self.local
             .retain(|key, local| local.count.online > 0 || local.count.batch > 0 || keep(*key));
--- a/crates/sesamewall-fleet/tests/decisions/cold_starts.rs
+++ b/crates/sesamewall-fleet/tests/decisions/cold_starts.rs
@@ -9,6 +9,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sesamewall_fleet::Beacon;
+use sesamewall_fleet::Datagram;
+use sesamewall_fleet::DomainFronts;
 use sesamewall_fleet::Peers;
 use sesamewall_fleet::PlacementContext;
 use sesamewall_fleet::PlacementRequest;
@@ -23,6 +25,8 @@
 use crate::support::beacon;
 use crate::support::entry;
 use crate::support::hub;
+use crate::support::member;
+use crate::support::report;
 
 /// Factor and extra requests within which the users count what a cold target gets in a second.
 const COUNTED: (f64, f64) = (1.5, 5.0);
@@ -153,9 +157,9 @@
                     }
                 }
             }
-            for n in 0..self.instances {
-                if (now + n as u64) % BEACON_INTERVAL == 0 {
-                    let state = hubs[n].group_state(at(now));
+            for (n, hub) in hubs.iter_mut().enumerate() {
+                if (now + n as u64).is_multiple_of(BEACON_INTERVAL) {
+                    let state = hub.group_state(at(now));
                     let sequence = 2 + now / BEACON_INTERVAL;
                     let (targets, members) = (state.targets, state.members);
                     let sent = Beacon { targets, members, ..beacon(&name(n), sequence) };
@@ -166,9 +170,9 @@
                     continue;
                 }
                 let age = self.delay + BEACON_INTERVAL;
-                match choose(&hubs[n], &table, self.rate, age, rng.random(), now) {
+                match choose(hub, &table, self.rate, age, rng.random(), now) {
                     Some(key) => {
-                        hubs[n].start(key, false, at(now));
+                        hub.start(key, false, at(now));
                         running.push((now + SERVICE_TIME, n, key));
                         starts.entry(key).or_default().push(now);
                         outcome.served += 1;
@@ -195,7 +199,6 @@
 /// Guards against a cold target that is flooded by instances that have just started and do not know
 /// of each other's starts.
 #[test]
-#[ignore = "KNOWN-RED: issue 43"]
 fn first_requests_after_a_start_keep_the_limit_of_cold_targets() {
     for seed in 0..20 {
         let play = Play { seed, ..FIRST_REQUESTS };
@@ -215,7 +218,6 @@
     /// Guards against a limit that holds only as long as the counts of other instances are recent,
     /// for any number of instances and any load.
     #[test]
-    #[ignore = "KNOWN-RED: issue 43"]
     fn late_counts_keep_the_limit_of_cold_targets(
         instances in 2_usize..40,
         targets in 1_usize..20,
@@ -231,8 +233,8 @@
     }
 }
 
-/// Guards against a limit that keeps a cold failure domain from taking a calm load. Load: half of what its targets
-/// sustain, evenly over the instances.
+/// Guards against a limit that keeps a cold failure domain from taking a calm load. Load: half of
+/// what its targets sustain, evenly over the instances.
 #[test]
 fn a_calm_load_is_served_by_cold_targets() {
     for (instances, rate) in [(2, 17.0), (19, 11.0), (28, 6.9)] {
@@ -243,3 +245,81 @@
         assert!(outcome.refused * 100 <= outcome.served, "{instances}: {outcome:?}");
     }
 }
+
+/// Returns the view that each of `count` fronts has of the others once all are listed.
+fn all_listed(count: u32) -> Vec<DomainFronts> {
+    let view = |local| {
+        let mut fronts = DomainFronts::new(local);
+        fronts.on_listed(0..count, at(0));
+        fronts
+    };
+    (0..count).map(view).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against shares that together exceed the limit, and against a target that no front may
+    /// use.
+    #[test]
+    fn shares_add_up_to_the_limit(count in 1_u32..120, limit in 1.0_f64..60.0, target: u32) {
+        let sum: u32 = all_listed(count).iter().map(|fronts| fronts.share(target, limit)).sum();
+        prop_assert!(f64::from(sum) <= limit, "{sum}");
+        prop_assert!(sum > 0);
+    }
+}
+
+/// Guards against a front that has just started and takes the whole limit, since it knows of no other
+/// front yet.
+#[test]
+fn the_stored_size_counts_until_the_fronts_are_listed() {
+    let mut fronts = DomainFronts::new(1);
+    assert_eq!(fronts.share(7, 21.0), 21);
+    fronts.on_stored_size(19);
+    assert_eq!(fronts.share(7, 21.0), 1);
+    let shares = |known: u32| {
+        let view = |local| {
+            let mut fronts = DomainFronts::new(local);
+            fronts.on_stored_size(28);
+            fronts.on_listed((0..28).filter(|key| (key + local) % 28 < known), at(0));
+            fronts
+        };
+        (0..28).map(|local| view(local).share(7, 15.0)).sum::<u32>()
+    };
+    assert_eq!(shares(28), 15);
+    assert!(shares(7) <= 21, "{}", shares(7));
+}
+
+/// Guards against a front that is cut off and keeps its share, while the others divide it among
+/// themselves.
+#[test]
+fn a_silent_front_keeps_its_share() {
+    let mut fronts = DomainFronts::new(0);
+    fronts.on_listed(0..10, at(0));
+    fronts.on_listed(0..5, at(20_000));
+    fronts.on_tick(at(20_000));
+    assert_eq!(fronts.share(7, 21.0), 2);
+    fronts.on_tick(at(31_000));
+    assert_eq!(fronts.share(7, 21.0), 4);
+}
+
+/// Guards against members that do not learn of the other fronts, and against a list that an instance
+/// of the same build cannot read.
+#[test]
+fn members_learn_of_the_fronts_from_their_hub() {
+    let mut hub = hub("h0");
+    for n in 1..20 {
+        hub.on_report(report(&format!("m{n}"), 1, &[]), at(0));
+    }
+    let sent = Datagram::DomainFronts(hub.domain_fronts());
+    let Some(Datagram::DomainFronts(keys)) = Datagram::decode(&sent.encode()) else {
+        panic!("the list cannot be read");
+    };
+    let mut member = member("m1");
+    assert!(!member.has_used_share(7, 21.0, at(10)));
+    member.start(7, false, at(10));
+    assert!(!member.has_used_share(7, 21.0, at(11)), "no other front is known");
+    member.on_domain_fronts(&keys, at(12));
+    assert!(member.has_used_share(7, 21.0, at(13)));
+    assert!(!member.has_used_share(7, 21.0, at(1200)), "a later second has a share of its own");
+}
--- a/crates/sesamewall-fleet/tests/decisions/placement.rs
+++ b/crates/sesamewall-fleet/tests/decisions/placement.rs
@@ -47,7 +47,7 @@
     now: Time,
 ) -> Result<Placement, PlacementError> {
     let regions = HashMap::new();
-    let start_limits = StartLimits { cold: 17.0, warm: 17.0 };
+    let start_limits = StartLimits { cold: 17.0, warm: 17.0, ..StartLimits::default() };
     let staleness = Duration::from_millis(8);
     let context = PlacementContext {
         table,
