Keep logs of test processes out of the sources

An empty or relative SESAMEWALL_TEST_LOGS named the folder in which the test ran, which is the repository's root; a soak wrote to seed-N there. A relative or empty folder counts from the build folder's tmp, and is made if it does not exist. Measured: before, one test with the variable empty and with "." wrote front-0-PORT.log to the folder in which it ran.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -24,6 +24,8 @@
 mod late_writes;
 #[path = "platform/limits.rs"]
 mod limits;
+#[path = "platform/log_folders.rs"]
+mod log_folders;
 #[path = "platform/new_route.rs"]
 mod new_route;
 #[path = "platform/odd_entries.rs"]
--- a/tests/platform/fixture.rs
+++ b/tests/platform/fixture.rs
@@ -1,8 +1,10 @@
 //! Test fixture: a fleet of processes with a store and targets.
 
+use std::ffi::OsString;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -38,6 +40,17 @@
 
 static NEXT_NET: AtomicU8 = AtomicU8::new(1);
 
+/// Returns the folder for logs that `value` of the environment variable names; `None` if nothing is
+/// kept. A relative or empty path counts from the build folder, so that no log gets into the sources.
+pub fn log_folder(value: Option<OsString>) -> Option<PathBuf> {
+    value.map(|folder| Path::new(env!("CARGO_TARGET_TMPDIR")).join(folder))
+}
+
+/// Returns the folder for logs that the environment variable names; `None` if nothing is kept.
+pub fn chosen_log_folder() -> Option<PathBuf> {
+    log_folder(std::env::var_os(LOG_VARIABLE))
+}
+
 pub struct Process {
     file: SettingsFile,
     path: PathBuf,
@@ -72,6 +85,7 @@
     /// without one nothing is kept.
     fn log(&self) -> Stdio {
         let Some(folder) = &self.logs else { return Stdio::null() };
+        std::fs::create_dir_all(folder).expect("a folder for logs");
         let path = folder.join(format!("{}-{}.log", self.file.name, self.file.port));
         let file = std::fs::File::options().create(true).append(true).open(path);
         file.expect("a folder for logs").into()
@@ -183,13 +197,12 @@
 
 impl Default for FleetSettings {
     fn default() -> Self {
-        let logs = std::env::var_os(LOG_VARIABLE).map(PathBuf::from);
         Self {
             fronts: 1,
             workers: 0,
             with_hubs: false,
             rollouts: false,
-            logs,
+            logs: chosen_log_folder(),
             memory_mb: 110,
             max_fds: 4200,
         }
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -12,7 +12,6 @@
 mod schedule;
 
 use std::ops::Range;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -27,6 +26,7 @@
 use crate::fixture::FleetSettings;
 use crate::fixture::Process;
 use crate::fixture::TestFleet;
+use crate::fixture::chosen_log_folder;
 use crate::fixture::wait_until;
 use crate::soak::clients::World;
 use crate::soak::player::Player;
@@ -38,9 +38,6 @@
 const SEEDS_VARIABLE: &str = "SESAMEWALL_SOAK_SEEDS";
 const PROCESSES_VARIABLE: &str = "SESAMEWALL_SOAK_PROCESSES";
 
-/// Folder for logs of a run by hand; otherwise logs are kept only if a check fails.
-const LOG_VARIABLE: &str = "SESAMEWALL_TEST_LOGS";
-
 const CI_SEEDS: Range<u64> = 1..4;
 
 const SMALL_FLEET: usize = 7;
@@ -103,8 +100,9 @@
     let workers = processes / 2 + usize::from(processes == SMALL_FLEET);
     let fronts = processes - workers;
     let mut kept = tempfile::tempdir().expect("a temporary folder");
-    let logs = match std::env::var_os(LOG_VARIABLE) {
-        Some(folder) => PathBuf::from(folder).join(format!("seed-{seed}")),
+    // Without a folder for logs they are kept only if a check fails.
+    let logs = match chosen_log_folder() {
+        Some(folder) => folder.join(format!("seed-{seed}")),
         None => kept.path().to_owned(),
     };
     std::fs::create_dir_all(&logs).expect("a folder for logs");
