Test that streams go on only at the version that began them

Cause: several versions of the targets' software may serve side by side, and what two versions write does not fit together. No test played it. Change: tests with real processes of continuations in one answer, over a client's tries, after kills of one, half and all fronts, without a target of the version, beside targets without one, after a restart as another version, of batch items and in a rollout; and the checks on what clients received. The test without any version named and the test of the checks pass.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -44,6 +44,10 @@
 mod shutdown;
 #[path = "platform/soak.rs"]
 mod soak;
+#[path = "platform/stream_load.rs"]
+mod stream_load;
+#[path = "platform/stream_versions.rs"]
+mod stream_versions;
 #[path = "platform/target_limits.rs"]
 mod target_limits;
 #[path = "platform/target_news.rs"]
