--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -24,6 +24,8 @@
 mod late_writes;
 #[path = "platform/limits.rs"]
 mod limits;
+#[path = "platform/log_folders.rs"]
+mod log_folders;
 #[path = "platform/new_route.rs"]
 mod new_route;
 #[path = "platform/odd_entries.rs"]
@@ -42,6 +44,10 @@
 mod shutdown;
 #[path = "platform/soak.rs"]
 mod soak;
+#[path = "platform/stream_load.rs"]
+mod stream_load;
+#[path = "platform/stream_versions.rs"]
+mod stream_versions;
 #[path = "platform/target_limits.rs"]
 mod target_limits;
 #[path = "platform/target_news.rs"]
