Log the versions between which a stream goes on

Cause: versions of the target software that serve side by side write texts that don't fit together, and the log doesn't tell at which version a stream began or went on.

Change: the line of an attempt has the version of its target, that of a stream that goes on has both versions, and a stream that a client takes up has a line with the attempt that brought its first event. No decision changes.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -197,6 +197,9 @@
     pub headers: HeaderMap,
     /// The target.
     pub target: TargetName,
+    /// Version of the target's software by its entry when the target was chosen, empty if it names
+    /// none.
+    pub version: Arc<str>,
     body: Incoming,
     connection: Option<TargetConnection>,
     /// The run for the recognition of poison parts, until the target has begun to respond or was
@@ -580,6 +583,7 @@
         status: head.status,
         headers: head.headers,
         target: placement.name.clone(),
+        version: placement.version.clone(),
         body,
         connection: Some(connection),
         run: None,
--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -28,6 +28,7 @@
 use sesamewall_platform::LAST_EVENT_ID;
 use sesamewall_platform::PROMPT_PARTS;
 use sesamewall_platform::REQUEST_ID;
+use sesamewall_platform::RESUMES;
 use sesamewall_platform::prompt_prefix;
 use sesamewall_platform::shared_parts;
 use sesamewall_protocol::AccountName;
@@ -154,6 +155,17 @@
         self.headers.get(LAST_EVENT_ID)?.to_str().ok()?.trim().parse().ok()
     }
 
+    /// Returns the id of the attempt whose response brought the first event of the stream that the
+    /// caller takes up; `None` if it names none.
+    pub fn origin(&self) -> Option<&str> {
+        self.headers.get(RESUMES)?.to_str().ok().map(str::trim).filter(|id| !id.is_empty())
+    }
+
+    /// Returns whether the caller takes up a stream of which it has received events.
+    pub fn is_take_up(&self) -> bool {
+        self.is_resumable() && self.last_event_id().is_some_and(|id| id > 0)
+    }
+
     /// Returns whether the instance serves the request although it may be about to end.
     pub fn is_served(&self, context: &InstanceContext) -> bool {
         let now = context.now();
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -381,7 +381,8 @@
                 "chosen_ms" => now.since(request.arrived).as_millis() as u64,
                 "route" => &*request.route.name, "version" => request.version,
                 "account" => request.account.as_ref().map(|account| account.name.to_string()),
-                "target" => %placement.name, "online" => placement.online, "batch" => placement.batch,
+                "target" => %placement.name, "target_version" => &*placement.version,
+                "online" => placement.online, "batch" => placement.batch,
                 "cold" => placement.cold, "recent" => placement.recent,
                 "new_version" => new_version,
                 "end" => match &result {
@@ -389,6 +390,11 @@
                     Err(error) => error.to_string(),
                 },
                 "ms" => self.context.now().since(request.arrived).as_millis() as u64);
+            if request.is_take_up() {
+                info!(self.context.log, "stream taken up"; "request" => request.id_text(),
+                    "origin" => request.origin(), "after" => request.last_event_id(),
+                    "target" => %placement.name, "target_version" => &*placement.version);
+            }
             tried.push(placement.name.clone());
             let error = match result {
                 Ok(response) => {
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -42,6 +42,8 @@
     events: u64,
     /// Events of the current run.
     run_events: u64,
+    /// Version of the target that brought the first event of this response; `None` before it.
+    begun_at: Option<Arc<str>>,
     tried: Vec<TargetName>,
     /// Runs so far, including the current one.
     runs: u32,
@@ -70,6 +72,7 @@
             last_id,
             events: 0,
             run_events: 0,
+            begun_at: None,
             tried,
             runs,
             ended: false,
@@ -100,6 +103,7 @@
                 Ok(events) if !events.is_empty() => {
                     if let Some(response) = &mut self.response {
                         response.on_begun();
+                        self.begun_at.get_or_insert_with(|| response.version.clone());
                     }
                     self.start_wait();
                     return Some(Ok(events.into()));
@@ -285,7 +289,8 @@
             let attempt_request = self.request.attempt_request(&self.context, self.last_id, now);
             let result = attempt(&self.context, target, &attempt_request, limit).await;
             info!(self.context.log, "stream goes on elsewhere"; "request" => self.request.id_text(),
-            "after" => self.last_id, "cause" => %error, "target" => %placement.name,
+            "after" => self.last_id, "cause" => %error, "begun_at" => self.begun_at.as_deref(),
+            "target" => %placement.name, "target_version" => &*placement.version,
             "cold" => placement.cold, "recent" => placement.recent,
             "end" => match &result {
                 Ok(response) => format!("status {}", response.status.as_u16()),
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -101,6 +101,10 @@
     pub address: SocketAddr,
     /// Key of the target in datagrams.
     pub key: u32,
+    /// Version of the target's software by its entry, empty if it names none.
+    pub version: Arc<str>,
+    /// Start of the target by its entry, in Unix milliseconds.
+    pub started_ms: u64,
     /// Requests that the target runs at once.
     pub slots: u32,
     /// Online requests at the target, by the known counts.
@@ -282,6 +286,8 @@
             name: target.entry.name.clone(),
             address: target.entry.address,
             key: target.key,
+            version: target.entry.version.clone(),
+            started_ms: target.entry.started_ms,
             slots: target.entry.slots,
             online,
             batch,
--- a/crates/sesamewall-fleet/tests/decisions/stall_timeout.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stall_timeout.rs
@@ -38,6 +38,8 @@
         name: TargetName::from("t1"),
         address: "127.0.0.1:9".parse().expect("a constant address"),
         key: 1,
+        version: "".into(),
+        started_ms: 1,
         slots: 8,
         online,
         batch,
