Decide at which version a taken-up stream may go on

Cause: nothing in the fleet knows which version of the target software began a stream, so a client that takes it up again may get the rest from another one.

--- a/crates/sesamewall-fleet/src/catalog.rs
+++ b/crates/sesamewall-fleet/src/catalog.rs
@@ -195,6 +195,11 @@
         self.hosts.get(host).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteSpec>> {
+        self.hosts.values().flatten()
+    }
+
     /// Returns the account that an API key belongs to.
     pub fn account_of(&self, key: &str) -> Option<&Arc<AccountSpec>> {
         self.keys.get(key)
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -191,14 +191,16 @@
         target.is_usable(now) && !self.evacuated.contains(&target.entry.domain)
     }
 
+    /// Returns whether a target may get new work now or after a back-off.
+    pub fn may_serve(&self, target: &TargetState) -> bool {
+        !target.has_left() && !self.evacuated.contains(&target.entry.domain)
+    }
+
     /// Returns whether a request that was placed at the target `name` at `address` may be sent now.
     /// The target may have left since it was chosen; back-offs do not matter any more.
     pub fn may_receive(&self, name: &TargetName, address: SocketAddr) -> bool {
-        self.targets.get(name).is_some_and(|target| {
-            target.entry.address == address
-                && !target.has_left()
-                && !self.evacuated.contains(&target.entry.domain)
-        })
+        let target = self.targets.get(name).filter(|target| target.entry.address == address);
+        target.is_some_and(|target| self.may_serve(target))
     }
 
     /// Applies an entry, unless a later one was applied before: calls that read the store overlap. A
--- a/crates/sesamewall-fleet/src/version_rollout/version_filter.rs
+++ b/crates/sesamewall-fleet/src/version_rollout/version_filter.rs
@@ -31,6 +31,12 @@
 }
 
 impl VersionFilter {
+    /// Returns the filter for the continuation of a stream that `version` began. It does not depend
+    /// on rollouts, which move new requests only.
+    pub fn only(version: Arc<str>) -> Self {
+        Self { version, side: VersionSide::New, banned: Vec::new(), concentrate: false }
+    }
+
     /// Returns whether a target of `version` may be used.
     pub fn allows(&self, version: &str) -> bool {
         let is_new = *self.version == *version;
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -50,6 +50,10 @@
 mod route_absence;
 #[path = "decisions/stall_timeout.rs"]
 mod stall_timeout;
+#[path = "decisions/stream_version_play.rs"]
+mod stream_version_play;
+#[path = "decisions/stream_versions.rs"]
+mod stream_versions;
 #[path = "decisions/streams.rs"]
 mod streams;
 #[path = "decisions/support.rs"]
