Take a stream up again only at the version that began it

Change: an instance that forwards the first event of a stream records its version and sends the record, without waiting, to at most four holders of both roles. A take-up is placed only at targets of the recorded version, at a service of its route that has some. Without a record it goes on only if its services had one version for the whole life of a stream, with a table that was complete when the request arrived. Otherwise it is refused as not run: 4011 without a known version, 4012 without a target of it.

--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -68,6 +68,8 @@
     pub deadline: Time,
     /// Hash that recognises a request that the caller sends again.
     pub hash: u64,
+    /// Targets at which the stream that the request takes up may go on; `None` for a new request.
+    pub continues: Option<VersionFilter>,
     /// The place at a target that counts for the account until the request is dropped.
     pub place: OnceLock<HeldPlace>,
     method: Method,
@@ -128,6 +130,7 @@
             arrived,
             deadline: arrived + timeout,
             hash,
+            continues: None,
             place: OnceLock::new(),
             method,
             uri,
--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -37,10 +37,12 @@
 use sesamewall_fleet::Rollouts;
 use sesamewall_fleet::RouteDurations;
 use sesamewall_fleet::StopSettings;
+use sesamewall_fleet::StreamVersions;
 use sesamewall_fleet::TargetState;
 use sesamewall_fleet::TargetTable;
 use sesamewall_fleet::UnreadableEntries;
 use sesamewall_fleet::UpdateSources;
+use sesamewall_fleet::VersionHistory;
 use sesamewall_fleet::Versions;
 use sesamewall_fleet::WorkerStatus;
 use sesamewall_fleet::instance_key;
@@ -61,6 +63,7 @@
 use crate::log_limit::LogLimit;
 use crate::peer_client::PeerClient;
 use crate::peer_updates::table_revision;
+use crate::state_exchange::VersionLookups;
 use crate::store_access::StoreAccess;
 use crate::target_pool::TargetPool;
 
@@ -109,6 +112,10 @@
     pub durations: RouteDurations,
     /// Rollouts of services to new versions.
     pub rollouts: Rollouts,
+    /// Versions that began streams.
+    pub stream_versions: StreamVersions,
+    /// Versions that the services had lately.
+    pub version_history: VersionHistory,
 }
 
 impl State {
@@ -206,6 +213,8 @@
     pub peer_client: PeerClient,
     /// Pooled connections to targets.
     pub pool: TargetPool,
+    /// Lookups of the versions that began streams.
+    pub version_lookups: VersionLookups,
     /// Budget of the bytes that are held for requests and responses.
     pub buffers: Arc<ByteBudget>,
     /// Open connections of clients.
@@ -272,6 +281,7 @@
             metrics,
             peer_client: PeerClient::new(port),
             pool: TargetPool::default(),
+            version_lookups: VersionLookups::default(),
             draining: AtomicBool::new(false),
             retirements_changed: Notify::new(),
             state_changed: Notify::new(),
@@ -302,6 +312,8 @@
                 stop: PlannedStop::new(stop_settings),
                 durations: RouteDurations::default(),
                 rollouts: Rollouts::new(rollout_settings, local_key),
+                stream_versions: StreamVersions::default(),
+                version_history: VersionHistory::default(),
             }),
             store_lost: AtomicBool::new(false),
             store_recovered: Notify::new(),
--- a/crates/sesamewall-edge/src/metrics.rs
+++ b/crates/sesamewall-edge/src/metrics.rs
@@ -64,6 +64,8 @@
     pub rollout_requests: IntCounterVec,
     /// Those that failed, broke or stalled.
     pub rollout_bad: IntCounterVec,
+    /// Streams that clients took up again, by result.
+    pub take_ups: IntCounterVec,
     /// Bytes held for requests and responses by kind.
     pub held_bytes: IntGaugeVec,
     /// Bodies and connections of clients that were refused or closed, by cause.
@@ -162,6 +164,7 @@
                 "Bad responses during a rollout.",
                 &["service", "version"],
             ),
+            take_ups: counters("sesamewall_take_ups", "Streams taken up again.", &["end"]),
             held_bytes: gauges("sesamewall_held_bytes", "Held bytes by kind.", &["kind"]),
             client_refusals: counters(
                 "sesamewall_client_refusals",
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -49,6 +49,7 @@
 use crate::response::full;
 use crate::response::strip_connection_headers;
 use crate::stream_relay::StreamRelay;
+use crate::take_up;
 use crate::version_run::CountedRun;
 
 /// Number of attempts that targets did not run after which a request is refused.
@@ -175,7 +176,7 @@
         }
         self.wait_level(&request).await;
         self.admit(&request)?;
-        self.run(Arc::new(request)).await
+        self.run(request).await
     }
 
     /// Answers a request without a route: a job that was accepted before its route was removed is
@@ -320,8 +321,13 @@
         })
     }
 
-    async fn run(&self, request: Arc<CallerRequest>) -> Result<HttpResponse, Refusal> {
-        let result = self.run_attempts(&request).await;
+    async fn run(&self, mut request: CallerRequest) -> Result<HttpResponse, Refusal> {
+        let prepared = take_up::prepare(&self.context, &mut request).await;
+        let request = Arc::new(request);
+        let result = match prepared {
+            Ok(()) => self.run_attempts(&request).await,
+            Err(refusal) => Err(refusal),
+        };
         if !request.is_stream() || result.is_err() {
             request.on_end(&self.context);
         }
@@ -346,10 +352,12 @@
                 return Err(self.timeout_refusal(request, runs));
             }
             self.check_poison(request, runs)?;
-            let target = match request.choose(&self.context, None, &tried) {
+            let filter = request.continues.as_ref();
+            let target = match take_up::choose(&self.context, request, filter, &tried).await {
                 Ok(target) => target,
                 Err(reason) => return Err(self.placement_refusal(request, reason, runs)),
             };
+            let now = self.context.now();
             admission::hold_place(&self.context, request);
             let placement = target.placement.clone();
             let new_version = target.run.as_ref().map(CountedRun::is_new);
@@ -375,11 +383,6 @@
                     Err(error) => error.to_string(),
                 },
                 "ms" => self.context.now().since(request.arrived).as_millis() as u64);
-            if request.is_take_up() {
-                info!(self.context.log, "stream taken up"; "request" => request.id_text(),
-                    "origin" => request.origin(), "after" => request.last_event_id(),
-                    "target" => %placement.name, "target_version" => &*placement.version);
-            }
             tried.push(placement.name.clone());
             let error = match result {
                 Ok(response) => {
@@ -465,6 +468,16 @@
         runs: u32,
     ) -> Refusal {
         let model = request.route.name.to_string();
+        if let Some(filter) = &request.continues
+            && runs == 0
+        {
+            let is_gone = !take_up::has_target(&self.context, request, filter, &[]);
+            let label = if is_gone { "gone" } else { "full" };
+            self.context.metrics.take_ups.with_label_values(&[label]).inc();
+            if is_gone {
+                return Refusal::new(Error::StreamVersionGone);
+            }
+        }
         match (runs, reason) {
             (0, PlacementError::NoTarget) => {
                 Refusal::later(Error::NoTarget { model }, DEFAULT_RETRY)
--- a/crates/sesamewall-edge/src/state_exchange/mod.rs
+++ b/crates/sesamewall-edge/src/state_exchange/mod.rs
@@ -4,6 +4,7 @@
 mod hub_record;
 mod receive;
 mod send;
+mod stream_versions;
 mod tick;
 
 use std::sync::Arc;
@@ -13,10 +14,14 @@
 use crate::InstanceContext;
 use crate::lease::ProcessLease;
 
+pub use stream_versions::VersionLookups;
+pub use stream_versions::look_up;
+pub use stream_versions::record;
+
 /// State shared by the tasks of this module.
 pub struct StateExchange {
     pub(crate) context: Arc<InstanceContext>,
-    pub(crate) socket: UdpSocket,
+    pub(crate) socket: Arc<UdpSocket>,
     pub(crate) lease: Arc<ProcessLease>,
     pub(crate) member: send::MemberState,
 }
@@ -28,7 +33,8 @@
     socket: UdpSocket,
 ) -> Arc<StateExchange> {
     let member = send::MemberState::new(context);
-    let (context, lease) = (context.clone(), lease.clone());
+    let (context, lease, socket) = (context.clone(), lease.clone(), Arc::new(socket));
+    context.version_lookups.set_socket(socket.clone());
     let exchange = Arc::new(StateExchange { context, socket, lease, member });
     tokio::spawn(send::run(exchange.clone()));
     tokio::spawn(receive::run(exchange.clone()));
--- a/crates/sesamewall-edge/src/state_exchange/receive.rs
+++ b/crates/sesamewall-edge/src/state_exchange/receive.rs
@@ -17,6 +17,7 @@
 use crate::State;
 use crate::state_exchange::StateExchange;
 use crate::state_exchange::confirm;
+use crate::state_exchange::stream_versions;
 use crate::version_rollout;
 
 /// Largest datagram that is read, in bytes.
@@ -45,6 +46,13 @@
             Datagram::Confirmation(confirmation) => {
                 confirm::on_confirmation(&exchange, confirmation);
             }
+            Datagram::StreamRecord(record) => stream_versions::on_record(&exchange, record),
+            Datagram::VersionQuery(query) => {
+                stream_versions::on_query(&exchange, query, from.ip());
+            }
+            Datagram::VersionAnswer(answer) => {
+                stream_versions::on_answer(&exchange, answer, from.ip());
+            }
         }
     }
 }
--- a/crates/sesamewall-edge/src/state_exchange/tick.rs
+++ b/crates/sesamewall-edge/src/state_exchange/tick.rs
@@ -46,6 +46,12 @@
         state.crash_counts.on_tick(now);
         state.poison_parts.on_tick(now);
         state.sources.on_tick(now);
+        state.stream_versions.on_tick(now);
+        let age = state.freshness.targets_age(now);
+        state.version_history.on_table(&state.targets, age, now);
+        if let Some(catalog) = &state.catalog {
+            state.version_history.on_catalog(catalog, now);
+        }
         let return_checks = admission::on_tick(&context, state, now);
         // Only the hub that watches the store drops expired entries that did not come back; other
         // instances receive the change from it.
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -12,6 +12,8 @@
 use sesamewall_fleet::EventSplitter;
 use sesamewall_fleet::StallSettings;
 use sesamewall_fleet::VersionFilter;
+use sesamewall_fleet::record_ttl;
+use sesamewall_fleet::version_key;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use slog::info;
@@ -24,6 +26,7 @@
 use crate::byte_budget::ReservedBytes;
 use crate::caller_request::CallerRequest;
 use crate::response::ResponseBody;
+use crate::state_exchange;
 use crate::take_up;
 
 /// Where the stream that the caller gets began.
@@ -55,6 +58,8 @@
     /// Events of the current run.
     run_events: u64,
     begun: BegunAt,
+    /// Whether the version was recorded for take-ups.
+    is_recorded: bool,
     tried: Vec<TargetName>,
     /// Runs so far, including the current one.
     runs: u32,
@@ -71,6 +76,7 @@
         runs: u32,
     ) -> ResponseBody {
         let last_id = request.last_event_id();
+        let begun = request.continues.clone().map_or(BegunAt::Nothing, BegunAt::Version);
         let relay = Self {
             reserved: context.buffers.reserve(),
             last_event_at: context.now(),
@@ -83,7 +89,8 @@
             last_id,
             events: 0,
             run_events: 0,
-            begun: BegunAt::Nothing,
+            begun,
+            is_recorded: false,
             tried,
             runs,
             ended: false,
@@ -225,7 +232,8 @@
     }
 
     /// Checks before the first event of a run is forwarded that the target has the version of the
-    /// stream. The first event of the stream itself determines the version.
+    /// stream. The first event of the stream itself determines the version, which is recorded for the
+    /// case that the caller takes the stream up again.
     fn begin_run(&mut self) -> Result<(), AttemptError> {
         let Some(response) = &self.response else { return Ok(()) };
         let version = response.confirmed_version(&self.request.service);
@@ -244,6 +252,15 @@
                 return Err(AttemptError::VersionChanged);
             }
         }
+        if let BegunAt::Version(filter) = &self.begun
+            && !self.is_recorded
+            && let Some(stream) = take_up::recorded_stream(&self.request)
+        {
+            self.is_recorded = true;
+            let ttl = record_ttl(self.request.route.timeout)
+                .max(self.request.deadline.since(self.context.now()));
+            state_exchange::record(&self.context, stream, version_key(&filter.version), ttl);
+        }
         Ok(())
     }
 
--- a/crates/sesamewall-fleet/src/datagrams.rs
+++ b/crates/sesamewall-fleet/src/datagrams.rs
@@ -16,6 +16,9 @@
 use crate::NamedLimit;
 use crate::PartEvidence;
 use crate::RolloutNews;
+use crate::StreamRecord;
+use crate::VersionAnswer;
+use crate::VersionQuery;
 
 /// Requests of one instance or group at one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -316,6 +319,12 @@
     Digest(Box<Digest>),
     /// From a hub that has read the store to all hubs, and from each hub to its members.
     Confirmation(Confirmation),
+    /// From the instance that forwards the first event of a stream to the holders of its version.
+    StreamRecord(StreamRecord),
+    /// From an instance at which a client takes a stream up to the holders of its version.
+    VersionQuery(VersionQuery),
+    /// From a holder to the instance that asked.
+    VersionAnswer(VersionAnswer),
 }
 
 impl Datagram {
@@ -347,7 +356,12 @@
             Self::Beacon(beacon) => Some(&beacon.rollouts),
             Self::Report(report) => Some(&report.rollouts),
             Self::Digest(digest) => Some(&digest.rollouts),
-            Self::Hello(_) | Self::Hubs(_) | Self::Confirmation(_) => None,
+            Self::Hello(_)
+            | Self::Hubs(_)
+            | Self::Confirmation(_)
+            | Self::StreamRecord(_)
+            | Self::VersionQuery(_)
+            | Self::VersionAnswer(_) => None,
         }
     }
 
@@ -356,7 +370,12 @@
             Self::Beacon(beacon) => Some(&mut beacon.rollouts),
             Self::Report(report) => Some(&mut report.rollouts),
             Self::Digest(digest) => Some(&mut digest.rollouts),
-            Self::Hello(_) | Self::Hubs(_) | Self::Confirmation(_) => None,
+            Self::Hello(_)
+            | Self::Hubs(_)
+            | Self::Confirmation(_)
+            | Self::StreamRecord(_)
+            | Self::VersionQuery(_)
+            | Self::VersionAnswer(_) => None,
         }
     }
 }
--- a/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
@@ -8,6 +8,7 @@
 use proptest::prelude::any;
 use proptest::prelude::proptest;
 use sesamewall_fleet::Catalog;
+use sesamewall_fleet::Datagram;
 use sesamewall_fleet::HubStatus;
 use sesamewall_fleet::Limits;
 use sesamewall_fleet::LookupEnd;
@@ -15,15 +16,18 @@
 use sesamewall_fleet::RECORD_TTL;
 use sesamewall_fleet::RouteKind;
 use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::StreamRecord;
 use sesamewall_fleet::StreamVersion;
 use sesamewall_fleet::StreamVersionSettings;
 use sesamewall_fleet::StreamVersions;
 use sesamewall_fleet::TargetEntry;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::VersionAnswer;
 use sesamewall_fleet::VersionHistory;
 use sesamewall_fleet::VersionHistorySettings;
 use sesamewall_fleet::VersionLookup;
 use sesamewall_fleet::VersionLookupSettings;
+use sesamewall_fleet::VersionQuery;
 use sesamewall_fleet::WorkerStatus;
 use sesamewall_fleet::record_ttl;
 use sesamewall_fleet::response_version;
@@ -447,3 +451,25 @@
     history.on_catalog(&catalog(4, route(&["chat"])), at(2 * LIFE));
     assert_eq!(sole(&history, 2 * LIFE).as_deref(), Some("v1"), "other changes do not matter");
 }
+
+/// Guards against datagrams that lose a field on the way.
+#[test]
+fn datagrams_about_stream_versions_survive_the_way() {
+    let all = [
+        Datagram::StreamRecord(StreamRecord { stream: 1, version: u64::MAX, remaining_ms: 30_000 }),
+        Datagram::VersionQuery(VersionQuery { query: 5, stream: 1 }),
+        Datagram::VersionAnswer(VersionAnswer {
+            query: 5,
+            version: StreamVersion::Known(2),
+            remaining_ms: 1,
+        }),
+        Datagram::VersionAnswer(VersionAnswer {
+            query: 5,
+            version: StreamVersion::Conflicting,
+            remaining_ms: 1,
+        }),
+    ];
+    for sent in all {
+        assert_eq!(Datagram::decode(&sent.encode()), Some(sent));
+    }
+}
--- a/crates/sesamewall-protocol/src/error.rs
+++ b/crates/sesamewall-protocol/src/error.rs
@@ -187,6 +187,13 @@
         numbers: Numbers,
     },
 
+    /// The version of the target software that began the stream is not known.
+    #[display("the version that began the stream is not known")]
+    StreamVersionUnknown,
+    /// No target has the version that began the stream.
+    #[display("no target has the version that began the stream")]
+    StreamVersionGone,
+
     /// The target could not be reached and no byte was sent.
     #[display("target `{target}` cannot be reached: {detail}")]
     TargetUnreachable {
@@ -391,6 +398,8 @@
             Self::PoisonPart { .. } => 4008,
             Self::Interrupted => 4009,
             Self::MemoryExhausted => 4010,
+            Self::StreamVersionUnknown => 4011,
+            Self::StreamVersionGone => 4012,
             Self::TargetUnreachable { .. } => 5001,
             Self::TargetLost { .. } => 5002,
             Self::AnswerMismatch { .. } => 5003,
@@ -461,6 +470,10 @@
             }
             4005 => "change the request; it makes targets crash",
             4008 => "change the prompt; all prompts with this part make targets crash",
+            4011 => {
+                "wait for the time in Retry-After if there is one, or request the stream from its start"
+            }
+            4012 => "request the stream from its start",
             4006 => "send the request again and keep the connection open until its end",
             4009 | 5002 | 5003 => "check whether the request took effect before sending it again",
             5004 => "see the target's own message",
--- a/crates/sesamewall-protocol/src/error_table.rs
+++ b/crates/sesamewall-protocol/src/error_table.rs
@@ -43,6 +43,8 @@
             Self::PoisonPart { part: text("part"), numbers: Vec::new() },
             Self::Interrupted,
             Self::MemoryExhausted,
+            Self::StreamVersionUnknown,
+            Self::StreamVersionGone,
             Self::TargetUnreachable { target: text("target"), detail: text("detail") },
             Self::TargetLost { target: text("target"), detail: text("detail") },
             Self::AnswerMismatch { target: text("target") },
