Withdraw the version of a stream whose target had started again

Cause: a target may start again under its name with another version, and an instance that has not read its new entry records the former version for a stream that the new start began.

Change: for 3 s after the first event the entry of its target is compared again. A start by its entry before the first event, with a second for the clocks, makes the version conflicting here and at the holders, and the relay does not resume the stream.

Measured: two tests of the decision; with processes it was not tried.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -21,6 +21,7 @@
 use prometheus::IntCounter;
 use sesamewall_adapters::http_client::EVENT_STREAM;
 use sesamewall_adapters::http_client::describe;
+use sesamewall_fleet::BegunStream;
 use sesamewall_fleet::PartRun;
 use sesamewall_fleet::Placement;
 use sesamewall_fleet::PoisonPart;
@@ -41,6 +42,7 @@
 use crate::InstanceContext;
 use crate::byte_budget::BudgetExceeded;
 use crate::domain_flow;
+use crate::instance_context::wall_millis;
 use crate::lease::LeasePermit;
 use crate::target_pool::TargetConnection;
 use crate::version_run::ChosenTarget;
@@ -161,6 +163,17 @@
         response_version(&state.targets, service, &self.target, &self.version, self.started_ms)
     }
 
+    /// Returns the stream that the first event, which has just arrived, begins.
+    pub fn begun_stream(&self, stream: u64) -> BegunStream {
+        BegunStream {
+            stream,
+            target: self.target.clone(),
+            started_ms: self.started_ms,
+            begun_ms: wall_millis(),
+            begun_at: self.guard.context.now(),
+        }
+    }
+
     /// Records that the first event, or a complete body, of a successful response has arrived.
     pub fn on_begun(&mut self) {
         if let Some(counted) = &mut self.counted {
--- a/crates/sesamewall-edge/src/state_exchange/mod.rs
+++ b/crates/sesamewall-edge/src/state_exchange/mod.rs
@@ -17,6 +17,7 @@
 pub use stream_versions::VersionLookups;
 pub use stream_versions::look_up;
 pub use stream_versions::record;
+pub use stream_versions::withdraw_doubtful;
 
 /// State shared by the tasks of this module.
 pub struct StateExchange {
--- a/crates/sesamewall-edge/src/state_exchange/stream_versions.rs
+++ b/crates/sesamewall-edge/src/state_exchange/stream_versions.rs
@@ -14,6 +14,7 @@
 use sesamewall_fleet::Datagram;
 use sesamewall_fleet::LookupEnd;
 use sesamewall_fleet::LookupStep;
+use sesamewall_fleet::RECORD_TTL;
 use sesamewall_fleet::StreamRecord;
 use sesamewall_fleet::StreamVersion;
 use sesamewall_fleet::VersionAnswer;
@@ -22,6 +23,7 @@
 use sesamewall_fleet::VersionQuery;
 use sesamewall_fleet::version_holders;
 use sesamewall_protocol::Time;
+use slog::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
@@ -89,24 +91,44 @@
 }
 
 /// Records the version that began a stream, here and at its holders. It does not wait for them.
-pub fn record(context: &InstanceContext, stream: u64, version: u64, ttl: Duration) {
+pub fn record(context: &InstanceContext, stream: u64, version: StreamVersion, ttl: Duration) {
+    record_in(context, &mut context.state(), stream, version, ttl);
+}
+
+fn record_in(
+    context: &InstanceContext,
+    state: &mut State,
+    stream: u64,
+    version: StreamVersion,
+    ttl: Duration,
+) {
     let now = context.now();
-    let mut state = context.state();
-    state.stream_versions.add(stream, StreamVersion::Known(version), ttl, now);
-    let (to, _) = holders(context, &state, stream, now);
-    drop(state);
+    state.stream_versions.add(stream, version, ttl, now);
+    let (to, _) = holders(context, state, stream, now);
     let remaining_ms = u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX);
     let record = StreamRecord { stream, version, remaining_ms };
     context.version_lookups.send(context, &Datagram::StreamRecord(record), &to);
 }
 
+/// Withdraws the versions of streams whose targets turn out to have started again before the first
+/// event arrived.
+pub fn withdraw_doubtful(context: &InstanceContext) {
+    let now = context.now();
+    let state = &mut *context.state();
+    let doubtful = state.stream_versions.take_doubtful(&state.targets, now);
+    for stream in doubtful {
+        let ttl = state.stream_versions.get(stream, now).1.max(RECORD_TTL);
+        warn!(context.log, "version of a stream withdrawn"; "stream" => format!("{stream:016x}"));
+        record_in(context, state, stream, StreamVersion::Conflicting, ttl);
+    }
+}
+
 /// Keeps the record of another instance.
 pub fn on_record(exchange: &StateExchange, record: StreamRecord) {
     let context = &exchange.context;
     let now = context.now();
     let ttl = Duration::from_millis(u64::from(record.remaining_ms));
-    let version = StreamVersion::Known(record.version);
-    context.state().stream_versions.add(record.stream, version, ttl, now);
+    context.state().stream_versions.add(record.stream, record.version, ttl, now);
 }
 
 /// Answers the query of another instance.
--- a/crates/sesamewall-edge/src/state_exchange/tick.rs
+++ b/crates/sesamewall-edge/src/state_exchange/tick.rs
@@ -19,6 +19,7 @@
 use crate::admission;
 use crate::domain_flow;
 use crate::state_exchange::StateExchange;
+use crate::state_exchange::stream_versions;
 
 /// Interval between log lines with the counters.
 const COUNTERS_INTERVAL: Duration = Duration::from_secs(15);
@@ -69,6 +70,7 @@
         let helpers = helpers(&context, state, &hubs, now);
         let watches = is_watcher(&context, state, now);
         drop(guard);
+        stream_versions::withdraw_doubtful(&context);
         domain_flow::update(&context, now);
         admission::log_checks(&context, &return_checks);
         context.set_watches_store(watches);
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -11,6 +11,7 @@
 use hyper::body::Frame;
 use sesamewall_fleet::EventSplitter;
 use sesamewall_fleet::StallSettings;
+use sesamewall_fleet::StreamVersion;
 use sesamewall_fleet::VersionFilter;
 use sesamewall_fleet::record_ttl;
 use sesamewall_fleet::version_key;
@@ -257,9 +258,12 @@
             && let Some(stream) = take_up::recorded_stream(&self.request)
         {
             self.is_recorded = true;
+            let begun = response.begun_stream(stream);
+            self.context.state().stream_versions.on_begun(begun);
             let ttl = record_ttl(self.request.route.timeout)
                 .max(self.request.deadline.since(self.context.now()));
-            state_exchange::record(&self.context, stream, version_key(&filter.version), ttl);
+            let version = StreamVersion::Known(version_key(&filter.version));
+            state_exchange::record(&self.context, stream, version, ttl);
         }
         Ok(())
     }
@@ -335,7 +339,19 @@
         self.resume(error).await
     }
 
+    /// Notes if the version of the stream has turned out to be in doubt since its first event.
+    fn check_begun(&mut self) {
+        state_exchange::withdraw_doubtful(&self.context);
+        let now = self.context.now();
+        let stream = take_up::recorded_stream(&self.request).filter(|_| self.is_recorded);
+        let known = |stream| self.context.state().stream_versions.get(stream, now).0;
+        if stream.is_some_and(|stream| known(stream) == StreamVersion::Conflicting) {
+            self.begun = BegunAt::Unknown;
+        }
+    }
+
     async fn resume(&mut self, mut error: AttemptError) -> Option<io::Result<Bytes>> {
+        self.check_begun();
         loop {
             let now = self.context.now();
             if !self.may_resume(now) {
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -191,6 +191,7 @@
 pub use retirement::WorkerLoad;
 pub use route_absence::RouteAbsence;
 pub use stall_timeout::StallSettings;
+pub use stream_versions::BegunStream;
 pub use stream_versions::RECORD_TTL;
 pub use stream_versions::StreamRecord;
 pub use stream_versions::StreamVersion;
--- a/crates/sesamewall-fleet/src/stream_versions.rs
+++ b/crates/sesamewall-fleet/src/stream_versions.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,8 +65,8 @@
 pub struct StreamRecord {
     /// Key of the stream, from `stream_key`.
     pub stream: u64,
-    /// Key of the version that began it, from `version_key`.
-    pub version: u64,
+    /// The version that began it, or that it is in doubt.
+    pub version: StreamVersion,
     /// Milliseconds for which the record is kept.
     pub remaining_ms: u32,
 }
@@ -97,14 +98,42 @@
 pub struct StreamVersionSettings {
     /// Largest number of records. The record that expires first makes room for another one.
     pub max_records: usize,
+    /// Largest number of begun streams whose targets' entries are compared once more. Beyond it the
+    /// oldest one is not compared.
+    pub max_compared: usize,
+    /// Longest time until the entry of a new start of a target has been read.
+    pub compare_time: Duration,
+    /// Largest difference between the clocks of this instance and of a target.
+    pub clock_skew: Duration,
 }
 
 impl Default for StreamVersionSettings {
     fn default() -> Self {
-        Self { max_records: 1 << 16 }
+        Self {
+            max_records: 1 << 16,
+            max_compared: 1 << 12,
+            compare_time: Duration::from_secs(3),
+            clock_skew: Duration::from_secs(1),
+        }
     }
 }
 
+/// A stream that began here a moment ago. Its target may have started again just before, with another
+/// version that this instance had not read yet.
+#[derive(Clone, Debug)]
+pub struct BegunStream {
+    /// Key of the stream.
+    pub stream: u64,
+    /// The target that sent the first event.
+    pub target: TargetName,
+    /// Start of the target by its entry, in Unix milliseconds.
+    pub started_ms: u64,
+    /// Time of day of the first event, in Unix milliseconds.
+    pub begun_ms: u64,
+    /// Time of the first event.
+    pub begun_at: Time,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     version: StreamVersion,
@@ -118,6 +147,7 @@
     settings: StreamVersionSettings,
     records: HashMap<u64, Record>,
     expiries: BTreeSet<(Time, u64)>,
+    begun: VecDeque<BegunStream>,
 }
 
 impl StreamVersions {
@@ -160,6 +190,33 @@
         }
     }
 
+    /// Adds a stream that began here, so that the entry of its target is compared again.
+    pub fn on_begun(&mut self, begun: BegunStream) {
+        self.begun.push_back(begun);
+        while self.begun.len() > self.settings.max_compared {
+            self.begun.pop_front();
+        }
+    }
+
+    /// Returns the begun streams whose targets turn out to have started again before the first event.
+    /// Their versions are in doubt.
+    pub fn take_doubtful(&mut self, table: &TargetTable, now: Time) -> Vec<u64> {
+        let StreamVersionSettings { compare_time, clock_skew, .. } = self.settings;
+        let skew_ms = clock_skew.as_millis() as u64;
+        let mut doubtful = Vec::new();
+        self.begun.retain(|begun| {
+            let known = table.get(&begun.target).map(|target| target.entry.started_ms);
+            let is_doubtful = known.is_some_and(|started_ms| {
+                started_ms != begun.started_ms && started_ms <= begun.begun_ms + skew_ms
+            });
+            if is_doubtful {
+                doubtful.push(begun.stream);
+            }
+            !is_doubtful && now.since(begun.begun_at) < compare_time
+        });
+        doubtful
+    }
+
     /// Returns the number of records.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
@@ -7,6 +7,7 @@
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::prelude::proptest;
+use sesamewall_fleet::BegunStream;
 use sesamewall_fleet::Catalog;
 use sesamewall_fleet::Datagram;
 use sesamewall_fleet::HubStatus;
@@ -164,7 +165,10 @@
 /// that expires first is dropped.
 #[test]
 fn the_number_of_records_is_bounded() {
-    let mut known = StreamVersions::new(StreamVersionSettings { max_records: 100 });
+    let mut known = StreamVersions::new(StreamVersionSettings {
+        max_records: 100,
+        ..StreamVersionSettings::default()
+    });
     for stream in 0..10_000 {
         known.add(stream, StreamVersion::Known(1), TTL, at(stream));
         assert!(known.len() <= 100);
@@ -182,7 +186,10 @@
         adds in vec((0u64..6, 0u64..3, 1u64..40, 0u64..20), 1..60),
         max_records in 1usize..8,
     ) {
-        let mut known = StreamVersions::new(StreamVersionSettings { max_records });
+        let mut known = StreamVersions::new(StreamVersionSettings {
+            max_records,
+            ..StreamVersionSettings::default()
+        });
         let mut live: Vec<(u64, u64, u64)> = Vec::new();
         let mut now = 0;
         for (stream, version, ttl, step) in adds {
@@ -364,6 +371,51 @@
     assert_eq!(version(&table), Some(one.clone()), "a target without its entry serves on");
 }
 
+/// Guards against a record of the version before a restart: the target began the stream after it had
+/// started again, before its new entry was read. A target that starts again later, after a crash,
+/// leaves the record as it is.
+#[test]
+fn a_restart_that_was_read_late_makes_the_version_doubtful() {
+    let begun = |stream: u64, begun_ms: u64| BegunStream {
+        stream,
+        target: TargetName::from("t1"),
+        started_ms: 1,
+        begun_ms,
+        begun_at: at(0),
+    };
+    let mut known = StreamVersions::default();
+    known.on_begun(begun(7, 10_000));
+    known.on_begun(begun(8, 3000));
+    let mut table = table(&[("t1", "v1")]);
+    assert!(known.take_doubtful(&table, at(100)).is_empty());
+    table.upsert(TargetEntry { started_ms: 9500, ..versioned("t1", "v2") }, 2, at(200));
+    assert_eq!(known.take_doubtful(&table, at(200)), [7]);
+    assert!(known.take_doubtful(&table, at(300)).is_empty());
+    known.on_begun(begun(9, 10_000));
+    assert!(known.take_doubtful(&TargetTable::default(), at(3000)).is_empty());
+    assert!(known.take_doubtful(&table, at(3000)).is_empty(), "compared for a limited time");
+}
+
+/// Guards against memory that grows with the streams that begin within the time of the comparison.
+#[test]
+fn the_number_of_compared_streams_is_bounded() {
+    let settings = StreamVersionSettings { max_compared: 10, ..StreamVersionSettings::default() };
+    let mut known = StreamVersions::new(settings);
+    for stream in 0..100 {
+        let target = TargetName::from("t1");
+        known.on_begun(BegunStream {
+            stream,
+            target,
+            started_ms: 1,
+            begun_ms: 10,
+            begun_at: at(0),
+        });
+    }
+    let mut table = TargetTable::default();
+    table.upsert(TargetEntry { started_ms: 2, ..versioned("t1", "v2") }, 2, at(1));
+    assert_eq!(known.take_doubtful(&table, at(1)), (90..100).collect::<Vec<_>>());
+}
+
 /// Guards against targets without a version that count as one version beside targets that name
 /// theirs, and against a service without any versions whose streams cannot go on.
 #[test]
@@ -456,7 +508,11 @@
 #[test]
 fn datagrams_about_stream_versions_survive_the_way() {
     let all = [
-        Datagram::StreamRecord(StreamRecord { stream: 1, version: u64::MAX, remaining_ms: 30_000 }),
+        Datagram::StreamRecord(StreamRecord {
+            stream: 1,
+            version: StreamVersion::Known(u64::MAX),
+            remaining_ms: 30_000,
+        }),
         Datagram::VersionQuery(VersionQuery { query: 5, stream: 1 }),
         Datagram::VersionAnswer(VersionAnswer {
             query: 5,
