Send records again that were made before the fleet was known

Cause: right after a start an instance has heard of no worker or only of some. A record that it makes then reaches no holder, a member whose first digests list no workers asks hubs alone, and a lookup ended as unknown.

Change: in the first 3 s after the start of a process, records that were made with an incomplete view go to the holders that appear later. A view counts as complete only once a list of workers was received. Holders are found without sorting all workers, and the line of a take-up has the key of its stream.

Measured: tests of the decision and of the view.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -41,6 +41,8 @@
 use sesamewall_fleet::TargetState;
 use sesamewall_fleet::TargetTable;
 use sesamewall_fleet::UnreadableEntries;
+use sesamewall_fleet::UnsettledRecords;
+use sesamewall_fleet::UnsettledSettings;
 use sesamewall_fleet::UpdateSources;
 use sesamewall_fleet::VersionHistory;
 use sesamewall_fleet::Versions;
@@ -114,6 +116,8 @@
     pub rollouts: Rollouts,
     /// Versions that began streams.
     pub stream_versions: StreamVersions,
+    /// Records of them for holders that are not known yet.
+    pub unsettled: UnsettledRecords,
     /// Versions that the services had lately.
     pub version_history: VersionHistory,
 }
@@ -313,6 +317,7 @@
                 durations: RouteDurations::default(),
                 rollouts: Rollouts::new(rollout_settings, local_key),
                 stream_versions: StreamVersions::default(),
+                unsettled: UnsettledRecords::new(UnsettledSettings::default(), boot_time()),
                 version_history: VersionHistory::default(),
             }),
             store_lost: AtomicBool::new(false),
--- a/crates/sesamewall-edge/src/state_exchange/stream_versions.rs
+++ b/crates/sesamewall-edge/src/state_exchange/stream_versions.rs
@@ -87,7 +87,7 @@
     let settings = &context.settings;
     let (workers, hubs) = (state.peers.workers(now), state.peers.hubs(now));
     let found = version_holders(stream, &settings.instance, &settings.domain, &workers, &hubs);
-    (found, state.peers.coverage(now).complete)
+    (found, state.peers.is_view_complete(now))
 }
 
 /// Records the version that began a stream, here and at its holders. It does not wait for them.
@@ -104,10 +104,25 @@
 ) {
     let now = context.now();
     state.stream_versions.add(stream, version, ttl, now);
-    let (to, _) = holders(context, state, stream, now);
+    let (to, complete) = holders(context, state, stream, now);
     let remaining_ms = u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX);
     let record = StreamRecord { stream, version, remaining_ms };
     context.version_lookups.send(context, &Datagram::StreamRecord(record), &to);
+    state.unsettled.on_sent(record, to, complete, now);
+}
+
+/// Sends records again that were made when the view of the fleet lacked instances.
+pub fn send_unsettled(context: &InstanceContext) {
+    let now = context.now();
+    let mut guard = context.state();
+    let mut unsettled = std::mem::take(&mut guard.unsettled);
+    let complete = guard.peers.is_view_complete(now);
+    let due = unsettled.take_due(|stream| holders(context, &guard, stream, now).0, complete, now);
+    guard.unsettled = unsettled;
+    drop(guard);
+    for (record, to) in due {
+        context.version_lookups.send(context, &Datagram::StreamRecord(record), &to);
+    }
 }
 
 /// Withdraws the versions of streams whose targets turn out to have started again before the first
--- a/crates/sesamewall-edge/src/state_exchange/tick.rs
+++ b/crates/sesamewall-edge/src/state_exchange/tick.rs
@@ -71,6 +71,7 @@
         let watches = is_watcher(&context, state, now);
         drop(guard);
         stream_versions::withdraw_doubtful(&context);
+        stream_versions::send_unsettled(&context);
         domain_flow::update(&context, now);
         admission::log_checks(&context, &return_checks);
         context.set_watches_store(watches);
--- a/crates/sesamewall-edge/src/take_up.rs
+++ b/crates/sesamewall-edge/src/take_up.rs
@@ -103,6 +103,7 @@
     "origin" => request.origin(), "after" => request.last_event_id(),
     "begun_at" => request.continues.as_ref().map(|filter| &*filter.version),
     "version_key" => origin.version.map(|key| format!("{key:016x}")),
+    "stream" => stream_of(request).map(|stream| format!("{stream:016x}")),
     "source" => %origin.source, "silent" => origin.silent, "service" => &*request.service,
     "waited_ms" => now.since(started).as_millis() as u64,
     "end" => match &result {
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -80,6 +80,8 @@
     members: BTreeMap<InstanceName, MemberContact>,
     digest: Option<ReceivedDigest>,
     workers: Vec<WorkerStatus>,
+    /// Whether a digest with a list of workers was received.
+    workers_listed: bool,
     known_hubs: Vec<HubStatus>,
     /// Time at which state of each failure domain was received last.
     domains_heard: HashMap<u32, Time>,
@@ -102,6 +104,7 @@
             members: BTreeMap::new(),
             digest: None,
             workers: Vec::new(),
+            workers_listed: false,
             known_hubs: Vec::new(),
             domains_heard: HashMap::new(),
             hub_domains: Vec::new(),
@@ -221,6 +224,7 @@
         self.counts.on_loads(acked, &digest.loads);
         if let Some(workers) = &digest.workers {
             self.workers = workers.clone();
+            self.workers_listed = true;
             self.workers.retain(|worker| worker.name != self.local.name);
         }
         if let Some(hubs) = &digest.hubs {
@@ -405,6 +409,11 @@
         if fresh { self.workers.iter().collect() } else { Vec::new() }
     }
 
+    /// Returns whether the hubs and workers of all instances of the fleet are known and live.
+    pub fn is_view_complete(&self, now: Time) -> bool {
+        self.coverage(now).complete && (self.is_hub || self.workers_listed)
+    }
+
     /// Returns the time since state of a failure domain was received last; `None` if no instance
     /// there is known. The state of the local domain counts as present.
     pub fn domain_age(&self, domain: u32, now: Time) -> Option<Duration> {
--- a/crates/sesamewall-fleet/src/version_lookup.rs
+++ b/crates/sesamewall-fleet/src/version_lookup.rs
@@ -20,6 +20,9 @@
     draining: bool,
 }
 
+/// Rank of a candidate: whether it is about to stop, its score, and its address.
+type Rank = (bool, u64, IpAddr);
+
 impl<'a> From<&'a WorkerStatus> for Candidate<'a> {
     fn from(worker: &'a WorkerStatus) -> Self {
         let WorkerStatus { name, address, domain, draining, .. } = worker;
@@ -34,17 +37,28 @@
     }
 }
 
-/// Returns the candidates for a stream in the order in which all instances prefer them (rendezvous
-/// hashing), those that stop last.
+/// The candidates for a stream with their ranks, which are the same at all instances (rendezvous
+/// hashing). Those that stop come last.
 fn ranked<'a>(
     stream: u64,
     local: &InstanceName,
     candidates: impl Iterator<Item = Candidate<'a>>,
-) -> Vec<Candidate<'a>> {
-    let mut all: Vec<_> = candidates.filter(|candidate| candidate.name != local).collect();
-    let score = |name: &InstanceName| xxh3_64_with_seed(name.as_str().as_bytes(), stream);
-    all.sort_by_key(|candidate| (candidate.draining, score(candidate.name), candidate.address));
-    all
+) -> Vec<(Rank, Candidate<'a>)> {
+    let others = candidates.filter(|candidate| candidate.name != local);
+    let rank = |candidate: &Candidate<'_>| {
+        let score = xxh3_64_with_seed(candidate.name.as_str().as_bytes(), stream);
+        (candidate.draining, score, candidate.address)
+    };
+    others.map(|candidate| (rank(&candidate), candidate)).collect()
+}
+
+/// Returns the first candidate for which `filter` returns true.
+fn first<'a, 'c>(
+    candidates: &'c [(Rank, Candidate<'a>)],
+    filter: impl Fn(&Candidate<'a>) -> bool,
+) -> Option<&'c Candidate<'a>> {
+    let matching = candidates.iter().filter(|(_, candidate)| filter(candidate));
+    matching.min_by_key(|(rank, _)| *rank).map(|(_, candidate)| candidate)
 }
 
 /// Returns the addresses of the instances that hold the record of a stream, as seen by the instance
@@ -64,13 +78,14 @@
     let hubs = ranked(stream, local, hubs.iter().map(Candidate::from));
     let workers = ranked(stream, local, workers.iter().map(|worker| Candidate::from(*worker)));
     let main = if workers.is_empty() { &hubs } else { &workers };
-    let first = main.first();
-    let apart = |other: &&Candidate<'_>| first.is_some_and(|first| first.domain != other.domain);
-    let second = main.iter().find(apart).or(main.get(1));
-    let is_near = |candidate: &&Candidate<'_>| candidate.domain == domain;
-    let near = [main.iter().find(is_near), hubs.iter().find(is_near)];
+    let one = first(main, |_| true);
+    let is_one = |other: &Candidate<'_>| one.is_some_and(|one| one.address == other.address);
+    let is_apart = |other: &Candidate<'_>| one.is_some_and(|one| one.domain != other.domain);
+    let other = first(main, is_apart).or_else(|| first(main, |other| !is_one(other)));
+    let is_near = |candidate: &Candidate<'_>| candidate.domain == domain;
+    let near = [first(main, is_near), first(&hubs, is_near)];
     let mut holders: Vec<IpAddr> = Vec::new();
-    for holder in [first, second].into_iter().chain(near).flatten() {
+    for holder in [one, other].into_iter().chain(near).flatten() {
         if !holders.contains(&holder.address) {
             holders.push(holder.address);
         }
--- a/crates/sesamewall-fleet/tests/decisions/peers.rs
+++ b/crates/sesamewall-fleet/tests/decisions/peers.rs
@@ -6,6 +6,7 @@
 use sesamewall_fleet::CrashCounts;
 use sesamewall_fleet::CrashEvidence;
 use sesamewall_fleet::Datagram;
+use sesamewall_fleet::Digest;
 use sesamewall_fleet::Member;
 use sesamewall_fleet::MissingInstance;
 use sesamewall_fleet::PartEvidence;
@@ -52,6 +53,23 @@
     assert!(!peers.coverage(at(800)).complete, "f1 is missing");
 }
 
+/// Guards against a member that takes the hubs for the whole fleet after its start, because its first
+/// digests list no workers.
+#[test]
+fn a_view_without_a_list_of_workers_is_not_complete() {
+    let mut hub = hub("h1");
+    hub.on_fleet_size(1, 2);
+    assert!(hub.on_report(report("own", 1, &[]), at(0)));
+    assert!(hub.is_view_complete(at(0)));
+    let mut member = member("own");
+    let first = digest("h1", 1, &hub, &table(&[]), at(0));
+    assert!(member.on_digest(first.clone(), at(0)));
+    assert!(member.coverage(at(0)).complete && !member.is_view_complete(at(0)));
+    let workers = Some(vec![worker("w1", "a", 0, &[])]);
+    assert!(member.on_digest(Digest { sequence: 2, workers, ..first }, at(100)));
+    assert!(member.is_view_complete(at(100)));
+}
+
 /// Guards against counts that add up when beacons arrive twice or out of order.
 #[test]
 fn old_and_repeated_beacons_change_nothing() {
--- a/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
@@ -23,6 +23,8 @@
 use sesamewall_fleet::StreamVersions;
 use sesamewall_fleet::TargetEntry;
 use sesamewall_fleet::TargetTable;
+use sesamewall_fleet::UnsettledRecords;
+use sesamewall_fleet::UnsettledSettings;
 use sesamewall_fleet::VersionAnswer;
 use sesamewall_fleet::VersionHistory;
 use sesamewall_fleet::VersionHistorySettings;
@@ -504,6 +506,26 @@
     assert_eq!(sole(&history, 2 * LIFE).as_deref(), Some("v1"), "other changes do not matter");
 }
 
+/// Guards against streams that begin right after a start and are known to their front alone: the
+/// workers that the front hears of a moment later get the records, each once.
+#[test]
+fn records_of_a_start_reach_the_holders_that_appear_later() {
+    let mut records = UnsettledRecords::new(UnsettledSettings::default(), at(0));
+    let version = StreamVersion::Known(1);
+    let record = |stream| StreamRecord { stream, version, remaining_ms: 30_000 };
+    records.on_sent(record(7), Vec::new(), false, at(10));
+    let one = |_| vec![address(1)];
+    let two = |_| vec![address(1), address(2)];
+    assert_eq!(records.take_due(one, false, at(250)), [(record(7), vec![address(1)])]);
+    assert!(records.take_due(one, false, at(500)).is_empty());
+    records.on_sent(record(8), vec![address(1)], false, at(600));
+    let further = |stream| (record(stream), vec![address(2)]);
+    assert_eq!(records.take_due(two, true, at(750)), [further(7), further(8)]);
+    assert!(records.take_due(|_| vec![address(3)], true, at(1000)).is_empty(), "settled");
+    records.on_sent(record(9), Vec::new(), false, at(3000));
+    assert!(records.take_due(two, false, at(3100)).is_empty(), "long after the start");
+}
+
 /// Guards against datagrams that lose a field on the way.
 #[test]
 fn datagrams_about_stream_versions_survive_the_way() {
