Keep the version of a stream whose target has crashed

Change: a connection that is lost before the new entry is read shows that the former start has crashed, and the stream is not compared any more.

Measured: the test of the decision.

--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -334,6 +334,9 @@
             }
             if matches!(error, AttemptError::Lost(_)) {
                 state.crash_counts.on_crash(self.request.hash, now);
+                if let Some(stream) = take_up::recorded_stream(&self.request) {
+                    state.stream_versions.on_lost(stream);
+                }
             }
         }
         self.resume(error).await
--- a/crates/sesamewall-fleet/src/stream_versions.rs
+++ b/crates/sesamewall-fleet/src/stream_versions.rs
@@ -198,6 +198,12 @@
         }
     }
 
+    /// Records that the connection to the target of a begun stream was lost before another start of the
+    /// target was read: the start that began the stream has crashed.
+    pub fn on_lost(&mut self, stream: u64) {
+        self.begun.retain(|begun| begun.stream != stream);
+    }
+
     /// Returns the begun streams whose targets turn out to have started again before the first event.
     /// Their versions are in doubt.
     pub fn take_doubtful(&mut self, table: &TargetTable, now: Time) -> Vec<u64> {
--- a/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
@@ -393,6 +393,9 @@
     table.upsert(TargetEntry { started_ms: 9500, ..versioned("t1", "v2") }, 2, at(200));
     assert_eq!(known.take_doubtful(&table, at(200)), [7]);
     assert!(known.take_doubtful(&table, at(300)).is_empty());
+    known.on_begun(begun(10, 10_000));
+    known.on_lost(10);
+    assert!(known.take_doubtful(&table, at(400)).is_empty(), "the former start has crashed");
     known.on_begun(begun(9, 10_000));
     assert!(known.take_doubtful(&TargetTable::default(), at(3000)).is_empty());
     assert!(known.take_doubtful(&table, at(3000)).is_empty(), "compared for a limited time");
