--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -20,6 +20,7 @@
 use sesamewall_fleet::RouteSpec;
 use sesamewall_fleet::StallSettings;
 use sesamewall_fleet::StopRequest;
+use sesamewall_fleet::VersionFilter;
 use sesamewall_fleet::part_key;
 use sesamewall_fleet::request_key;
 use sesamewall_platform::ACCOUNT;
@@ -28,6 +29,7 @@
 use sesamewall_platform::LAST_EVENT_ID;
 use sesamewall_platform::PROMPT_PARTS;
 use sesamewall_platform::REQUEST_ID;
+use sesamewall_platform::RESUMES;
 use sesamewall_platform::prompt_prefix;
 use sesamewall_platform::shared_parts;
 use sesamewall_protocol::AccountName;
@@ -66,6 +68,8 @@
     pub deadline: Time,
     /// Hash that recognises a request that the caller sends again.
     pub hash: u64,
+    /// Targets at which the stream that the request takes up may go on; `None` for a new request.
+    pub continues: Option<VersionFilter>,
     /// The place at a target that counts for the account until the request is dropped.
     pub place: OnceLock<HeldPlace>,
     method: Method,
@@ -126,6 +130,7 @@
             arrived,
             deadline: arrived + timeout,
             hash,
+            continues: None,
             place: OnceLock::new(),
             method,
             uri,
@@ -154,6 +159,17 @@
         self.headers.get(LAST_EVENT_ID)?.to_str().ok()?.trim().parse().ok()
     }
 
+    /// Returns the id of the attempt whose response brought the first event of the stream that the
+    /// caller takes up; `None` if it names none.
+    pub fn origin(&self) -> Option<&str> {
+        self.headers.get(RESUMES)?.to_str().ok().map(str::trim).filter(|id| !id.is_empty())
+    }
+
+    /// Returns whether the caller takes up a stream of which it has received events.
+    pub fn is_take_up(&self) -> bool {
+        self.is_resumable() && self.last_event_id().is_some_and(|id| id > 0)
+    }
+
     /// Returns whether the instance serves the request although it may be about to end.
     pub fn is_served(&self, context: &InstanceContext) -> bool {
         let now = context.now();
@@ -243,6 +259,7 @@
     fn placement_request<'a>(
         &'a self,
         context: &'a InstanceContext,
+        versions: Option<&'a VersionFilter>,
         tried: &'a [TargetName],
     ) -> PlacementRequest<'a> {
         PlacementRequest {
@@ -253,23 +270,30 @@
             exclude: tried,
             among: None,
             reserved_slots: None,
-            versions: None,
+            versions,
         }
     }
 
-    /// Chooses a target that is not in `tried`, and counts the request there.
+    /// Chooses a target that is not in `tried`, and counts the request there. `versions` are those at
+    /// which a stream may go on; `None` for a request that begins.
     pub fn choose(
         &self,
         context: &Arc<InstanceContext>,
+        versions: Option<&VersionFilter>,
         tried: &[TargetName],
     ) -> Result<ChosenTarget, PlacementError> {
-        let request = self.placement_request(context, tried);
+        let request = self.placement_request(context, versions, tried);
         version_run::choose(context, &request, &self.route.name, false)
     }
 
-    /// Returns whether a target that is not in `tried` has a place.
-    pub fn has_place(&self, context: &InstanceContext, tried: &[TargetName]) -> bool {
-        let request = self.placement_request(context, tried);
+    /// Returns whether a target that is not in `tried` has a place. `versions` is as in `choose`.
+    pub fn has_place(
+        &self,
+        context: &InstanceContext,
+        versions: Option<&VersionFilter>,
+        tried: &[TargetName],
+    ) -> bool {
+        let request = self.placement_request(context, versions, tried);
         version_run::has_place(context, &request, &self.route.name)
     }
 }
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -42,12 +42,14 @@
 use crate::caller_request::CallerRequest;
 use crate::caller_request::DEFAULT_TIMEOUT;
 use crate::job_api::JobApi;
+use crate::refusal::Refusal;
 use crate::response::HttpResponse;
 use crate::response::empty;
 use crate::response::error_response;
 use crate::response::full;
 use crate::response::strip_connection_headers;
 use crate::stream_relay::StreamRelay;
+use crate::take_up;
 use crate::version_run::CountedRun;
 
 /// Number of attempts that targets did not run after which a request is refused.
@@ -72,22 +74,6 @@
 /// worker and the store.
 const JOB_CALL_TIME: Duration = Duration::from_millis(2500);
 
-/// A refusal or failure that is caused by the system itself, not by a target's response.
-struct Refusal {
-    error: Error,
-    retry: Option<Duration>,
-}
-
-impl Refusal {
-    fn new(error: Error) -> Self {
-        Self { error, retry: None }
-    }
-
-    fn later(error: Error, retry: Duration) -> Self {
-        Self { error, retry: Some(retry) }
-    }
-}
-
 /// The HTTP service at the address for callers.
 pub struct Online {
     context: Arc<InstanceContext>,
@@ -120,10 +106,10 @@
                 info!(self.context.log, "request refused";
                     "request" => id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?"),
                     "method" => method.as_str(), "path" => path, "code" => code,
-                    "detail" => %refusal.error, "inputs" => refusal_inputs(&refusal.error),
+                    "detail" => %refusal.error, "inputs" => refusal.inputs(),
                     "retry_ms" => refusal.retry.map(|retry| retry.as_millis() as u64),
                     "held_ms" => self.context.now().since(arrived).as_millis() as u64);
-                closes = ends_connection(&refusal.error);
+                closes = refusal.ends_connection();
                 error_response(&refusal.error, refusal.retry, id.as_ref())
             }
         };
@@ -190,7 +176,7 @@
         }
         self.wait_level(&request).await;
         self.admit(&request)?;
-        self.run(Arc::new(request)).await
+        self.run(request).await
     }
 
     /// Answers a request without a route: a job that was accepted before its route was removed is
@@ -335,8 +321,13 @@
         })
     }
 
-    async fn run(&self, request: Arc<CallerRequest>) -> Result<HttpResponse, Refusal> {
-        let result = self.run_attempts(&request).await;
+    async fn run(&self, mut request: CallerRequest) -> Result<HttpResponse, Refusal> {
+        let prepared = take_up::prepare(&self.context, &mut request).await;
+        let request = Arc::new(request);
+        let result = match prepared {
+            Ok(()) => self.run_attempts(&request).await,
+            Err(refusal) => Err(refusal),
+        };
         if !request.is_stream() || result.is_err() {
             request.on_end(&self.context);
         }
@@ -361,10 +352,12 @@
                 return Err(self.timeout_refusal(request, runs));
             }
             self.check_poison(request, runs)?;
-            let target = match request.choose(&self.context, &tried) {
+            let filter = request.continues.as_ref();
+            let target = match take_up::choose(&self.context, request, filter, &tried).await {
                 Ok(target) => target,
                 Err(reason) => return Err(self.placement_refusal(request, reason, runs)),
             };
+            let now = self.context.now();
             admission::hold_place(&self.context, request);
             let placement = target.placement.clone();
             let new_version = target.run.as_ref().map(CountedRun::is_new);
@@ -381,7 +374,8 @@
                 "chosen_ms" => now.since(request.arrived).as_millis() as u64,
                 "route" => &*request.route.name, "version" => request.version,
                 "account" => request.account.as_ref().map(|account| account.name.to_string()),
-                "target" => %placement.name, "online" => placement.online, "batch" => placement.batch,
+                "target" => %placement.name, "target_version" => &*placement.version,
+                "online" => placement.online, "batch" => placement.batch,
                 "cold" => placement.cold, "recent" => placement.recent,
                 "new_version" => new_version,
                 "end" => match &result {
@@ -474,6 +468,16 @@
         runs: u32,
     ) -> Refusal {
         let model = request.route.name.to_string();
+        if let Some(filter) = &request.continues
+            && runs == 0
+        {
+            let is_gone = !take_up::has_target(&self.context, request, filter, &[]);
+            let label = if is_gone { "gone" } else { "full" };
+            self.context.metrics.take_ups.with_label_values(&[label]).inc();
+            if is_gone {
+                return Refusal::new(Error::StreamVersionGone);
+            }
+        }
         match (runs, reason) {
             (0, PlacementError::NoTarget) => {
                 Refusal::later(Error::NoTarget { model }, DEFAULT_RETRY)
@@ -531,31 +535,6 @@
     }
 }
 
-/// Returns whether the connection is closed after a refusal, because the rest of the body is not
-/// read.
-fn ends_connection(error: &Error) -> bool {
-    matches!(
-        error,
-        Error::BodyTooLarge { .. }
-            | Error::BodyTimeout { .. }
-            | Error::BodyTooSlow { .. }
-            | Error::MemoryExhausted
-    )
-}
-
-/// Returns the numbers on which a refusal was based, as text for the log.
-fn refusal_inputs(error: &Error) -> String {
-    let numbers = match error {
-        Error::RateExceeded { numbers, .. }
-        | Error::TokensWaiting { numbers, .. }
-        | Error::JobLate { numbers, .. }
-        | Error::PoisonPart { numbers, .. }
-        | Error::QueueTimeout { numbers, .. } => numbers,
-        _ => return String::new(),
-    };
-    numbers.iter().map(|(name, value)| format!("{name}={value:.2}")).collect::<Vec<_>>().join(" ")
-}
-
 fn request_host<'a>(headers: &'a HeaderMap, uri: &'a http::Uri) -> &'a str {
     let host_header = headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host =
--- a/crates/sesamewall-edge/src/state_exchange/receive.rs
+++ b/crates/sesamewall-edge/src/state_exchange/receive.rs
@@ -17,6 +17,7 @@
 use crate::State;
 use crate::state_exchange::StateExchange;
 use crate::state_exchange::confirm;
+use crate::state_exchange::stream_versions;
 use crate::version_rollout;
 
 /// Largest datagram that is read, in bytes.
@@ -49,6 +50,13 @@
                 let now = exchange.context.now();
                 exchange.context.state().peers.on_domain_fronts(&keys, now);
             }
+            Datagram::StreamRecord(record) => stream_versions::on_record(&exchange, record),
+            Datagram::VersionQuery(query) => {
+                stream_versions::on_query(&exchange, query, from.ip());
+            }
+            Datagram::VersionAnswer(answer) => {
+                stream_versions::on_answer(&exchange, answer, from.ip());
+            }
         }
     }
 }
--- a/crates/sesamewall-edge/src/state_exchange/tick.rs
+++ b/crates/sesamewall-edge/src/state_exchange/tick.rs
@@ -19,6 +19,7 @@
 use crate::admission;
 use crate::domain_flow;
 use crate::state_exchange::StateExchange;
+use crate::state_exchange::stream_versions;
 
 /// Interval between log lines with the counters.
 const COUNTERS_INTERVAL: Duration = Duration::from_secs(15);
@@ -46,6 +47,12 @@
         state.crash_counts.on_tick(now);
         state.poison_parts.on_tick(now);
         state.sources.on_tick(now);
+        state.stream_versions.on_tick(now);
+        let age = state.freshness.targets_age(now);
+        state.version_history.on_table(&state.targets, age, now);
+        if let Some(catalog) = &state.catalog {
+            state.version_history.on_catalog(catalog, now);
+        }
         let return_checks = admission::on_tick(&context, state, now);
         // Only the hub that watches the store drops expired entries that did not come back; other
         // instances receive the change from it.
@@ -63,6 +70,8 @@
         let helpers = helpers(&context, state, &hubs, now);
         let watches = is_watcher(&context, state, now);
         drop(guard);
+        stream_versions::withdraw_doubtful(&context);
+        stream_versions::send_unsettled(&context);
         domain_flow::update(&context, now);
         admission::log_checks(&context, &return_checks);
         context.set_watches_store(watches);
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -11,6 +11,10 @@
 use hyper::body::Frame;
 use sesamewall_fleet::EventSplitter;
 use sesamewall_fleet::StallSettings;
+use sesamewall_fleet::StreamVersion;
+use sesamewall_fleet::VersionFilter;
+use sesamewall_fleet::record_ttl;
+use sesamewall_fleet::version_key;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use slog::info;
@@ -23,6 +27,18 @@
 use crate::byte_budget::ReservedBytes;
 use crate::caller_request::CallerRequest;
 use crate::response::ResponseBody;
+use crate::state_exchange;
+use crate::take_up;
+
+/// Where the stream that the caller gets began.
+enum BegunAt {
+    /// No event was forwarded, so that any version may begin it.
+    Nothing,
+    /// At a target of this version.
+    Version(VersionFilter),
+    /// At a target whose version is not known, so that no other target may continue it.
+    Unknown,
+}
 
 /// A stream that is forwarded to a caller.
 pub struct StreamRelay {
@@ -42,6 +58,9 @@
     events: u64,
     /// Events of the current run.
     run_events: u64,
+    begun: BegunAt,
+    /// Whether the version was recorded for take-ups.
+    is_recorded: bool,
     tried: Vec<TargetName>,
     /// Runs so far, including the current one.
     runs: u32,
@@ -58,6 +77,7 @@
         runs: u32,
     ) -> ResponseBody {
         let last_id = request.last_event_id();
+        let begun = request.continues.clone().map_or(BegunAt::Nothing, BegunAt::Version);
         let relay = Self {
             reserved: context.buffers.reserve(),
             last_event_at: context.now(),
@@ -70,6 +90,8 @@
             last_id,
             events: 0,
             run_events: 0,
+            begun,
+            is_recorded: false,
             tried,
             runs,
             ended: false,
@@ -184,14 +206,24 @@
 
     /// Returns whether the stream may go on at another target, and one has a place.
     fn has_alternative(&self) -> bool {
-        self.may_resume(self.context.now()) && self.request.has_place(&self.context, &self.tried)
+        self.may_resume(self.context.now())
+            && self.request.has_place(&self.context, self.filter(), &self.tried)
+    }
+
+    /// Returns the targets at which the stream may go on; `None` for all, before its first event.
+    fn filter(&self) -> Option<&VersionFilter> {
+        match &self.begun {
+            BegunAt::Version(filter) => Some(filter),
+            BegunAt::Nothing | BegunAt::Unknown => None,
+        }
     }
 
     fn may_resume(&self, now: Time) -> bool {
         let blocked = self.context.state().crash_counts.is_blocked(self.request.hash)
             || self.request.poison(&self.context).is_some();
         let allowed = self.request.is_resumable() && self.runs < self.request.route.attempts;
-        allowed && !blocked && now < self.request.deadline
+        let known = !matches!(self.begun, BegunAt::Unknown);
+        allowed && known && !blocked && now < self.request.deadline
     }
 
     fn push(&mut self, chunk: &[u8]) -> Result<(), AttemptError> {
@@ -200,6 +232,42 @@
         self.reserved.resize(self.splitter.buffered_len()).map_err(AttemptError::TooLarge)
     }
 
+    /// Checks before the first event of a run is forwarded that the target has the version of the
+    /// stream. The first event of the stream itself determines the version, which is recorded for the
+    /// case that the caller takes the stream up again.
+    fn begin_run(&mut self) -> Result<(), AttemptError> {
+        let Some(response) = &self.response else { return Ok(()) };
+        let version = response.confirmed_version(&self.request.service);
+        match (&self.begun, version) {
+            (BegunAt::Version(filter), Some(version)) if filter.allows(&version) => {}
+            (BegunAt::Nothing, Some(version)) => {
+                self.begun = BegunAt::Version(VersionFilter::only(version));
+            }
+            (BegunAt::Nothing, None) => {
+                info!(self.context.log, "version of a stream is not known";
+                    "request" => self.request.id_text(), "target" => %response.target,
+                    "target_version" => &*response.version);
+                self.begun = BegunAt::Unknown;
+            }
+            (BegunAt::Version(_) | BegunAt::Unknown, _) => {
+                return Err(AttemptError::VersionChanged);
+            }
+        }
+        if let BegunAt::Version(filter) = &self.begun
+            && !self.is_recorded
+            && let Some(stream) = take_up::recorded_stream(&self.request)
+        {
+            self.is_recorded = true;
+            let begun = response.begun_stream(stream);
+            self.context.state().stream_versions.on_begun(begun);
+            let ttl = record_ttl(self.request.route.timeout)
+                .max(self.request.deadline.since(self.context.now()));
+            let version = StreamVersion::Known(version_key(&filter.version));
+            state_exchange::record(&self.context, stream, version, ttl);
+        }
+        Ok(())
+    }
+
     /// Returns the complete events that have arrived. A resumed stream must continue right after
     /// the last event that was forwarded.
     fn complete_events(&mut self) -> Result<Vec<u8>, AttemptError> {
@@ -215,6 +283,9 @@
                     false => Ok(events),
                 };
             }
+            if self.run_events == 0 {
+                self.begin_run()?;
+            }
             self.last_id = event.id.or(self.last_id);
             self.events += 1;
             self.run_events += 1;
@@ -263,21 +334,38 @@
             }
             if matches!(error, AttemptError::Lost(_)) {
                 state.crash_counts.on_crash(self.request.hash, now);
+                if let Some(stream) = take_up::recorded_stream(&self.request) {
+                    state.stream_versions.on_lost(stream);
+                }
             }
         }
         self.resume(error).await
     }
 
+    /// Notes if the version of the stream has turned out to be in doubt since its first event.
+    fn check_begun(&mut self) {
+        state_exchange::withdraw_doubtful(&self.context);
+        let now = self.context.now();
+        let stream = take_up::recorded_stream(&self.request).filter(|_| self.is_recorded);
+        let known = |stream| self.context.state().stream_versions.get(stream, now).0;
+        if stream.is_some_and(|stream| known(stream) == StreamVersion::Conflicting) {
+            self.begun = BegunAt::Unknown;
+        }
+    }
+
     async fn resume(&mut self, mut error: AttemptError) -> Option<io::Result<Bytes>> {
+        self.check_begun();
         loop {
             let now = self.context.now();
             if !self.may_resume(now) {
                 return self.abort(&format!("broken off: {error}"));
             }
-            let target = match self.request.choose(&self.context, &self.tried) {
+            let (context, request) = (&self.context, &self.request);
+            let target = match take_up::choose(context, request, self.filter(), &self.tried).await {
                 Ok(target) => target,
                 Err(reason) => return self.abort(&format!("broken off: {error}; {reason}")),
             };
+            let now = self.context.now();
             let placement = target.placement.clone();
             let limit = self
                 .request
@@ -285,7 +373,8 @@
             let attempt_request = self.request.attempt_request(&self.context, self.last_id, now);
             let result = attempt(&self.context, target, &attempt_request, limit).await;
             info!(self.context.log, "stream goes on elsewhere"; "request" => self.request.id_text(),
-            "after" => self.last_id, "cause" => %error, "target" => %placement.name,
+            "after" => self.last_id, "cause" => %error, "begun_at" => self.filter().map(|filter| &*filter.version),
+            "target" => %placement.name, "target_version" => &*placement.version,
             "cold" => placement.cold, "recent" => placement.recent,
             "end" => match &result {
                 Ok(response) => format!("status {}", response.status.as_u16()),
