Add tests of batch items at targets of two versions

Cause: a batch item that is broken off goes on at any target of its service, also at one of another version than the one that wrote its output.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,8 @@
 mod hub;
 #[path = "platform/item_starts.rs"]
 mod item_starts;
+#[path = "platform/item_versions.rs"]
+mod item_versions;
 #[path = "platform/late_effects.rs"]
 mod late_effects;
 #[path = "platform/late_requests.rs"]
