Choose targets of one version for the rest of a response

Cause: no caller can ask for a target of a given version; `choose` takes the versions from the rollout's choice.

Change: `choose_version` places a request at targets of one version, whatever a rollout says, and does not count it in the rollout.

--- a/crates/sesamewall-edge/src/version_run.rs
+++ b/crates/sesamewall-edge/src/version_run.rs
@@ -14,6 +14,7 @@
 use sesamewall_fleet::VersionChoice;
 use sesamewall_fleet::VersionFilter;
 use sesamewall_fleet::VersionRun;
+use sesamewall_fleet::VersionSide;
 use sesamewall_fleet::place;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
@@ -204,3 +205,22 @@
     });
     Ok(ChosenTarget { placement, run })
 }
+
+/// Chooses a target of one version for the rest of a response that a target of this version has
+/// begun. A rollout's choice applies to new requests only, so the request is not counted in it.
+pub fn choose_version(
+    context: &Arc<InstanceContext>,
+    request: &PlacementRequest<'_>,
+    version: &Arc<str>,
+) -> Result<ChosenTarget, PlacementError> {
+    let filter = VersionFilter {
+        version: version.clone(),
+        side: VersionSide::New,
+        banned: Vec::new(),
+        concentrate: false,
+    };
+    let now = context.now();
+    let state = context.state();
+    let placement = place_in(context, &state, request, &VersionChoice::Only(filter), now)?;
+    Ok(ChosenTarget { placement, run: None })
+}
