Keep the version that wrote the output of a batch item

Cause: `ItemProgress` keeps the output and its last event over attempts, but not the version of the targets that wrote them, so an output may join the events of two versions.

Change: the progress keeps service and version from the first event on. They are known only while the target has the entry by which it was chosen; a target that names none has no definite version if another of its service names one. The progress says whether the next attempt continues at the version, or restarts: the version is not known, has no target that may run the item, or had no place for `version_wait` while another one had.

The wait is 2 s. Items are due in about 18 s and a run takes about 10 s. An item that is broken off in the middle of its run has about 3 s left beyond a full run, so that it can still restart in time after the wait, while a place at its version saves half a run. At a target with 8 slots a run ends every 1.2 s, so the wait covers the next free slot there. It is counted only from the time when another version has a place: without one a restart gains nothing.

--- a/crates/sesamewall-fleet/src/item_progress.rs
+++ b/crates/sesamewall-fleet/src/item_progress.rs
@@ -1,11 +1,15 @@
 //! The progress of one batch item over its attempts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use sesamewall_protocol::Time;
 
 use crate::ResultState;
+use crate::ServiceVersion;
 use crate::StreamEvent;
+use crate::TargetState;
+use crate::TargetTable;
 
 /// Largest output of an item in bytes: a result has to fit into one value of the store. A target
 /// that sends more is at fault.
@@ -18,11 +22,18 @@
     pub backoff: Duration,
     /// Longest backoff.
     pub max_backoff: Duration,
+    /// Longest wait of an item with an output for a place at a target of the version that wrote it,
+    /// while targets of other versions have a place.
+    pub version_wait: Duration,
 }
 
 impl Default for ItemSettings {
     fn default() -> Self {
-        Self { backoff: Duration::from_millis(100), max_backoff: Duration::from_secs(1) }
+        Self {
+            backoff: Duration::from_millis(100),
+            max_backoff: Duration::from_secs(1),
+            version_wait: Duration::from_secs(2),
+        }
     }
 }
 
@@ -43,12 +54,45 @@
     MadeWay,
 }
 
+/// Why an item with an output starts from its first event again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum RestartCause {
+    /// It is not known which version wrote the output.
+    #[display("version not known")]
+    Unknown,
+    /// No target of the version may run the item any more.
+    #[display("no target of the version")]
+    Gone,
+    /// The targets of the version had no place for the item in time.
+    #[display("no place at the version")]
+    NoPlace,
+}
+
+/// Where the next attempt of an item may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextRun {
+    /// At any target: the item has no output yet.
+    First,
+    /// At targets of the version that wrote the output.
+    Continue(Arc<str>),
+    /// At any target, from the first event. An attempt at a target of the version that wrote the
+    /// output may still continue it, unless the version is not known.
+    Restart(RestartCause),
+}
+
 /// Progress of an item that has no result yet.
 #[derive(Clone, Debug, Default)]
 pub struct ItemProgress {
     output: Vec<u8>,
     events: u64,
     last_id: Option<u64>,
+    /// The version that wrote the output; `None` if it is not known.
+    version: Option<ServiceVersion>,
+    /// Number of events before the first one of the present attempt; `None` until that has arrived.
+    begun_after: Option<u64>,
+    /// Time since which the item has had no place at its version.
+    no_place_since: Option<Time>,
     failures: u32,
     breaks: u32,
     not_before: Time,
@@ -75,6 +119,74 @@
         self.events
     }
 
+    /// Returns the version that wrote the output; `None` if it is not known.
+    pub fn version(&self) -> Option<&ServiceVersion> {
+        self.version.as_ref()
+    }
+
+    /// Returns where the next attempt may run, at targets of `service` for which `may_run` returns
+    /// true.
+    pub fn next_run(
+        &self,
+        settings: &ItemSettings,
+        table: &TargetTable,
+        service: &str,
+        may_run: impl Fn(&TargetState) -> bool,
+        now: Time,
+    ) -> NextRun {
+        if self.events == 0 {
+            return NextRun::First;
+        }
+        let definite = |version: &&ServiceVersion| version.is_definite(table);
+        let Some(version) = self.version.as_ref().filter(definite) else {
+            return NextRun::Restart(RestartCause::Unknown);
+        };
+        let is_able = |target: &TargetState| {
+            target.entry.version == version.version && !target.has_left() && may_run(target)
+        };
+        let is_gone = *version.service != *service || !table.of_service(service).any(is_able);
+        let is_over = |since: Time| now.since(since) >= settings.version_wait;
+        match self.no_place_since {
+            _ if is_gone => NextRun::Restart(RestartCause::Gone),
+            Some(since) if is_over(since) => NextRun::Restart(RestartCause::NoPlace),
+            _ => NextRun::Continue(version.version.clone()),
+        }
+    }
+
+    /// Records that no target of the item's version had a place for it, while one of another version
+    /// had.
+    pub fn on_no_place(&mut self, now: Time) {
+        self.no_place_since.get_or_insert(now);
+    }
+
+    /// Returns whether the item waits for a place at its version while others have one.
+    pub fn has_no_place(&self) -> bool {
+        self.no_place_since.is_some()
+    }
+
+    /// Begins the events of an attempt at a target of `version`, `None` if that is not known.
+    /// Returns false if the output must not go on with them.
+    pub fn begin(&mut self, version: Option<ServiceVersion>) -> bool {
+        if self.events > 0 && (version.is_none() || version != self.version) {
+            return false;
+        }
+        self.begun_after = Some(self.events);
+        self.version = version;
+        self.no_place_since = None;
+        true
+    }
+
+    /// Records at the end of an attempt that its target had been replaced by another start, which
+    /// may have written the events of the attempt. Returns the end that counts.
+    pub fn on_replaced(&mut self, end: ItemEnd) -> ItemEnd {
+        let Some(before) = self.begun_after else { return end };
+        self.version = None;
+        match end {
+            ItemEnd::Whole if before > 0 => ItemEnd::Broken,
+            end => end,
+        }
+    }
+
     /// Adds an event. Returns false if the stream does not continue after the last event, or if the
     /// output exceeds its limit; the output is removed then.
     pub fn on_event(&mut self, event: &StreamEvent) -> bool {
@@ -107,6 +219,10 @@
         attempts: u32,
         now: Time,
     ) -> Option<ResultState> {
+        let is_unheard = self.begun_after.take().is_none();
+        if is_unheard && self.events > 0 && matches!(end, ItemEnd::NotRun | ItemEnd::Broken) {
+            self.on_no_place(now);
+        }
         let backoff = (settings.backoff * (1 << self.breaks.min(4))).min(settings.max_backoff);
         match end {
             ItemEnd::Whole => return Some(ResultState::Completed),
@@ -136,9 +252,13 @@
         self.not_before = self.not_before.max(until);
     }
 
-    fn restart(&mut self) {
+    /// Removes the output, so that the next attempt starts from the first event. Returns the number
+    /// of removed events.
+    pub fn restart(&mut self) -> u64 {
         self.output.clear();
-        self.events = 0;
         self.last_id = None;
+        self.version = None;
+        self.no_place_since = None;
+        std::mem::take(&mut self.events)
     }
 }
--- a/crates/sesamewall-fleet/src/target_table.rs
+++ b/crates/sesamewall-fleet/src/target_table.rs
@@ -104,7 +104,7 @@
     }
 
     /// Returns whether the target gets no new work until it starts again.
-    fn has_left(&self) -> bool {
+    pub fn has_left(&self) -> bool {
         self.entry.draining || self.leaving || self.misdirected
     }
 
--- a/crates/sesamewall-fleet/tests/decisions.rs
+++ b/crates/sesamewall-fleet/tests/decisions.rs
@@ -24,6 +24,8 @@
 mod hub_selection;
 #[path = "decisions/item_trials.rs"]
 mod item_trials;
+#[path = "decisions/item_versions.rs"]
+mod item_versions;
 #[path = "decisions/late_writes.rs"]
 mod late_writes;
 #[path = "decisions/pause_guard.rs"]
