Continue batch items only at the version that began them

Cause: `start_items` chooses any target for an item with an output.

Change: such an item is placed at a target of its version, whatever a rollout says, and at targets that are assigned to other workers if none of its own has the version. What has no place is kept in `full` with the version, so that new items of the service go on. A replaced version counts as gone, since its items would be preempted again. An item restarts at the moment when it has a place elsewhere; until then it keeps its output. An attempt checks the entry of its target before it sends, at the first event and at the end, and logs the version; `item restarts` gives the cause and the dropped events.

The test of items at old targets of a rollout had "resume" in its name, which two versions do not allow; it also checks now that no output goes on.

A new one fails if an item that waits for its version counts as a full service, and that of the rollout fails if a replaced version is continued.

--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -22,6 +22,7 @@
 use sesamewall_fleet::JobSpec;
 use sesamewall_fleet::PoisonPart;
 use sesamewall_fleet::RouteSpec;
+use sesamewall_fleet::TargetStart;
 use sesamewall_fleet::part_key;
 use sesamewall_fleet::request_key;
 use sesamewall_platform::ACCOUNT;
@@ -29,6 +30,7 @@
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::prompt_prefix;
 use sesamewall_platform::shared_parts;
+use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::InstanceContext;
@@ -180,18 +182,41 @@
         ItemEnd::Broken
     }
 
+    /// Begins the events of a response of `start`. Returns false if the output must not go on with
+    /// them.
+    fn begin(
+        &self,
+        context: &InstanceContext,
+        start: &TargetStart,
+        progress: &mut ItemProgress,
+    ) -> bool {
+        let version = start.known_version(&context.state().targets);
+        let known = version.is_some();
+        let begins = progress.begin(version);
+        if !begins {
+            info!(context.log, "item not continued"; "item" => %self.item.id,
+                "target" => %start.name, "version" => &*start.version.version, "known" => known);
+        }
+        begins
+    }
+
     /// Sends the item to a target, if `permit` still holds then, and collects the events of its
-    /// response.
+    /// response. `start` is the start of the target that was chosen.
     pub async fn run(
         &self,
         context: &Arc<InstanceContext>,
         target: ChosenTarget,
+        start: &TargetStart,
         progress: &mut ItemProgress,
         guard: InFlightGuard,
         permit: LeasePermit,
     ) -> ItemEnd {
         let mut headers = self.headers.clone();
         if let Some(after) = progress.resume_after() {
+            let version = start.known_version(&context.state().targets);
+            if version.as_ref() != progress.version() {
+                return ItemEnd::NotRun;
+            }
             headers.insert(LAST_EVENT_ID, HeaderValue::from(after));
         }
         let attempt_request = AttemptRequest {
@@ -229,6 +254,7 @@
         let mut reserved = context.buffers.reserve();
         let mut deadline = Instant::now() + STALL_TIMEOUT;
         let events_before = progress.events();
+        let mut begun = false;
         loop {
             let overdue = Instant::now() >= deadline;
             match response.next_chunk(deadline.saturating_duration_since(Instant::now())).await {
@@ -240,6 +266,10 @@
                     }
                     let before = progress.events();
                     while let Some(event) = splitter.next_event() {
+                        begun = begun || self.begin(context, start, progress);
+                        if !begun {
+                            return ItemEnd::Broken;
+                        }
                         if !progress.on_event(&event) {
                             return self.record_invalid(context, response);
                         }
@@ -267,7 +297,10 @@
                 }
                 Ok(None) => {
                     response.finish(context);
-                    return ItemEnd::Whole;
+                    return match begun || self.begin(context, start, progress) {
+                        true => ItemEnd::Whole,
+                        false => ItemEnd::Broken,
+                    };
                 }
                 Err(_) => return self.record_invalid(context, response),
             }
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -13,10 +13,14 @@
 use sesamewall_fleet::ItemRank;
 use sesamewall_fleet::ItemResult;
 use sesamewall_fleet::LocalBacklog;
+use sesamewall_fleet::NextRun;
+use sesamewall_fleet::PlacementError;
 use sesamewall_fleet::PlacementRequest;
 use sesamewall_fleet::PoisonPart;
+use sesamewall_fleet::RestartCause;
 use sesamewall_fleet::ResultState;
 use sesamewall_fleet::RouteAbsence;
+use sesamewall_fleet::TargetStart;
 use sesamewall_fleet::TargetState;
 use sesamewall_fleet::TrialDecision;
 use sesamewall_fleet::trial_rank;
@@ -35,9 +39,12 @@
 use crate::job_state::Job;
 use crate::job_state::RunningItem;
 use crate::lease::LeasePermit;
+use crate::version_rollout::replaced_targets;
 use crate::version_run::ChosenTarget;
 use crate::version_run::CountedRun;
 use crate::version_run::choose;
+use crate::version_run::choose_version;
+use crate::version_run::has_place;
 use crate::worker::Worker;
 
 /// Time between two checks of an item that is held because of a part of its prompt.
@@ -53,6 +60,21 @@
     leave_free: u32,
     /// Keys of the targets.
     targets: HashSet<u32>,
+    /// Keys of the targets whose version was replaced, from which items are taken back.
+    replaced: HashSet<u32>,
+}
+
+/// Services without headroom in the regions of an item, with the version if only its targets were
+/// asked for.
+type FullScopes = HashSet<(ItemScope, Option<Arc<str>>)>;
+
+/// The target chosen for an item.
+struct ItemPlace {
+    target: ChosenTarget,
+    /// The start of the target that was chosen.
+    start: TargetStart,
+    /// Why the item starts from its first event although it has an output.
+    restart: Option<RestartCause>,
 }
 
 impl Worker {
@@ -83,7 +105,7 @@
             }
             false => self.start_targets(backlog, now),
         };
-        let mut full: HashSet<ItemScope> = HashSet::new();
+        let mut full = FullScopes::new();
         for (_, _, name, item) in order {
             let Some(job) = jobs.get_mut(&name) else { continue };
             self.start_item(&catalog, &name, job, &item, &start_targets, &mut full, now);
@@ -122,11 +144,98 @@
         let free = others.filter(|target| has_headroom(target)).map(|target| target.key).collect();
         let unused = self.unused_targets().update(free, now);
         targets.extend(unused);
-        StartTargets { leave_free, targets }
+        StartTargets { leave_free, targets, replaced: replaced_targets(&state) }
+    }
+
+    /// Chooses a target for an item. One with an output goes on at a target of the version that wrote
+    /// it, as long as there is one that has a place soon. What has no place is added to `full` and
+    /// not tried again.
+    fn place_item(
+        &self,
+        attempt: &ItemAttempt,
+        progress: &mut ItemProgress,
+        start_targets: &StartTargets,
+        full: &mut FullScopes,
+        now: Time,
+    ) -> Option<ItemPlace> {
+        let settings = &self.context.settings;
+        let request = PlacementRequest {
+            service: attempt.service(),
+            regions: attempt.regions(),
+            domain: &settings.domain,
+            prefix: attempt.prefix(),
+            exclude: &[],
+            among: Some(&start_targets.targets),
+            reserved_slots: Some(start_targets.leave_free),
+            versions: None,
+        };
+        let state = self.context.state();
+        let may_run = |target: &TargetState| {
+            let region = settings.regions.get(&target.entry.domain);
+            !state.targets.evacuated().contains(&target.entry.domain)
+                && !start_targets.replaced.contains(&target.key)
+                && request.regions.is_none_or(|set| region.is_some_and(|name| set.contains(name)))
+        };
+        let (item_settings, service) = (&self.item_settings, request.service);
+        let next = progress.next_run(item_settings, &state.targets, service, may_run, now);
+        drop(state);
+        let any = (attempt.scope(), None);
+        let cause = match next {
+            NextRun::First => None,
+            NextRun::Restart(cause) => Some(cause),
+            NextRun::Continue(version) => {
+                let own = (attempt.scope(), Some(version.clone()));
+                if !full.contains(&own) {
+                    match self.place_at_version(&request, &version) {
+                        None => full.insert(own),
+                        place => return place,
+                    };
+                }
+                if !progress.has_no_place() && !full.contains(&any) {
+                    match has_place(&self.context, &request, attempt.route()) {
+                        true => progress.on_no_place(now),
+                        false => drop(full.insert(any)),
+                    }
+                }
+                return None;
+            }
+        };
+        if full.contains(&any) {
+            return None;
+        }
+        let Ok(target) = choose(&self.context, &request, attempt.route(), true) else {
+            full.insert(any);
+            return None;
+        };
+        let start = TargetStart::of(&self.context.state().targets, &target.placement.name)?;
+        let continues = progress.version() == Some(&start.version);
+        let restart = cause.filter(|cause| *cause == RestartCause::Unknown || !continues);
+        Some(ItemPlace { target, start, restart })
     }
 
-    /// Starts an item if there is headroom. A service without headroom in the item's regions is
-    /// added to `full` and not tried again.
+    /// Chooses a target of a version for an item that goes on there.
+    fn place_at_version(
+        &self,
+        request: &PlacementRequest<'_>,
+        version: &Arc<str>,
+    ) -> Option<ItemPlace> {
+        let target = match choose_version(&self.context, request, version) {
+            // Its targets may all be assigned to other workers, which have no use for this output.
+            Err(PlacementError::NoTarget) => {
+                let request = PlacementRequest { among: None, ..request.clone() };
+                choose_version(&self.context, &request, version)
+            }
+            chosen => chosen,
+        };
+        let target = target.ok()?;
+        let start = TargetStart::of(&self.context.state().targets, &target.placement.name)?;
+        // The target may have another entry since it was chosen.
+        let is_own = start.version.version == *version;
+        is_own.then_some(ItemPlace { target, start, restart: None })
+    }
+
+    /// Starts an item if there is headroom. What has none in the item's regions is added to `full`
+    /// and not tried again.
     #[allow(clippy::too_many_arguments)]
     fn start_item(
         self: &Arc<Self>,
@@ -135,7 +244,7 @@
         job: &mut Job,
         item: &ItemId,
         start_targets: &StartTargets,
-        full: &mut HashSet<ItemScope>,
+        full: &mut FullScopes,
         now: Time,
     ) {
         let Claim::Local { lease, .. } = job.claim else { return };
@@ -172,22 +281,8 @@
             }
             return;
         }
-        let scope = attempt.scope();
-        if full.contains(&scope) {
-            return;
-        }
-        let request = PlacementRequest {
-            service: attempt.service(),
-            regions: attempt.regions(),
-            domain: &self.context.settings.domain,
-            prefix: attempt.prefix(),
-            exclude: &[],
-            among: Some(&start_targets.targets),
-            reserved_slots: Some(start_targets.leave_free),
-            versions: None,
-        };
-        let Ok(target) = choose(&self.context, &request, attempt.route(), true) else {
-            full.insert(scope);
+        let progress = &mut job.work.waiting[index].progress;
+        let Some(place) = self.place_item(&attempt, progress, start_targets, full, now) else {
             return;
         };
         let deadline = self.context.settings.platform_limits.cancel_deadline;
@@ -201,14 +296,21 @@
                 return;
             }
         }
-        let placement = &target.placement;
+        let placement = &place.target.placement;
         let trial = poison.map(|poison| poison.part);
         if let Some(part) = trial {
             self.item_trials().on_started(part);
             info!(self.context.log, "item is a trial of a poison part"; "job" => %name,
                 "item" => %item, "part" => format!("{part:016x}"), "target" => %placement.name);
         }
-        let progress = job.work.waiting.remove(index).progress;
+        let mut progress = job.work.waiting.remove(index).progress;
+        if let Some(cause) = place.restart {
+            let version = progress.version().map(|version| version.version.clone());
+            let events = progress.restart();
+            info!(self.context.log, "item restarts"; "job" => %name, "item" => %item,
+                "events" => events, "version" => version.as_deref(), "cause" => %cause,
+                "target" => %placement.name, "new" => &*place.start.version.version);
+        }
         let cancel = CancellationToken::new();
         let attempt_id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let running = RunningItem {
@@ -228,7 +330,7 @@
             name.clone(),
             attempt_id,
             attempt,
-            target,
+            place,
             progress,
             guard,
             permit,
@@ -303,7 +405,7 @@
         name: JobName,
         attempt_id: u64,
         attempt: ItemAttempt,
-        target: ChosenTarget,
+        place: ItemPlace,
         mut progress: ItemProgress,
         guard: InFlightGuard,
         permit: LeasePermit,
@@ -311,12 +413,14 @@
         trial: Option<u64>,
     ) {
         let events_before = progress.events();
-        let placement = target.placement.clone();
+        let ItemPlace { target, start, .. } = place;
         let new_version = target.run.as_ref().map(CountedRun::is_new);
         let result = tokio::select! {
-            end = attempt.run(&self.context, target, &mut progress, guard, permit) => end,
+            end = attempt.run(&self.context, target, &start, &mut progress, guard, permit) => end,
             () = cancel.cancelled() => ItemEnd::MadeWay,
         };
+        let is_replaced = start.is_replaced(&self.context.state().targets);
+        let result = if is_replaced { progress.on_replaced(result) } else { result };
         if let Some(part) = trial {
             self.item_trials().on_ended(part);
         }
@@ -324,7 +428,8 @@
         let label = format!("{result:?}");
         self.context.metrics.items.with_label_values(&[&label]).inc();
         info!(self.context.log, "item attempt"; "job" => %name, "item" => %attempt.item().id,
-            "target" => %placement.name, "new_version" => new_version, "end" => label,
+            "target" => %start.name, "version" => &*start.version.version,
+            "new_version" => new_version, "replaced" => is_replaced, "end" => label,
             "from" => events_before, "events" => progress.events());
         let mut jobs = self.jobs();
         let Some(job) = jobs.get_mut(&name) else { return };
--- a/crates/sesamewall-edge/src/worker.rs
+++ b/crates/sesamewall-edge/src/worker.rs
@@ -273,7 +273,7 @@
         }
     }
 
-    /// Cancels items at targets whose version was replaced, so that they resume at other ones.
+    /// Cancels items at targets whose version was replaced, so that they restart at other ones.
     fn preempt_replaced(&self) {
         let targets = version_rollout::replaced_targets(&self.context.state());
         if targets.is_empty() {
--- a/tests/platform/item_versions.rs
+++ b/tests/platform/item_versions.rs
@@ -5,6 +5,7 @@
 use sesamewall_platform_standin::StandinTarget;
 use sesamewall_platform_standin::TargetRequest;
 use sesamewall_platform_standin::target_entry;
+use sesamewall_platform_standin::with_cold_time;
 use sesamewall_platform_standin::with_version;
 
 use crate::batch::assert_completed;
@@ -19,6 +20,13 @@
 /// Interval between events; a whole run takes ten of them.
 const EVENT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time in which the worker learns of a changed entry, and time after which it retries an item that
+/// was broken off.
+const NEWS_TIME: Duration = Duration::from_millis(500);
+
+/// Time for which targets are cold, longer than the test takes.
+const COLD_MILLIS: u64 = 30_000;
+
 /// Starts a fleet with a worker and the targets `t1` and `t2` of version `v1`, and `t3` and `t4` of
 /// version `v2`.
 async fn start() -> (TestFleet, Vec<StandinTarget>) {
@@ -77,7 +85,6 @@
 /// Guards against an output that joins the events of two versions: an item that is broken off goes
 /// on at the other target of its version, although targets of the other version have free slots.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: items go on at targets of any version"]
 async fn a_broken_item_goes_on_at_a_target_of_its_version() {
     let (fleet, new) = start().await;
     submit(&fleet, &new).await;
@@ -90,7 +97,6 @@
 
 /// Guards against items that go on elsewhere or wait for ever once their version has no target.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: items go on at targets of any version"]
 async fn an_item_restarts_when_its_version_has_no_target() {
     let (fleet, new) = start().await;
     submit(&fleet, &new).await;
@@ -109,7 +115,6 @@
 
 /// Guards against items that never end since the targets of their version refuse them.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "KNOWN-RED: items go on at targets of any version"]
 async fn an_item_restarts_when_its_version_refuses_it() {
     let (fleet, new) = start().await;
     submit(&fleet, &new).await;
@@ -120,3 +125,34 @@
     assert_completed(&fleet.wait_results(0, "job1", ITEMS).await, ITEMS);
     assert_one_version(&fleet.targets, &new);
 }
+
+/// Guards against items that wait for those which are due earlier and wait for a place at their
+/// version: there are free slots at the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_that_waits_for_its_version_blocks_no_other() {
+    let (fleet, new) = start().await;
+    submit(&fleet, &new).await;
+    // Cold targets get no items.
+    for (target, domain) in new.iter().zip(["a", "b"]) {
+        let entry = with_version(target_entry(target.address, domain, false), "v2");
+        fleet.store.put(&format!("servers/{}", target.name), &with_cold_time(entry, COLD_MILLIS));
+    }
+    tokio::time::sleep(NEWS_TIME).await;
+    for target in &new {
+        target.crash();
+    }
+    tokio::time::sleep(NEWS_TIME).await;
+    let front = fleet.fronts[0].caller_address();
+    let accepted = fleet.client.submit(front, "job2", &["later".to_owned()]).await;
+    assert_eq!(accepted.expect("a response").status, 202);
+    fleet.wait_results(0, "job1", ITEMS).await;
+    let mut runs: Vec<_> = fleet.targets.iter().flat_map(StandinTarget::requests).collect();
+    runs.sort_by_key(|run| run.received_at);
+    let later = runs.iter().position(|run| run.path.ends_with("later")).expect("a run");
+    let is_restart = |run: &&TargetRequest| {
+        let at_new = new.iter().flat_map(StandinTarget::requests);
+        at_new.into_iter().any(|before| before.path == run.path)
+    };
+    let restart = runs.iter().position(|run| is_restart(&run)).expect("a restart");
+    assert!(later < restart, "the new item waited until the others had restarted");
+}
--- a/tests/platform/version_rollout.rs
+++ b/tests/platform/version_rollout.rs
@@ -261,14 +261,14 @@
 }
 
 /// Guards against batch items that run at old targets when these stop: the items would take longer
-/// there than the rollout.
+/// there than the rollout. Their outputs must not go on at the new version either.
 #[tokio::test(flavor = "multi_thread")]
-async fn items_at_old_targets_resume_at_new_ones() {
+async fn items_at_old_targets_restart_at_new_ones() {
     let fleet = start(1, 1).await;
     for target in &fleet.targets {
         target.set_event_interval(Duration::from_millis(600));
     }
-    order(&fleet, None).await;
+    let new = order(&fleet, None).await;
     tokio::time::sleep(Duration::from_secs(3)).await;
     let front = fleet.fronts[0].caller_address();
     let accepted = fleet.client.submit(front, "job1", &items(8)).await;
@@ -281,6 +281,9 @@
         fleet.store.remove(&format!("servers/{name}"));
     }
     assert_completed(&fleet.wait_results(0, "job1", 8).await, 8);
+    // At a replaced version the item would be preempted again.
+    let mut runs = fleet.targets.iter().chain(&new).flat_map(StandinTarget::requests);
+    assert!(runs.all(|run| run.header("last-event-id").is_empty()), "an output went on");
 }
 
 /// Guards against requests at the new version after its order was withdrawn.
