Give no share of cold starts to fronts that do not know the others

Cause: a review of the shares found three states in which they add up to more than the limit: more fronts than starts while their list has not arrived (28 starts of 15 in a unit play), no stored number of fronts (each took the whole limit), and a stored number that is read once and gets old.

Change: a front that does not know all others gets no share if there are more fronts than starts, and one start at most while their number is not known. The number follows each write and comparison of the stored size, and reaches members with the list, which now also goes out when it changes and names its failure domain. Types of contacts and of a group's state move out of peers.rs.

--- a/crates/sesamewall-edge/src/state_exchange/hub_record.rs
+++ b/crates/sesamewall-edge/src/state_exchange/hub_record.rs
@@ -410,6 +410,7 @@
         match context.store.commit(&transaction).await {
             Ok(CommitResult::Done(revision)) => {
                 self.stored_size = StoredSize { fronts: size.0, all: size.1, revision };
+                context.state().peers.on_domain_size(size.0);
                 info!(context.log, "size written"; "fronts" => size.0, "instances" => size.1);
             }
             Ok(CommitResult::Conflict(items)) => {
@@ -452,6 +453,7 @@
             info!(context.log, "size differs"; "fronts" => size.fronts, "instances" => size.all,
                 "revision" => size.revision);
             self.stored_size = *size;
+            context.state().peers.on_domain_size(size.fronts);
         }
         let stored: Vec<StoredRecord> = records
             .hubs
--- a/crates/sesamewall-edge/src/state_exchange/receive.rs
+++ b/crates/sesamewall-edge/src/state_exchange/receive.rs
@@ -46,9 +46,9 @@
             Datagram::Confirmation(confirmation) => {
                 confirm::on_confirmation(&exchange, confirmation);
             }
-            Datagram::DomainFronts(keys) => {
+            Datagram::FrontList(list) => {
                 let now = exchange.context.now();
-                exchange.context.state().peers.on_domain_fronts(&keys, now);
+                exchange.context.state().peers.on_front_list(&list, now);
             }
             Datagram::StreamRecord(record) => stream_versions::on_record(&exchange, record),
             Datagram::VersionQuery(query) => {
--- a/crates/sesamewall-edge/src/state_exchange/send.rs
+++ b/crates/sesamewall-edge/src/state_exchange/send.rs
@@ -81,6 +81,8 @@
     /// Counter that selects the failure domain whose loads the next digest lists.
     domain_turn: usize,
     sequence: u64,
+    /// Number of fronts in the last list that the members got.
+    listed_fronts: usize,
     local_news: NewsTimer,
     remote_news: NewsTimer,
     digest_news: NewsTimer,
@@ -242,9 +244,12 @@
     if lists {
         times.lists = now;
     }
-    if lists {
-        let fronts = Datagram::DomainFronts(context.state().peers.domain_fronts()).encode();
-        members.iter().for_each(|(address, _)| send_datagram(exchange, &fronts, *address));
+    let fronts = context.state().peers.front_list();
+    if lists || fronts.fronts.len() != times.listed_fronts {
+        // Members that have just started need the list for their first requests.
+        times.listed_fronts = fronts.fronts.len();
+        let datagram = Datagram::FrontList(fronts).encode();
+        members.iter().for_each(|(address, _)| send_datagram(exchange, &datagram, *address));
     }
     let digest = build_digest(context, times, lists, now);
     let any_worker = members.iter().any(|(_, worker)| *worker);
--- a/crates/sesamewall-fleet/src/datagrams.rs
+++ b/crates/sesamewall-fleet/src/datagrams.rs
@@ -215,6 +215,18 @@
     pub rollouts: RolloutNews,
 }
 
+/// The fronts of a failure domain, live or not, as its hub knows them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct FrontList {
+    /// Key of the failure domain, from `domain_key`.
+    pub domain: u32,
+    /// Keys of the fronts, from `instance_key`.
+    pub fronts: Vec<u32>,
+    /// Number of the fronts as stored; `None` if the hub does not know it.
+    pub size: Option<u32>,
+}
+
 /// State of a member, for its assigned hub.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -319,8 +331,8 @@
     Digest(Box<Digest>),
     /// From a hub that has read the store to all hubs, and from each hub to its members.
     Confirmation(Confirmation),
-    /// From a hub to its members: the keys of the fronts of their failure domain, live or not.
-    DomainFronts(Vec<u32>),
+    /// From a hub to its members.
+    FrontList(FrontList),
     /// From the instance that forwards the first event of a stream to the holders of its version.
     StreamRecord(StreamRecord),
     /// From an instance at which a client takes a stream up to the holders of its version.
@@ -361,7 +373,7 @@
             Self::Hello(_)
             | Self::Hubs(_)
             | Self::Confirmation(_)
-            | Self::DomainFronts(_)
+            | Self::FrontList(_)
             | Self::StreamRecord(_)
             | Self::VersionQuery(_)
             | Self::VersionAnswer(_) => None,
@@ -376,7 +388,7 @@
             Self::Hello(_)
             | Self::Hubs(_)
             | Self::Confirmation(_)
-            | Self::DomainFronts(_)
+            | Self::FrontList(_)
             | Self::StreamRecord(_)
             | Self::VersionQuery(_)
             | Self::VersionAnswer(_) => None,
--- a/crates/sesamewall-fleet/src/peers.rs
+++ b/crates/sesamewall-fleet/src/peers.rs
@@ -6,7 +6,6 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use sesamewall_protocol::DomainName;
 use sesamewall_protocol::InstanceName;
 use sesamewall_protocol::Time;
 
@@ -15,7 +14,11 @@
 use crate::DomainFronts;
 use crate::DomainLoads;
 use crate::FleetCoverage;
+use crate::FrontList;
+use crate::GroupState;
+use crate::HubContact;
 use crate::HubStatus;
+use crate::Identity;
 use crate::Liveness;
 use crate::Member;
 use crate::PeerSettings;
@@ -28,45 +31,10 @@
 use crate::WorkerStatus;
 use crate::datagrams::domain_key;
 use crate::datagrams::instance_key;
+use crate::peer_contact::MemberContact;
+use crate::peer_contact::ReceivedDigest;
 use crate::version_rollout::PeerOutcomes;
 
-/// Identity of the local instance.
-#[derive(Clone, Debug)]
-pub struct Identity {
-    /// Name of the instance.
-    pub name: InstanceName,
-    /// Failure domain of the instance.
-    pub domain: DomainName,
-    /// The instance takes callers' requests.
-    pub front: bool,
-}
-
-/// The last state received from a hub.
-#[derive(Clone, Debug)]
-pub struct HubContact {
-    /// The last beacon.
-    pub beacon: Beacon,
-    /// Time at which the last beacon was received.
-    pub received_at: Time,
-    /// Time at which the last beacon was received from the hub itself and not forwarded by another
-    /// hub.
-    pub direct_at: Option<Time>,
-}
-
-/// The last report received from a member of the group.
-#[derive(Clone, Debug)]
-struct MemberContact {
-    report: Report,
-    received_at: Time,
-}
-
-/// The last digest received from the assigned hub.
-#[derive(Clone, Debug)]
-struct ReceivedDigest {
-    digest: Digest,
-    received_at: Time,
-}
-
 /// The view of all peers.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -138,19 +106,26 @@
         self.liveness.on_fleet_size(fronts, all);
     }
 
-    /// Sets the number of fronts of the local failure domain as read from the store.
+    /// Sets the number of fronts of the local failure domain as stored.
     pub fn on_domain_size(&mut self, fronts: u32) {
-        self.fronts.on_stored_size(fronts);
+        self.fronts.on_size(fronts);
     }
 
-    /// Adds fronts of the local failure domain that its hub lists, by their keys.
-    pub fn on_domain_fronts(&mut self, keys: &[u32], now: Time) {
-        self.fronts.on_listed(keys.iter().copied(), now);
+    /// Applies the list of a hub. That of another failure domain's hub, which a member without a hub
+    /// in its own domain reports to, is ignored.
+    pub fn on_front_list(&mut self, list: &FrontList, now: Time) {
+        if list.domain == domain_key(&self.local.domain) {
+            self.fronts.on_listed(list.fronts.iter().copied(), now);
+            if let Some(size) = list.size {
+                self.fronts.on_size(size);
+            }
+        }
     }
 
-    /// Returns the keys of the known fronts of the local failure domain.
-    pub fn domain_fronts(&self) -> Vec<u32> {
-        self.fronts.keys()
+    /// Returns the list of the fronts of the local failure domain for the members.
+    pub fn front_list(&self) -> FrontList {
+        let domain = domain_key(&self.local.domain);
+        FrontList { domain, fronts: self.fronts.keys(), size: self.fronts.size() }
     }
 
     /// Returns whether the local instance has used its share of the `limit` on the starts a second
@@ -601,23 +576,6 @@
     }
 }
 
-/// The state of a group in a beacon.
-#[derive(Clone, Debug)]
-pub struct GroupState {
-    /// Instances of the group, the hub first.
-    pub members: Vec<Member>,
-    /// Missing instances.
-    pub missing: Vec<crate::MissingInstance>,
-    /// Instances that departed in order.
-    pub departed: Vec<u32>,
-    /// Request counts at targets.
-    pub targets: Vec<TargetCount>,
-    /// Workers of the group, without the hub itself.
-    pub workers: Vec<WorkerStatus>,
-    /// Keys of the hubs whose beacons are received directly.
-    pub direct_hubs: Vec<u32>,
-}
-
 fn distinct(keys: impl Iterator<Item = u32>) -> Vec<u32> {
     let mut keys: Vec<u32> = keys.collect();
     keys.sort_unstable();
--- a/crates/sesamewall-fleet/src/placement.rs
+++ b/crates/sesamewall-fleet/src/placement.rs
@@ -142,8 +142,8 @@
     pub cold: f64,
     /// Limit for all other targets, which may have turned cold a moment ago.
     pub warm: f64,
-    /// Sum of the shares of all fronts of a failure domain at one of its cold targets.
-    pub share: f64,
+    /// What the platform allows at a cold target, which the fronts of its failure domain share.
+    pub allowed: f64,
 }
 
 /// Fraction of the platform's limit for cold targets up to which other targets are used. The rest
@@ -158,10 +158,10 @@
         if rate <= 0.0 {
             return Self::default();
         }
-        let share = rate * factor + extra;
-        let allowed = coverage * share;
-        let warm = rate.max(WARM_FRACTION * share).min(allowed);
-        Self { cold: rate.min(allowed), warm, share }
+        let allowed = rate * factor + extra;
+        let covered = coverage * allowed;
+        let warm = rate.max(WARM_FRACTION * allowed).min(covered);
+        Self { cold: rate.min(covered), warm, allowed }
     }
 }
 
@@ -369,9 +369,9 @@
             _ if limit <= 0.0 => false,
             Some(_) => cold || recent + 1.0 > batch_limit.max(1.0),
             None if cold => {
-                let share = context.start_limits.share;
-                let shared = share > 0.0 && peers.has_used_share(target.key, share, now);
-                far || shared || recent + 1.0 > limit.max(1.0)
+                let allowed = context.start_limits.allowed;
+                let share_used = allowed > 0.0 && peers.has_used_share(target.key, allowed, now);
+                far || share_used || recent + 1.0 > limit.max(1.0)
             }
             None => recent + 1.0 > limit.max(1.0),
         };
--- a/crates/sesamewall-fleet/tests/decisions/cold_starts.rs
+++ b/crates/sesamewall-fleet/tests/decisions/cold_starts.rs
@@ -11,6 +11,7 @@
 use sesamewall_fleet::Beacon;
 use sesamewall_fleet::Datagram;
 use sesamewall_fleet::DomainFronts;
+use sesamewall_fleet::FrontList;
 use sesamewall_fleet::Peers;
 use sesamewall_fleet::PlacementContext;
 use sesamewall_fleet::PlacementRequest;
@@ -136,6 +137,7 @@
         for (n, hub) in hubs.iter_mut().enumerate() {
             let count = self.instances as u32;
             hub.on_fleet_size(count, count);
+            hub.on_domain_size(count);
             for other in (0..self.instances).filter(|other| *other != n) {
                 hub.on_beacon(beacon(&name(other), 1), true, at(0));
             }
@@ -251,6 +253,7 @@
     let view = |local| {
         let mut fronts = DomainFronts::new(local);
         fronts.on_listed(0..count, at(0));
+        fronts.on_size(count);
         fronts
     };
     (0..count).map(view).collect()
@@ -269,57 +272,86 @@
     }
 }
 
-/// Guards against a front that has just started and takes the whole limit, since it knows of no other
-/// front yet.
+/// Guards against fronts that have just started and know few of the others: those of one hub know the
+/// same ones, and the shares that they take for themselves add up.
 #[test]
-fn the_stored_size_counts_until_the_fronts_are_listed() {
+fn fronts_that_know_few_others_stay_within_the_limit() {
+    for (count, limit) in [(19, 21.5), (21, 21.5), (28, 15.35)] {
+        for (hubs, known) in (1..4).flat_map(|hubs| (0..=count).map(move |known| (hubs, known))) {
+            for target in 0..100 {
+                let share = |local: u32| {
+                    let mut fronts = DomainFronts::new(local);
+                    fronts.on_size(count);
+                    let group = (0..count).filter(|key| key % hubs == local % hubs);
+                    fronts.on_listed(group.take(known as usize), at(0));
+                    fronts.share(target, limit)
+                };
+                let sum: u32 = (0..count).map(share).sum();
+                assert!(f64::from(sum) <= limit, "{count} fronts, {hubs} hubs, {known}: {sum}");
+            }
+        }
+    }
+}
+
+/// Guards against a front that takes the whole limit, since it knows neither the others nor their
+/// number, and against a size that is no longer true.
+#[test]
+fn the_size_counts_until_the_fronts_are_listed() {
     let mut fronts = DomainFronts::new(1);
-    assert_eq!(fronts.share(7, 21.0), 21);
-    fronts.on_stored_size(19);
+    assert_eq!(fronts.share(7, 21.0), 1, "the size is not known");
+    fronts.on_size(19);
     assert_eq!(fronts.share(7, 21.0), 1);
-    let shares = |known: u32| {
-        let view = |local| {
-            let mut fronts = DomainFronts::new(local);
-            fronts.on_stored_size(28);
-            fronts.on_listed((0..28).filter(|key| (key + local) % 28 < known), at(0));
-            fronts
-        };
-        (0..28).map(|local| view(local).share(7, 15.0)).sum::<u32>()
-    };
-    assert_eq!(shares(28), 15);
-    assert!(shares(7) <= 21, "{}", shares(7));
+    fronts.on_size(28);
+    assert_eq!(fronts.share(7, 21.0), 0, "it may not be among the first");
+    fronts.on_size(10);
+    assert_eq!(fronts.share(7, 21.0), 2);
 }
 
 /// Guards against a front that is cut off and keeps its share, while the others divide it among
 /// themselves.
 #[test]
 fn a_silent_front_keeps_its_share() {
-    let mut fronts = DomainFronts::new(0);
-    fronts.on_listed(0..10, at(0));
-    fronts.on_listed(0..5, at(20_000));
-    fronts.on_tick(at(20_000));
-    assert_eq!(fronts.share(7, 21.0), 2);
-    fronts.on_tick(at(31_000));
-    assert_eq!(fronts.share(7, 21.0), 4);
+    let mut hub = hub("h0");
+    hub.on_domain_size(5);
+    let names = |count: usize| (0..count).map(|n| report(&format!("m{n}"), 1, &[]));
+    assert!(names(9).all(|report| hub.on_report(report, at(0))));
+    let starts = |hub: &Peers, now: u64| {
+        let mut hub = hub.clone();
+        let mut count = 0;
+        while !hub.has_used_share(7, 21.0, at(now)) {
+            hub.start(7, false, at(now));
+            count += 1;
+        }
+        count
+    };
+    assert_eq!(starts(&hub, 0), 2);
+    hub.on_tick(|_| true, at(40_000));
+    assert_eq!(starts(&hub, 40_000), 2);
+    hub.on_tick(|_| true, at(61_000));
+    assert_eq!(starts(&hub, 61_000), 4);
 }
 
-/// Guards against members that do not learn of the other fronts, and against a list that an instance
-/// of the same build cannot read.
+/// Guards against members that do not learn of the other fronts or their number, against a list of
+/// another failure domain, and against one that an instance of the same build cannot read.
 #[test]
 fn members_learn_of_the_fronts_from_their_hub() {
     let mut hub = hub("h0");
+    hub.on_domain_size(20);
     for n in 1..20 {
         hub.on_report(report(&format!("m{n}"), 1, &[]), at(0));
     }
-    let sent = Datagram::DomainFronts(hub.domain_fronts());
-    let Some(Datagram::DomainFronts(keys)) = Datagram::decode(&sent.encode()) else {
+    let sent = Datagram::FrontList(hub.front_list());
+    let Some(Datagram::FrontList(list)) = Datagram::decode(&sent.encode()) else {
         panic!("the list cannot be read");
     };
     let mut member = member("m1");
-    assert!(!member.has_used_share(7, 21.0, at(10)));
+    member.on_domain_size(1);
     member.start(7, false, at(10));
     assert!(!member.has_used_share(7, 21.0, at(11)), "no other front is known");
-    member.on_domain_fronts(&keys, at(12));
+    member.on_front_list(&FrontList { domain: list.domain + 1, ..list.clone() }, at(12));
+    assert!(!member.has_used_share(7, 21.0, at(12)), "the list is of another domain");
+    member.on_front_list(&list, at(12));
     assert!(member.has_used_share(7, 21.0, at(13)));
-    assert!(!member.has_used_share(7, 21.0, at(1200)), "a later second has a share of its own");
+    assert!(member.has_used_share(7, 21.0, at(1109)), "a request may be sent later than chosen");
+    assert!(!member.has_used_share(7, 21.0, at(1110)), "a later second has a share of its own");
 }
