Play targets of two versions in a soak of their own

Cause: the soak had targets of one version and no client that takes a stream up again. Change: its schedules can be played with two targets of each of two versions. Clients read streams, half of them with a connection that breaks off, and take them up with Resumes. Checked are the versions in each stream, in the texts of calls and of items, and in calm the share of take-ups that go on. It is a test of its own and known red; the present soak keeps all its checks.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -44,6 +44,8 @@
 mod shutdown;
 #[path = "platform/soak.rs"]
 mod soak;
+#[path = "platform/soak_streams.rs"]
+mod soak_streams;
 #[path = "platform/stream_load.rs"]
 mod stream_load;
 #[path = "platform/stream_versions.rs"]
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -3,7 +3,7 @@
 #[path = "soak/breaches.rs"]
 mod breaches;
 #[path = "soak/clients.rs"]
-mod clients;
+pub mod clients;
 #[path = "soak/player.rs"]
 mod player;
 #[path = "soak/record.rs"]
@@ -31,8 +31,10 @@
 use crate::soak::clients::World;
 use crate::soak::player::Player;
 use crate::soak::record::Record;
+use crate::soak::record::STABLE_TIME;
 use crate::soak::schedule::FAULT_TIME;
 use crate::soak::schedule::TARGETS;
+use crate::soak_streams::StreamReaders;
 
 /// Environment variables of a run by hand: a range of seeds, and the processes of large fleets.
 const SEEDS_VARIABLE: &str = "SESAMEWALL_SOAK_SEEDS";
@@ -64,9 +66,15 @@
 /// Guards against losses that only series of overlapping faults show.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_fleet_loses_nothing_in_overlapping_faults() {
+    play_seeds(CI_SEEDS, &[]).await;
+}
+
+/// Plays the seeds of a run by hand, or `ci_seeds`, and checks that none has findings. With `versions`
+/// each of them is that of two targets, and clients take streams up again.
+pub async fn play_seeds(ci_seeds: Range<u64>, versions: &'static [&'static str]) {
     let seeds = match std::env::var(SEEDS_VARIABLE) {
         Ok(text) => parse_range(&text).expect("a range of seeds such as 0..50"),
-        Err(_) => CI_SEEDS,
+        Err(_) => ci_seeds,
     };
     let large = std::env::var(PROCESSES_VARIABLE)
         .ok()
@@ -75,7 +83,7 @@
     for seed in seeds {
         let is_large = seed % LARGE_FLEET_INTERVAL == LARGE_FLEET_INTERVAL - 1;
         let processes = large.filter(|_| is_large).unwrap_or(SMALL_FLEET);
-        if !soak(seed, processes).await {
+        if !soak(seed, processes, versions).await {
             failed.push(seed);
         }
     }
@@ -96,7 +104,7 @@
 }
 
 /// Plays one seed and returns whether all checks hold.
-async fn soak(seed: u64, processes: usize) -> bool {
+async fn soak(seed: u64, processes: usize, versions: &'static [&'static str]) -> bool {
     let workers = processes / 2 + usize::from(processes == SMALL_FLEET);
     let fronts = processes - workers;
     let mut kept = tempfile::tempdir().expect("a temporary folder");
@@ -114,7 +122,7 @@
     }
     let addresses = fleet.fronts.iter().map(Process::caller_address).collect();
     let world = Arc::new(World {
-        record: Record::new(),
+        record: Record::with_versions(versions),
         fronts: addresses,
         seed,
         is_over: AtomicBool::new(false),
@@ -126,12 +134,14 @@
         async move { world.record.watch_clock().await }
     });
     let clients = start_clients(&world);
+    let readers = StreamReaders::start(&world, versions);
     player.play(&events).await;
     player.heal().await;
     let healed = Instant::now();
     let last = player.wait_calm(&world, healed).await;
     world.is_over.store(true, Ordering::Relaxed);
     futures::future::join_all(clients).await;
+    readers.stop(&world, healed + STABLE_TIME).await;
     player.read_all(&world).await;
     let ends = world.record.check_calls(&player.fleet.targets);
     world.record.check_items(&player.fleet.targets, fronts);
--- a/tests/platform/soak/breaches.rs
+++ b/tests/platform/soak/breaches.rs
@@ -134,3 +134,17 @@
     }
     assert_found(&record, &["position 0 was", "wrong total or next"]);
 }
+
+/// Guards against checks of texts that accept parts of two versions, or a version that no target has.
+#[test]
+fn only_texts_of_one_version_are_right() {
+    let path = "/talk/1";
+    let [old, new] = ["v1", "v2"].map(|version| StandinTarget::text_of(path, Some(version)));
+    let joined = old.lines().take(4).chain(new.lines().skip(4)).collect::<Vec<_>>().join("\n");
+    let versions = Record::with_versions(&["v1", "v2"]);
+    assert!(versions.is_text(path, &old) && versions.is_text(path, &new));
+    assert!(!versions.is_text(path, &joined));
+    assert!(!versions.is_text(path, &StandinTarget::text(path)));
+    assert!(!Record::new().is_text(path, &old));
+    assert!(Record::new().is_text(path, &StandinTarget::text(path)));
+}
--- a/tests/platform/soak/clients.rs
+++ b/tests/platform/soak/clients.rs
@@ -19,7 +19,6 @@
 use rand_chacha::ChaCha8Rng;
 use sesamewall_platform_standin::ClientResponse;
 use sesamewall_platform_standin::StandinClient;
-use sesamewall_platform_standin::StandinTarget;
 use tokio::net::TcpStream;
 
 use crate::soak::record::Call;
@@ -52,11 +51,11 @@
 }
 
 impl World {
-    fn goes_on(&self) -> bool {
+    pub fn goes_on(&self) -> bool {
         !self.is_over.load(Ordering::Relaxed)
     }
 
-    fn rng(&self, stream: u64) -> ChaCha8Rng {
+    pub fn rng(&self, stream: u64) -> ChaCha8Rng {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
         rng.set_stream(stream);
         rng
@@ -100,8 +99,10 @@
             .body(body)
             .expect("a valid request");
         let sent = Instant::now();
-        let exchange =
-            tokio::time::timeout(RESPONSE_TIMEOUT, exchange(&mut sender, request, &path));
+        let exchange = tokio::time::timeout(
+            RESPONSE_TIMEOUT,
+            exchange(&mut sender, request, &path, &world.record),
+        );
         let outcome = exchange.await.unwrap_or(Outcome::Unanswered);
         let ended = Instant::now();
         if matches!(outcome, Outcome::Response { .. }) {
@@ -115,6 +116,7 @@
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
     path: &str,
+    record: &Record,
 ) -> Outcome {
     if sender.ready().await.is_err() {
         return Outcome::Unanswered;
@@ -124,7 +126,7 @@
     let Ok(body) = body.collect().await else { return Outcome::Broken };
     let status = head.status.as_u16();
     let response = ClientResponse { status, headers: head.headers, body: Some(body.to_bytes()) };
-    let is_right = status != 200 || response.text() == Some(StandinTarget::text(path));
+    let is_right = status != 200 || response.text().is_some_and(|text| record.is_text(path, &text));
     Outcome::Response { status, is_right }
 }
 
--- a/tests/platform/soak/player.rs
+++ b/tests/platform/soak/player.rs
@@ -13,6 +13,7 @@
 use sesamewall_platform_standin::configuration;
 use sesamewall_platform_standin::target_entry;
 use sesamewall_platform_standin::with_slots;
+use sesamewall_platform_standin::with_version;
 
 use crate::fixture::Process;
 use crate::fixture::TestFleet;
@@ -217,7 +218,11 @@
         let address = self.fleet.targets[target].address;
         let domain = if target.is_multiple_of(2) { "a" } else { "b" };
         let slots = 8 + self.fleet.fronts.len() as u32;
-        with_slots(target_entry(address, domain, draining), slots)
+        let entry = with_slots(target_entry(address, domain, draining), slots);
+        match self.world.record.version(target) {
+            Some(version) => with_version(entry, version),
+            None => entry,
+        }
     }
 
     fn put_entry(&self, target: usize, draining: bool) {
@@ -231,6 +236,7 @@
         standin.cut_after(None);
         standin.stall_after(None);
         standin.corrupt_ids(false);
+        standin.set_version(self.world.record.version(target));
         standin.set_event_interval(EVENT_INTERVAL);
         self.put_entry(target, false);
         self.world.record.end(Harm::Target(target));
--- a/tests/platform/soak/record.rs
+++ b/tests/platform/soak/record.rs
@@ -17,7 +17,7 @@
 const CANCEL_TIME: Duration = Duration::from_secs(3);
 
 /// Time without faults after which an instance has to keep the bounds (`stableMs`).
-const STABLE_TIME: Duration = Duration::from_secs(3);
+pub const STABLE_TIME: Duration = Duration::from_secs(3);
 
 /// Time after which a request that was not passed on has to have a response.
 const RESPONSE_TIME: Duration = Duration::from_secs(1);
@@ -108,6 +108,7 @@
 pub struct Record {
     inner: Mutex<Inner>,
     begun: Instant,
+    versions: &'static [&'static str],
 }
 
 /// Returns the path of an item.
@@ -122,7 +123,28 @@
 
 impl Record {
     pub fn new() -> Self {
-        Self { inner: Mutex::default(), begun: Instant::now() }
+        Self::with_versions(&[])
+    }
+
+    /// Returns a record of a fleet whose targets have these versions; none if their events name no
+    /// version.
+    pub fn with_versions(versions: &'static [&'static str]) -> Self {
+        Self { inner: Mutex::default(), begun: Instant::now(), versions }
+    }
+
+    /// Returns the version of a target, which the data of its events names.
+    pub fn version(&self, target: usize) -> Option<&'static str> {
+        self.versions.get(target / 2).copied()
+    }
+
+    /// Returns whether a text is the whole one of a request at targets of one version.
+    pub fn is_text(&self, path: &str, text: &str) -> bool {
+        match self.versions {
+            [] => text == StandinTarget::text(path),
+            versions => {
+                versions.iter().any(|version| text == StandinTarget::text_of(path, Some(version)))
+            }
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -218,7 +240,7 @@
                         texts.push(format!("position {position} was {before}, now {row}"));
                     }
                     None => {
-                        texts.extend(check_row(name, job, &row));
+                        texts.extend(self.check_row(name, job, &row));
                         job.rows.insert(position, row);
                     }
                 }
@@ -232,6 +254,23 @@
         }
     }
 
+    /// Checks a result that is listed for the first time.
+    fn check_row(&self, name: &str, job: &Job, row: &Value) -> Option<String> {
+        let id = row["id"].as_str().unwrap_or_default();
+        let is_own = item_ids(name, job.items).iter().any(|item| item == id);
+        let is_second = job.rows.values().any(|other| other["id"] == row["id"]);
+        let is_whole = row["state"] == "completed"
+            && row["output"].as_str().is_some_and(|text| self.is_text(&item_path(id), text));
+        // An item of a job that its client ends may be given up.
+        let is_given_up = job.is_ending && row["state"] != "completed";
+        match () {
+            () if !is_own => Some(format!("an item of another job: {row}")),
+            () if is_second => Some(format!("{id} stands at two positions")),
+            () if !is_whole && !is_given_up => Some(format!("not the whole text: {row}")),
+            () => None,
+        }
+    }
+
     fn is_harmed(&self, from: Instant, to: Instant, check: impl Fn(Harm) -> bool) -> bool {
         self.lock().spans.iter().any(|span| check(span.harm) && span.overlaps(from, to))
     }
@@ -339,20 +378,3 @@
 pub fn is_promise(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
 }
-
-/// Checks a result that is listed for the first time.
-fn check_row(name: &str, job: &Job, row: &Value) -> Option<String> {
-    let id = row["id"].as_str().unwrap_or_default();
-    let is_own = item_ids(name, job.items).iter().any(|item| item == id);
-    let is_second = job.rows.values().any(|other| other["id"] == row["id"]);
-    let is_whole =
-        row["state"] == "completed" && row["output"] == StandinTarget::text(&item_path(id));
-    // An item of a job that its client ends may be given up.
-    let is_given_up = job.is_ending && row["state"] != "completed";
-    match () {
-        () if !is_own => Some(format!("an item of another job: {row}")),
-        () if is_second => Some(format!("{id} stands at two positions")),
-        () if !is_whole && !is_given_up => Some(format!("not the whole text: {row}")),
-        () => None,
-    }
-}
--- a/tests/platform/stream_load.rs
+++ b/tests/platform/stream_load.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sesamewall_platform_standin::StandinTarget;
 use sesamewall_platform_standin::StreamClient;
 use sesamewall_platform_standin::StreamEvent;
 use sesamewall_platform_standin::StreamResult;
@@ -98,10 +99,13 @@
         let mut findings = Vec::new();
         if let Some(example) = self.results.iter().find(is_joined) {
             let (joined, all) = (self.joined(), self.results.len());
-            findings.push(format!("{joined} of {all} streams have two versions: {example:?}"));
+            findings.push(format!(
+                "{joined} of {all} streams have two versions: {}",
+                describe(example)
+            ));
         }
         if let Some(example) = unordered {
-            findings.push(format!("events out of order: {example:?}"));
+            findings.push(format!("events out of order: {}", describe(example)));
         }
         if take_ups.all >= FEWEST_TAKE_UPS && !take_ups.suffices(new) {
             findings.push(format!("{take_ups} take-ups went on, {new} new streams began"));
@@ -109,6 +113,16 @@
         findings
     }
 
+    /// Returns a line with the number of joined streams, and the shares that `findings` compares.
+    pub fn counts(&self, versions: &[&str], since: Instant) -> String {
+        let (take_ups, new) = (self.take_ups(versions, since), self.new_streams(since));
+        let (joined, all) = (self.joined(), self.results.len());
+        format!(
+            "joined: {joined} of {all} streams; take-ups that went on: {take_ups}; new streams that \
+             began: {new}"
+        )
+    }
+
     /// Checks that no stream has events of several versions or out of order.
     #[track_caller]
     pub fn assert_not_joined(&self) {
@@ -120,12 +134,7 @@
     /// Prints the counts and checks that there are no findings.
     #[track_caller]
     pub fn assert_kept(&self, versions: &[&str], since: Instant) {
-        let (take_ups, new) = (self.take_ups(versions, since), self.new_streams(since));
-        println!(
-            "joined: {} of {} streams; take-ups that went on: {take_ups}; new streams that began: {new}",
-            self.joined(),
-            self.results.len()
-        );
+        println!("{}", self.counts(versions, since));
         let findings = self.findings(versions, since);
         assert!(findings.is_empty(), "{findings:#?}");
     }
@@ -140,6 +149,21 @@
     }
 }
 
+/// Describes a stream in one line: its tries, and its events as the version of each.
+fn describe(result: &StreamResult) -> String {
+    let tries = result.tries.iter().map(|sent| {
+        let StreamTry { id, front, after, status, code, events, .. } = sent;
+        format!(
+            "{id} at front {front} after {after}: status {status:?}, code {code:?}, {events} events"
+        )
+    });
+    let events = result.events.iter().map(|event| {
+        format!("{} {}", event.id, StandinTarget::version_of(&event.data).unwrap_or("-"))
+    });
+    let (tries, events) = (tries.collect::<Vec<_>>(), events.collect::<Vec<_>>());
+    format!("{}; events {}", tries.join("; "), events.join(", "))
+}
+
 /// Clients that begin streams at an interval until they are stopped.
 pub struct StreamLoad {
     stop: Arc<AtomicBool>,
