Treat any id of a last event but 0 as that of a take-up

Cause: a target may read an id that is no number here, and go on with a stream that this instance places like a new one. Streams that are not resumable logged that their version is not known.

Change: a request with a last event other than 0 takes a stream up, and the version is determined for resumable streams only.

--- a/crates/sesamewall-edge/src/caller_request.rs
+++ b/crates/sesamewall-edge/src/caller_request.rs
@@ -165,9 +165,12 @@
         self.headers.get(RESUMES)?.to_str().ok().map(str::trim).filter(|id| !id.is_empty())
     }
 
-    /// Returns whether the caller takes up a stream of which it has received events.
+    /// Returns whether the caller takes up a stream of which it has received events. A target may read
+    /// an id that is no number here.
     pub fn is_take_up(&self) -> bool {
-        self.is_resumable() && self.last_event_id().is_some_and(|id| id > 0)
+        let id = self.headers.get(LAST_EVENT_ID).map(HeaderValue::as_bytes);
+        let has_id = id.is_some_and(|id| !id.trim_ascii().is_empty());
+        self.is_resumable() && has_id && self.last_event_id() != Some(0)
     }
 
     /// Returns whether the instance serves the request although it may be about to end.
--- a/crates/sesamewall-edge/src/stream_relay.rs
+++ b/crates/sesamewall-edge/src/stream_relay.rs
@@ -234,9 +234,11 @@
 
     /// Checks before the first event of a run is forwarded that the target has the version of the
     /// stream. The first event of the stream itself determines the version, which is recorded for the
-    /// case that the caller takes the stream up again.
+    /// case that the caller takes the stream up again. A stream that is not resumable has one run.
     fn begin_run(&mut self) -> Result<(), AttemptError> {
-        let Some(response) = &self.response else { return Ok(()) };
+        let Some(response) = self.response.as_ref().filter(|_| self.request.is_resumable()) else {
+            return Ok(());
+        };
         let version = response.confirmed_version(&self.request.service);
         match (&self.begun, version) {
             (BegunAt::Version(filter), Some(version)) if filter.allows(&version) => {}
