Let operators declare the version of a target

Cause: in the product's own interface a target has no version: neither its declaration nor anything that it reports names one (weights have theirs in the model's name). Two versions of the software in a group cannot be told apart.

Change: a target may declare `version`, a name as others; none is declared by default. Nothing uses it yet.

Measured: nothing.

--- a/crates/sesamewall-membership/src/field_check.rs
+++ b/crates/sesamewall-membership/src/field_check.rs
@@ -217,6 +217,10 @@
         let (name, domain) = (target.name.as_str(), target.domain.as_str());
         check_name(kind, &group.name, &field("name"), name, MAX_NAME_CHARS)?;
         check_name(kind, &group.name, &field("domain"), domain, MAX_NAME_CHARS)?;
+        if !target.version.is_empty() {
+            let version = &target.version;
+            check_name(kind, &group.name, &field("version"), version, MAX_NAME_CHARS)?;
+        }
         if !names.insert(name) {
             let detail = format!("target name `{name}` is used twice; names must be unique");
             return Err(invalid(kind, &group.name, &field("name"), detail));
--- a/crates/sesamewall-protocol/src/resource.rs
+++ b/crates/sesamewall-protocol/src/resource.rs
@@ -109,6 +109,11 @@
     /// The target refuses commands with an outdated fencing token.
     #[serde(default)]
     pub fenced: bool,
+    /// Version of the target's software, empty if none is declared. A stream goes on only at targets
+    /// of the version that began it. Instances of builds that do not know the field cannot read a
+    /// group with one.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
 /// Targets that serve the same models.
--- a/crates/sesamewall-server/src/dev.rs
+++ b/crates/sesamewall-server/src/dev.rs
@@ -144,5 +144,6 @@
         address: format!("http://{address}"),
         leaving: false,
         fenced: true,
+        version: String::new(),
     }
 }
