Add tests of streams and items at engines of two versions

Cause: a stream that ends early, and a batch item, go on at any target of the model after the tokens that were delivered, also at one of another version.

--- a/crates/sesamewall-server/tests/path.rs
+++ b/crates/sesamewall-server/tests/path.rs
@@ -22,3 +22,5 @@
 mod target;
 #[path = "path/turnover.rs"]
 mod turnover;
+#[path = "path/versions.rs"]
+mod versions;
--- a/crates/sesamewall-server/tests/path/answers.rs
+++ b/crates/sesamewall-server/tests/path/answers.rs
@@ -16,7 +16,7 @@
 use crate::target::response_bytes;
 
 /// Returns the token texts of a complete stream, or the text that shows that it is not complete.
-fn tokens(text: &str) -> Result<Vec<String>, String> {
+pub fn tokens(text: &str) -> Result<Vec<String>, String> {
     let mut tokens = Vec::new();
     let mut ended = false;
     for data in text.split("\n\n").filter_map(|event| event.strip_prefix("data: ")) {
@@ -38,7 +38,7 @@
 }
 
 /// Returns the numbers of the tokens, and asserts that all tokens belong to one prompt.
-fn numbers(text: &str) -> Vec<u64> {
+pub fn numbers(text: &str) -> Vec<u64> {
     let tokens = tokens(text).unwrap();
     let parts = tokens.iter().map(|token| token.split_once('.').unwrap());
     let (prompts, numbers): (Vec<_>, Vec<_>) = parts.unzip();
--- a/crates/sesamewall-server/tests/path/endless.rs
+++ b/crates/sesamewall-server/tests/path/endless.rs
@@ -72,7 +72,7 @@
 }
 
 /// Submits a job with these items and returns the lines of its results once it has ended.
-async fn run_job(fleet: &Fleet, items: &[Value]) -> Vec<Value> {
+pub async fn run_job(fleet: &Fleet, items: &[Value]) -> Vec<Value> {
     let job = fleet.submit_job(CHAT, items).await;
     let a = bearer(KEY_A);
     let headers = [("authorization", &*a)];
