--- a/crates/sesamewall-fleet/src/start_share.rs
+++ b/crates/sesamewall-fleet/src/start_share.rs
@@ -1,8 +1,9 @@
 //! The share of one instance in the starts at a cold target.
 //!
 //! The starts of other instances become known only with their next datagrams. Until then each
-//! instance would use all that it believes to be left of a common limit. Shares need no news: those
-//! of all fronts of a failure domain add up to no more than the limit.
+//! instance would use all that it believes to be left of a common limit. Shares need no counts, only
+//! the number of the failure domain's fronts, and their list if there are more fronts than starts.
+//! They add up to no more than the limit as long as that number is not known too small.
 
 use std::collections::HashMap;
 use std::time::Duration;
