Show fronts that run out of memory with results

Review case 9 (Fault): a front caches the whole results of up to 64 jobs. After reads of eight jobs of 200 items with 80 kB of text each, all three fronts use more than the memory of their machines and are killed, again and again.

--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -32,6 +32,8 @@
     pub interval: Duration,
     /// Time from the start of a run that fails to its answer.
     pub failure_time: Duration,
+    /// Bytes to which the data of each event is filled up.
+    pub piece_bytes: usize,
     /// Tokens that fit into the memory.
     pub memory: u64,
     /// Version of the weights.
@@ -51,6 +53,7 @@
             events: 20,
             interval: Duration::from_millis(20),
             failure_time: Duration::from_millis(20),
+            piece_bytes: 0,
             memory: 147_261,
             weights: 1,
             failures: Arc::default(),
@@ -233,7 +236,10 @@
         events: u64,
         interval: Duration,
     ) -> Option<Option<String>> {
-        let weights = self.lock().behavior.weights;
+        let (weights, width) = {
+            let inner = self.lock();
+            (inner.behavior.weights, inner.behavior.piece_bytes)
+        };
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nSesamewall-Request-Id: {id}\r\n\
              Sesamewall-Response-Seal: seal.{}\r\nSesamewall-Weight-Versions: {weights}\r\n\
@@ -244,7 +250,7 @@
         stream.write_all(head.as_bytes()).await.ok()?;
         for event in after + 1..=events {
             tokio::time::sleep(interval).await;
-            let text = format!("id: {event}\ndata: {}\n\n", event_data(path, event));
+            let text = format!("id: {event}\ndata: {:.<width$}\n\n", event_data(path, event));
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 self.record.add(format!("{} drops {id} after event {event}", self.name));
