--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -416,18 +416,21 @@
     })
 }
 
-/// Jobs whose results are read, by one tenant each.
-const READ_JOBS: usize = 8;
+/// Bursts of jobs, the jobs of each, and the interval between two of them: six times the usual rate
+/// for three seconds.
+const BURSTS: usize = 4;
+const BURST_JOBS: usize = 12;
+const BURST_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Items of such a job.
-const READ_ITEMS: usize = 200;
+/// Pause between two bursts.
+const BURST_PAUSE: Duration = Duration::from_secs(3);
 
 /// Fault: fronts keep the results of the jobs that they have read, and use more than their memory.
 async fn front_memory(record: &Record, trouble: bool) -> Result<Verdict, String> {
-    let behavior =
-        || Behavior { events: 191, interval: Duration::from_millis(3), ..Behavior::default() };
-    let pieces = if trouble { 420 } else { 20 };
-    let behavior = || Behavior { piece_bytes: pieces, ..behavior() };
+    // The largest and the mean numbers of items and events, and sizes of events, of the site's file.
+    let (read_items, events, piece_bytes) = if trouble { (24, 306, 420) } else { (10, 191, 70) };
+    let interval = Duration::from_millis(3);
+    let behavior = || Behavior { events, interval, piece_bytes, ..Behavior::default() };
     let size = Size { runners: 12, ..Size::default() };
     let mut fleet = Fleet::start(record, size, configuration(TENANTS), behavior).await?;
     let done = Arc::new(AtomicBool::new(false));
@@ -435,16 +438,22 @@
     processes.append(&mut fleet.workers);
     let watch = watch_memory(processes, record.clone(), done.clone());
     let mut jobs = Vec::new();
-    for tenant in 0..READ_JOBS {
-        let items: Vec<_> = (0..READ_ITEMS).map(|_| fleet.item(&[])).collect();
-        let job = fleet.id();
-        if !fleet.submit(tenant, &job, &items).await {
-            return Err("a job was not accepted".to_owned());
+    for _ in 0..BURSTS {
+        for n in 0..BURST_JOBS {
+            let next = Instant::now() + BURST_INTERVAL;
+            let items: Vec<_> = (0..read_items).map(|_| fleet.item(&[])).collect();
+            let job = fleet.id();
+            if !fleet.submit(n % TENANTS, &job, &items).await {
+                return Err("a job was not accepted".to_owned());
+            }
+            jobs.push((n % TENANTS, job));
+            tokio::time::sleep(next.saturating_duration_since(Instant::now())).await;
         }
-        jobs.push((tenant, job));
+        tokio::time::sleep(BURST_PAUSE).await;
     }
+    record.say(format!("{} jobs of {read_items} items accepted", jobs.len()));
     let mut complete = 0;
-    let until = Instant::now() + Duration::from_secs(90);
+    let until = Instant::now() + Duration::from_secs(55);
     let mut front = 0;
     // Clients read all jobs at each front in turn, from the start.
     while Instant::now() < until {
@@ -452,7 +461,7 @@
         complete = 0;
         for (tenant, job) in &jobs {
             let results = fleet.results(front, *tenant, job).await.unwrap_or_default();
-            complete += usize::from(results.len() == READ_ITEMS);
+            complete += usize::from(results.len() == read_items);
         }
         record.add(format!("{complete} whole jobs read at front {front}"));
         tokio::time::sleep(Duration::from_millis(500)).await;
