Use no connection twice for the same request

Cause: all attempts of a request have the same id, and the pool hands the connection of one attempt to the next. A second copy of the first answer, sent where the next one is expected, counted as the answer to the second attempt. A caller that sends a request again with its id got a copy in the same way.

Change: a connection keeps the ids that it has carried and is not used for one of them again, so that an id on it has one response. A request without an id gets a new connection. A connection ends after 512 requests, which bounds the memory for ids. A response of another request is logged with both ids and its connection.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -38,6 +38,7 @@
 use sesamewall_protocol::Time;
 use slog::info;
 use slog::warn;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::InstanceContext;
 use crate::byte_budget::BudgetExceeded;
@@ -467,7 +468,11 @@
     counted: Option<&CountedRun>,
 ) -> Result<AttemptResponse, AttemptError> {
     let max_idle = if attempt_request.repeatable { MAX_IDLE } else { MAX_IDLE_ONCE };
-    let mut connection = match context.pool.take(placement.address, max_idle) {
+    let id = attempt_request.headers.get(REQUEST_ID);
+    let id_hash = id.map_or(0, |id| xxh3_64(id.as_bytes()));
+    // Nothing distinguishes the responses to requests without an id.
+    let pooled = id.and_then(|_| context.pool.take(placement.address, id_hash, max_idle));
+    let mut connection = match pooled {
         Some(connection) => connection,
         None => {
             context.metrics.connections.inc();
@@ -493,7 +498,8 @@
     }
     let body_bytes = attempt_request.body.len();
     let domain_bytes = domain_flow::count_departure(context, placement, body_bytes);
-    let sent = tokio::time::timeout(limit, connection.begin_request().send_request(request)).await;
+    let sent =
+        tokio::time::timeout(limit, connection.begin_request(id_hash).send_request(request)).await;
     let response = match sent {
         Err(_) => return Err(AttemptError::Stalled(limit)),
         // Hyper reports a request as cancelled only if it has not written any of it.
@@ -504,7 +510,8 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
-    let same = head.headers.get(REQUEST_ID) == attempt_request.headers.get(REQUEST_ID);
+    let response_id = head.headers.get(REQUEST_ID);
+    let same = response_id == id;
     // Without the request's id, a refusal on a reused connection may be a repeated one.
     let unnamed = !connection.reused && !head.headers.contains_key(REQUEST_ID);
     if head.status == StatusCode::MISDIRECTED_REQUEST && (same || unnamed) {
@@ -524,6 +531,12 @@
         return Err(AttemptError::NotRun(head.status.as_u16()));
     }
     if !same || (head.status.is_success() && !head.headers.contains_key(SEAL)) {
+        let text =
+            |id: Option<&HeaderValue>| id.and_then(|id| id.to_str().ok()).unwrap_or("?").to_owned();
+        info!(context.log, "response of another request"; "request" => text(id),
+            "response" => text(response_id), "status" => head.status.as_u16(),
+            "target" => %placement.name, "connection" => connection.number,
+            "requests" => connection.request_count());
         return Err(AttemptError::Mismatch);
     }
     Ok(AttemptResponse {
--- a/crates/sesamewall-edge/src/target_pool.rs
+++ b/crates/sesamewall-edge/src/target_pool.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -36,6 +38,13 @@
 /// Bytes of a connection's read buffer, above the largest usual header.
 const READ_BUFFER: usize = 16 << 10;
 
+/// Number of requests after which a connection is closed. It bounds the memory for their ids, 4 kB a
+/// connection.
+const MAX_REQUESTS: usize = 512;
+
+/// Hash of a request's id. All attempts of a request have the same one.
+pub type RequestIdHash = u64;
+
 /// A connection to a target. Dropping it while a request is unanswered resets it: the target drops
 /// the request, and bytes of it that have not arrived yet never do. The end of the process has the
 /// same effect.
@@ -45,9 +54,13 @@
     /// Closes the connection in order.
     close: Option<oneshot::Sender<()>>,
     address: SocketAddr,
+    /// Number of the connection in this process, for logs.
+    pub number: u64,
     /// Whether it has carried a request before, which was answered.
     pub reused: bool,
     has_request: bool,
+    /// The ids of all requests that it has carried.
+    carried: Vec<RequestIdHash>,
 }
 
 impl Drop for TargetConnection {
@@ -61,13 +74,19 @@
 }
 
 impl TargetConnection {
-    /// Returns the sending half of the connection for a request. The connection counts as one with
-    /// an unanswered request from now on.
-    pub fn begin_request(&mut self) -> &mut SendRequest<Full<Bytes>> {
+    /// Returns the sending half of the connection for a request with this id. The connection counts
+    /// as one with an unanswered request from now on.
+    pub fn begin_request(&mut self, id: RequestIdHash) -> &mut SendRequest<Full<Bytes>> {
         self.has_request = true;
+        self.carried.push(id);
         &mut self.sender
     }
 
+    /// Returns the number of requests that the connection has carried.
+    pub fn request_count(&self) -> usize {
+        self.carried.len()
+    }
+
     /// Records that the response to the request has been read to its end.
     pub fn end_request(&mut self) {
         self.has_request = false;
@@ -102,22 +121,38 @@
 #[derive(Default)]
 pub struct TargetPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    opened: AtomicU64,
 }
 
 impl TargetPool {
     /// Takes a pooled connection that has been idle for at most `max_idle`, the most recently used
-    /// first.
-    pub fn take(&self, address: SocketAddr, max_idle: Duration) -> Option<TargetConnection> {
+    /// first, for a request with this id. The connection has not carried that id before: a target
+    /// may send a second copy of a response at the point where the next one is expected, and only
+    /// the id distinguishes them.
+    pub fn take(
+        &self,
+        address: SocketAddr,
+        id: RequestIdHash,
+        max_idle: Duration,
+    ) -> Option<TargetConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let list = idle.get_mut(&address)?;
-        while let Some(IdleConnection { mut connection, since, until }) = list.pop() {
-            let ready = matches!(connection.sender.ready().now_or_never(), Some(Ok(())));
-            if ready && until > now && now - since <= max_idle {
-                return Some(connection);
+        let mut used_before = Vec::new();
+        let mut taken = None;
+        while let Some(mut entry) = list.pop() {
+            let ready = matches!(entry.connection.sender.ready().now_or_never(), Some(Ok(())));
+            match ready && entry.until > now && now - entry.since <= max_idle {
+                true if entry.connection.carried.contains(&id) => used_before.push(entry),
+                true => {
+                    taken = Some(entry.connection);
+                    break;
+                }
+                false => {}
             }
         }
-        None
+        list.extend(used_before.into_iter().rev());
+        taken
     }
 
     /// Opens a connection.
@@ -141,13 +176,23 @@
         let (close, closed) = oneshot::channel();
         let driver = tokio::spawn(drive(conn, closed));
         let close = Some(close);
-        Ok(TargetConnection { sender, driver, close, address, reused: false, has_request: false })
+        let number = self.opened.fetch_add(1, Ordering::Relaxed);
+        Ok(TargetConnection {
+            sender,
+            driver,
+            close,
+            address,
+            number,
+            reused: false,
+            has_request: false,
+            carried: Vec::new(),
+        })
     }
 
     /// Returns a connection to the pool after its response has been read to the end. `keep_alive`
     /// is the time that the target announced.
     pub fn put(&self, connection: TargetConnection, keep_alive: Option<Duration>) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.request_count() >= MAX_REQUESTS {
             return;
         }
         let now = Instant::now();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -36,6 +36,8 @@
 mod online;
 #[path = "platform/removed_route.rs"]
 mod removed_route;
+#[path = "platform/response_copies.rs"]
+mod response_copies;
 #[path = "platform/responses.rs"]
 mod responses;
 #[path = "platform/result_pages.rs"]
