Find jobs on public routes under the account that sent them

Cause: on a public route the acceptance ignored the key and stored the job without an account; a read has no route and looked under the key's account, which is part of a job's name.

Change: whose a call is follows from its key alone, in one place (caller.rs) for submissions, reads, bodies, ends and online requests; the route only says whether a call without a known key is let through. A named job is looked for among the caller's own jobs, then among those without an account, as earlier builds stored them. Items of a job without an account no longer pass on an account that their own headers name.

--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -109,6 +109,8 @@
         }
         headers.insert(header::HOST, header_value(&job.host, "host")?);
         headers.insert(REQUEST_ID, header_value(item.id.as_str(), "identifier")?);
+        // The item's own headers must not name an account.
+        headers.remove(ACCOUNT);
         if let Some(name) = &job.account {
             headers.insert(ACCOUNT, header_value(name.as_str(), "account")?);
         }
--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -112,8 +112,16 @@
     Error::StoreUnavailable { detail: error.to_string() }
 }
 
+/// Kind of a job in `NotFound`.
+const JOB: &str = "job";
+
 fn not_found(job: &JobName) -> Error {
-    Error::NotFound { kind: "job".to_owned(), id: job.to_string() }
+    Error::NotFound { kind: JOB.to_owned(), id: job.to_string() }
+}
+
+/// Returns whether the error says that a job does not exist.
+pub fn is_no_job(error: &Error) -> bool {
+    matches!(error, Error::NotFound { kind, .. } if kind == JOB)
 }
 
 impl JobApi {
@@ -293,7 +301,8 @@
         }
     }
 
-    /// Serves a caller's request about an existing job.
+    /// Serves a caller's request about an existing job, the first one with this id among the jobs of
+    /// `accounts`.
     ///
     /// # Errors
     ///
@@ -301,25 +310,39 @@
     pub async fn serve(
         &self,
         call: JobCall,
-        account: Option<&AccountSpec>,
+        accounts: &[Option<AccountName>],
         headers: &HeaderMap,
     ) -> Result<HttpResponse, Error> {
-        let account = account.map(|account| &account.name);
+        let mut absent = not_found(&JobName::new(None, call.job()));
+        for account in accounts {
+            match self.serve_account(&call, account.as_ref(), headers).await {
+                Err(error) if is_no_job(&error) => absent = error,
+                result => return result,
+            }
+        }
+        Err(absent)
+    }
+
+    async fn serve_account(
+        &self,
+        call: &JobCall,
+        account: Option<&AccountName>,
+        headers: &HeaderMap,
+    ) -> Result<HttpResponse, Error> {
+        let job = JobName::new(account, call.job());
         match call {
-            JobCall::Results { job, after } => {
+            JobCall::Results { after, .. } => {
                 let wait =
                     headers.get(&WAIT_MS).and_then(|value| value.to_str().ok()?.parse().ok());
                 let wait = Duration::from_millis(wait.unwrap_or(0)).min(MAX_WAIT);
-                self.results(&JobName::new(account, &job), account, after, wait).await
+                self.results(&job, account, *after, wait).await
             }
-            JobCall::Body { job, item } => {
-                self.body(&JobName::new(account, &job), account, &item).await
-            }
-            JobCall::End { job } => self.end(&JobName::new(account, &job), account).await,
+            JobCall::Body { item, .. } => self.body(&job, account, item).await,
+            JobCall::End { .. } => self.end(&job, account).await,
         }
     }
 
-    /// Returns whether a job of an account was accepted.
+    /// Returns whether a job was accepted under one of these accounts.
     ///
     /// # Errors
     ///
@@ -327,14 +350,15 @@
     pub async fn was_accepted(
         &self,
         job: &JobId,
-        account: Option<&AccountSpec>,
+        accounts: &[Option<AccountName>],
     ) -> Result<bool, Error> {
-        let account = account.map(|account| &account.name);
-        match self.load_view(&JobName::new(account, job), account).await {
-            Ok(_) => Ok(true),
-            Err(Error::NotFound { .. }) => Ok(false),
-            Err(error) => Err(error),
+        for account in accounts {
+            match self.load_view(&JobName::new(account.as_ref(), job), account.as_ref()).await {
+                Err(error) if is_no_job(&error) => {}
+                result => return result.map(|_| true),
+            }
         }
+        Ok(false)
     }
 
     /// Charges a response until it has been sent.
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt_error;
 mod body_intake;
 mod byte_budget;
+mod caller;
 mod caller_connection;
 mod caller_request;
 mod connection_table;
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -11,7 +11,6 @@
 use http::header;
 use http::request::Parts;
 use hyper::body::Incoming;
-use sesamewall_fleet::AccountSpec;
 use sesamewall_fleet::AdmissionDecision;
 use sesamewall_fleet::Catalog;
 use sesamewall_fleet::PlacementError;
@@ -22,6 +21,7 @@
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::decode_job;
 use sesamewall_platform::parse_job_call;
+use sesamewall_protocol::AccountName;
 use sesamewall_protocol::Error;
 use sesamewall_protocol::JobId;
 use sesamewall_protocol::TargetName;
@@ -39,9 +39,11 @@
 use crate::body_intake::receive;
 use crate::byte_budget::Held;
 use crate::byte_budget::ReservedBytes;
+use crate::caller::Caller;
 use crate::caller_request::CallerRequest;
 use crate::caller_request::DEFAULT_TIMEOUT;
 use crate::job_api::JobApi;
+use crate::job_api::is_no_job;
 use crate::refusal::Refusal;
 use crate::response::HttpResponse;
 use crate::response::empty;
@@ -136,24 +138,27 @@
         let host = request_host(&head.headers, &head.uri).to_owned();
         let about_job = parse_job_call(&head.method, &head.uri);
         // A job stays readable after its route has gone, so its host need not have a route.
+        let caller = Caller::of(&catalog, &head.headers);
         if let Some(call) = about_job {
-            let account = authenticate(&catalog, &head.headers, None)?;
+            let accounts = caller.job_accounts(&catalog).map_err(Refusal::new)?;
             self.check_job_time()?;
             self.read_body(body, &catalog, DEFAULT_TIMEOUT).await?;
-            return self
-                .jobs
-                .serve(call, account.as_deref(), &head.headers)
-                .await
-                .map_err(|error| Refusal::later(error, DEFAULT_RETRY));
+            return self.jobs.serve(call, &accounts, &head.headers).await.map_err(|error| {
+                let error = if is_no_job(&error) { caller.absence(error) } else { error };
+                Refusal::later(error, DEFAULT_RETRY)
+            });
         }
         let Some(route) = catalog.route(&host, head.uri.path()).cloned() else {
-            return self.serve_unrouted(&catalog, &head, body).await;
+            return self.serve_unrouted(&catalog, &caller, &head, body).await;
         };
-        let account = authenticate(&catalog, &head.headers, Some(&route))?;
+        let account = caller.on_route(&route).map_err(Refusal::new)?;
         let body = self.read_body(body, &catalog, body_timeout(&route)).await?;
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
             self.check_job_time()?;
             let _parsed = self.reserve_job(&body).await?;
+            if route.public && account.is_some() && self.was_accepted(&head, &[None]).await? {
+                return Ok(empty(StatusCode::ACCEPTED));
+            }
             let submit =
                 self.jobs.submit(&route, catalog.version, account.as_deref(), &host, &head, &body);
             return submit.await.map_err(|(error, retry)| Refusal::later(error, retry));
@@ -184,16 +189,15 @@
     async fn serve_unrouted(
         &self,
         catalog: &Catalog,
+        caller: &Caller,
         head: &Parts,
         body: Incoming,
     ) -> Result<HttpResponse, Refusal> {
         let unknown = || Refusal::new(Error::RouteUnknown { path: head.uri.path().to_owned() });
         let is_post = head.method == http::Method::POST;
-        let (Some(id), Ok(account), true) = (
-            head.headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()),
-            authenticate(catalog, &head.headers, None),
-            is_post,
-        ) else {
+        let (true, Ok(accounts), true) =
+            (head.headers.contains_key(REQUEST_ID), caller.job_accounts(catalog), is_post)
+        else {
             return Err(unknown());
         };
         let body = self.read_body(body, catalog, DEFAULT_TIMEOUT).await?;
@@ -202,13 +206,23 @@
             return Err(unknown());
         }
         self.check_job_time()?;
-        match self.jobs.was_accepted(&JobId::from(id), account.as_deref()).await {
-            Ok(true) => Ok(empty(StatusCode::ACCEPTED)),
-            Ok(false) => Err(unknown()),
-            Err(error) => Err(Refusal::later(error, DEFAULT_RETRY)),
+        match self.was_accepted(head, &accounts).await? {
+            true => Ok(empty(StatusCode::ACCEPTED)),
+            false => Err(unknown()),
         }
     }
 
+    /// Returns whether the job of a submission was accepted before, under one of these accounts.
+    async fn was_accepted(
+        &self,
+        head: &Parts,
+        accounts: &[Option<AccountName>],
+    ) -> Result<bool, Refusal> {
+        let id = head.headers.get(REQUEST_ID).and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let accepted = self.jobs.was_accepted(&JobId::from(id), accounts).await;
+        accepted.map_err(|error| Refusal::later(error, DEFAULT_RETRY))
+    }
+
     /// Receives a body within the configuration's limit and the memory budget.
     async fn read_body(
         &self,
@@ -565,22 +579,6 @@
 }
 
 /// Returns the account that belongs to the request's API key; `None` where no key is needed.
-fn authenticate(
-    catalog: &Catalog,
-    headers: &HeaderMap,
-    route: Option<&RouteSpec>,
-) -> Result<Option<Arc<AccountSpec>>, Refusal> {
-    if !catalog.requires_keys || route.is_some_and(|route| route.public) {
-        return Ok(None);
-    }
-    let value = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let key = value.and_then(|value| value.split_once(' '));
-    let key = key.filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"));
-    let (_, key) = key.ok_or_else(|| Refusal::new(Error::KeyMissing))?;
-    let account = catalog.account_of(key.trim()).cloned();
-    account.map(Some).ok_or_else(|| Refusal::new(Error::KeyInvalid))
-}
-
 /// Returns the time within which a request's body has to arrive: after it, no response would be in
 /// time.
 fn body_timeout(route: &RouteSpec) -> Duration {
--- a/crates/sesamewall-fleet/src/catalog.rs
+++ b/crates/sesamewall-fleet/src/catalog.rs
@@ -146,6 +146,8 @@
     pub requires_keys: bool,
     /// Whether routes of online requests and accounts name more than one rank.
     pub ranks_differ: bool,
+    /// Whether a route takes batch jobs without an API key.
+    pub has_public_jobs: bool,
     hosts: HashMap<Arc<str>, Vec<Arc<RouteSpec>>>,
     keys: HashMap<Arc<str>, Arc<AccountSpec>>,
     accounts: HashMap<AccountName, Arc<AccountSpec>>,
@@ -168,6 +170,8 @@
         let of_accounts = accounts.iter().flatten().filter_map(|(account, _)| account.priority);
         let ranks: HashSet<u32> = of_routes.chain(of_accounts).collect();
         catalog.ranks_differ = ranks.len() > 1;
+        catalog.has_public_jobs =
+            routes.iter().any(|route| route.kind == RouteKind::Batch && route.public);
         for route in routes {
             let list = catalog.hosts.entry(route.host.clone()).or_default();
             list.push(Arc::new(route));
