Take no answer without an end for complete while its request is sent

Cause: a body that does not show its own end was complete when its connection ended, whatever had become of the request.

Change: the body of a request counts what the socket has not taken. While that is not zero, the end of the connection is a loss for a body without a length and chunks, on the platform and on the product's own interface. A coding other than chunks no longer counts as showing an end.

--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -8,12 +8,14 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::Connect;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 
+use crate::request_body::RequestBody;
 use crate::reset_connector::ResetConnector;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,7 +37,7 @@
 pub type HyperClient = Client<HttpConnector, Full<Bytes>>;
 
 /// A pooled HTTP/1.1 client for calls to targets.
-pub type TargetClient = Client<ResetConnector, Full<Bytes>>;
+pub type TargetClient = Client<ResetConnector, RequestBody>;
 
 /// Returns a new client for calls to targets, with its own connection pool. A call that is given up
 /// resets its connection.
@@ -56,27 +58,39 @@
     build(connector)
 }
 
-fn build<C: Connect + Clone>(connector: C) -> Client<C, Full<Bytes>> {
+fn build<C, B>(connector: C) -> Client<C, B>
+where
+    C: Connect + Clone,
+    B: Body + Send,
+    B::Data: Send,
+{
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
+        .http1_writev(true)
         .build(connector)
 }
 
 /// Sends one request and reads the complete response within `limit`.
-pub async fn call<C: Connect + Clone + Send + Sync + 'static>(
-    client: &Client<C, Full<Bytes>>,
+pub async fn call<C, B>(
+    client: &Client<C, B>,
     method: Method,
     url: String,
     content_type: &str,
     body: Bytes,
     limit: Duration,
-) -> Result<Response<Bytes>, CallError> {
+) -> Result<Response<Bytes>, CallError>
+where
+    C: Connect + Clone + Send + Sync + 'static,
+    B: Body + From<Bytes> + Send + Unpin + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let request = Request::builder()
         .method(method)
         .uri(url)
         .header(http::header::CONTENT_TYPE, content_type)
-        .body(Full::new(body))
+        .body(B::from(body))
         .map_err(|_| CallError::NotSent)?;
     let exchange = async {
         let response = client.request(request).await.map_err(|error| {
--- a/crates/sesamewall-adapters/src/http_target.rs
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use futures::StreamExt;
+use futures::stream;
 use http::Request;
 use http_body_util::BodyExt;
 use http_body_util::BodyStream;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Frame;
 use sesamewall_ports::CacheEvent;
@@ -21,6 +20,9 @@
 use crate::http_client;
 use crate::http_client::TargetClient;
 use crate::http_client::describe;
+use crate::request_body::RequestBody;
+use crate::request_body::is_complete;
+use crate::request_body::is_framed;
 
 /// Header in which an engine echoes the identifier of the attempt.
 pub const ATTEMPT_HEADER: &str = "x-attempt-id";
@@ -48,7 +50,7 @@
     }
 }
 
-fn build(request: TargetRequest) -> Result<Request<Full<Bytes>>, TargetError> {
+fn build(request: TargetRequest) -> Result<Request<RequestBody>, TargetError> {
     let mut builder = Request::builder()
         .method(request.method.as_str())
         .uri(format!("{}{}", request.address.trim_end_matches('/'), request.path))
@@ -60,7 +62,7 @@
         builder = builder.header(name, value);
     }
     builder
-        .body(Full::new(request.body))
+        .body(RequestBody::from(request.body))
         .map_err(|error| TargetError::NotSent { detail: error.to_string() })
 }
 
@@ -72,7 +74,9 @@
             Class::Online => &self.online,
             Class::Batch => &self.batch,
         };
-        let response = client.request(build(request)?).await.map_err(|error| {
+        let request = build(request)?;
+        let unsent = request.body().unsent();
+        let response = client.request(request).await.map_err(|error| {
             let detail = describe(&error);
             match error.is_connect() {
                 true => TargetError::NotSent { detail },
@@ -91,12 +95,22 @@
                 Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
             })
             .collect();
-        let body =
+        let framed = is_framed(&head.headers, &body);
+        let frames =
             BodyStream::new(body.map_err(|error| TargetError::Lost { detail: describe(&error) }))
                 .filter_map(|frame| async {
                     frame.map(|frame| Frame::into_data(frame).ok()).transpose()
-                })
-                .boxed();
+                });
+        let end = stream::once(async move {
+            match is_complete(framed, &unsent) {
+                true => None,
+                false => {
+                    let detail = "it ended before the request was sent".to_owned();
+                    Some(Err(TargetError::Lost { detail }))
+                }
+            }
+        });
+        let body = frames.chain(end.filter_map(std::future::ready)).boxed();
         Ok(TargetResponse { status: head.status.as_u16(), headers, body })
     }
 
@@ -108,7 +122,7 @@
         let lost = |detail: String| TargetError::Lost { detail };
         let base = address.trim_end_matches('/');
         let request = Request::get(format!("{base}/cache-events?after={after}"))
-            .body(Full::default())
+            .body(RequestBody::default())
             .map_err(|error| lost(error.to_string()))?;
         let exchange = async {
             let response =
--- a/crates/sesamewall-adapters/src/lib.rs
+++ b/crates/sesamewall-adapters/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_instances;
 mod http_store;
 mod http_target;
+pub mod request_body;
 mod reset_connector;
 mod tonic_peer;
 
--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -12,15 +12,16 @@
 use http::Request;
 use http::StatusCode;
 use http::Uri;
-use http::header::CONTENT_LENGTH;
 use http::header::CONTENT_TYPE;
-use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use prometheus::IntCounter;
 use sesamewall_adapters::http_client::EVENT_STREAM;
 use sesamewall_adapters::http_client::describe;
+use sesamewall_adapters::request_body::RequestBody;
+use sesamewall_adapters::request_body::UnsentBytes;
+use sesamewall_adapters::request_body::is_complete;
+use sesamewall_adapters::request_body::is_framed;
 use sesamewall_fleet::BegunStream;
 use sesamewall_fleet::PartRun;
 use sesamewall_fleet::Placement;
@@ -131,6 +132,9 @@
     pub version: Arc<str>,
     started_ms: u64,
     body: Incoming,
+    framed: bool,
+    /// What has not been sent of the request's body.
+    unsent: UnsentBytes,
     connection: Option<TargetConnection>,
     /// The run for the recognition of poison parts, until the target has begun to respond or was
     /// lost.
@@ -154,7 +158,7 @@
     /// Returns whether the body shows its own end. Without a length and without chunks it ends with
     /// its connection, also when the target stops early.
     pub fn is_framed(&self) -> bool {
-        self.headers.contains_key(CONTENT_LENGTH) || self.headers.contains_key(TRANSFER_ENCODING)
+        self.framed
     }
 
     /// Returns the version of the target while its first event arrives, for a request of `service`;
@@ -212,8 +216,9 @@
     ///
     /// # Errors
     ///
-    /// Returns `Lost` if the connection ends before the body does, `InvalidResponse` if the body is
-    /// malformed, and `Stalled` if nothing arrives within `limit`.
+    /// Returns `Lost` if the connection ends before the body does, or before the request was sent if
+    /// the body has no other end, `InvalidResponse` if the body is malformed, and `Stalled` if
+    /// nothing arrives within `limit`.
     pub async fn next_chunk(&mut self, limit: Duration) -> Result<Option<Bytes>, AttemptError> {
         loop {
             let timed = tokio::time::timeout(limit, self.body.frame()).await;
@@ -224,6 +229,11 @@
                     .map_err(|_| AttemptError::Stalled(limit))?,
             };
             match frame {
+                None if !is_complete(self.framed, &self.unsent) => {
+                    self.on_lost();
+                    let detail = "it ended before the request was sent".to_owned();
+                    return Err(AttemptError::Lost(detail));
+                }
                 None => return Ok(None),
                 Some(Err(error)) => {
                     let error = connection_error(&error);
@@ -479,7 +489,8 @@
             context.pool.open(placement.address).await.map_err(AttemptError::ConnectFailed)?
         }
     };
-    let mut request = Request::new(Full::new(attempt_request.body.clone()));
+    let mut request = Request::new(RequestBody::from(attempt_request.body.clone()));
+    let unsent = request.body().unsent();
     *request.method_mut() = attempt_request.method.clone();
     *request.uri_mut() = attempt_request.uri.clone();
     *request.headers_mut() = attempt_request.headers.clone();
@@ -539,6 +550,7 @@
             "requests" => connection.request_count());
         return Err(AttemptError::Mismatch);
     }
+    let framed = is_framed(&head.headers, &body);
     Ok(AttemptResponse {
         status: head.status,
         headers: head.headers,
@@ -546,6 +558,8 @@
         version: placement.version.clone(),
         started_ms: placement.started_ms,
         body,
+        framed,
+        unsent,
         connection: Some(connection),
         run: None,
         domain_bytes,
--- a/crates/sesamewall-edge/src/target_pool.rs
+++ b/crates/sesamewall-edge/src/target_pool.rs
@@ -9,14 +9,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use futures::FutureExt;
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::Connection;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use rustix::net::sockopt::set_socket_linger;
+use sesamewall_adapters::request_body::RequestBody;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -49,7 +48,7 @@
 /// the request, and bytes of it that have not arrived yet never do. The end of the process has the
 /// same effect.
 pub struct TargetConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<RequestBody>,
     driver: JoinHandle<()>,
     /// Closes the connection in order.
     close: Option<oneshot::Sender<()>>,
@@ -76,7 +75,7 @@
 impl TargetConnection {
     /// Returns the sending half of the connection for a request with this id. The connection counts
     /// as one with an unanswered request from now on.
-    pub fn begin_request(&mut self, id: RequestIdHash) -> &mut SendRequest<Full<Bytes>> {
+    pub fn begin_request(&mut self, id: RequestIdHash) -> &mut SendRequest<RequestBody> {
         self.has_request = true;
         self.carried.push(id);
         &mut self.sender
@@ -96,7 +95,7 @@
 
 /// Runs a connection until its end, or until it is to be closed in order.
 async fn drive(
-    mut conn: Connection<TokioIo<TcpStream>, Full<Bytes>>,
+    mut conn: Connection<TokioIo<TcpStream>, RequestBody>,
     closed: oneshot::Receiver<()>,
 ) {
     tokio::select! {
@@ -170,6 +169,7 @@
         stream.set_zero_linger().map_err(|error| error.to_string())?;
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(READ_BUFFER)
+            .writev(true)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -62,6 +62,8 @@
 mod target_news;
 #[path = "platform/unframed.rs"]
 mod unframed;
+#[path = "platform/unread_uploads.rs"]
+mod unread_uploads;
 #[path = "platform/unsent_bytes.rs"]
 mod unsent_bytes;
 #[path = "platform/version_rollout.rs"]
--- a/tests/platform/unframed.rs
+++ b/tests/platform/unframed.rs
@@ -93,6 +93,17 @@
     let body = answer.as_ref().and_then(|answer| answer.body.as_ref());
     assert!(body.is_none(), "{answer:?}");
     assert_eq!(target.request_ids(), ["id-3"]);
+    // A coding other than chunks shows no end.
+    let target = RawTarget::start(|_, id| {
+        let headers = "content-type: text/event-stream\r\ntransfer-encoding: identity\r\n";
+        vec![head(id, headers), Step::Close]
+    })
+    .await;
+    fleet.replace_all(target.address).await;
+    let answer = fleet.chat(0, "/once/x", "id-4").await;
+    let body = answer.as_ref().and_then(|answer| answer.body.as_ref());
+    assert!(body.is_none(), "{answer:?}");
+    assert_eq!(target.request_ids(), ["id-4"]);
 }
 
 /// Guards against items with an empty result: a target closed the connection after the head of the
