Take no status outside 200 to 599 for an answer

Callers got answers of targets with status 101, 600 or 999 as they were. The reported status 000 and other lines that are no status were already rejected by the client library.

Cause: each head that the library accepts was taken for an answer. It accepts numbers from 100 on and hands out a 101.

Change: a status outside 200 to 599 is an invalid response, before anything else in its head is read, on the platform and on the product's own interface.

--- a/crates/sesamewall-adapters/src/http_client.rs
+++ b/crates/sesamewall-adapters/src/http_client.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Body;
@@ -24,6 +25,13 @@
 /// Content type of a stream of events, without its parameters.
 pub const EVENT_STREAM: &str = "text/event-stream";
 
+/// Returns whether a status can be the one of a target's response to a request: 101 needs a request to
+/// change the protocol, and no class is defined from 600 on. The client itself passes over other
+/// statuses below 200 and rejects what is not three digits from 100 on.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reports whether a failed call may have reached the server.
 #[derive(Debug)]
 pub enum CallError {
--- a/crates/sesamewall-adapters/src/http_target.rs
+++ b/crates/sesamewall-adapters/src/http_target.rs
@@ -20,6 +20,7 @@
 use crate::http_client;
 use crate::http_client::TargetClient;
 use crate::http_client::describe;
+use crate::http_client::is_final_status;
 use crate::request_body::RequestBody;
 use crate::request_body::is_complete;
 use crate::request_body::is_framed;
@@ -84,6 +85,11 @@
             }
         })?;
         let (head, body) = response.into_parts();
+        if !is_final_status(head.status) {
+            return Err(TargetError::Invalid {
+                detail: format!("it answered with status {}", head.status.as_u16()),
+            });
+        }
         let echoed = head.headers.get(ATTEMPT_HEADER).map(http::HeaderValue::as_bytes);
         if echoed.is_some_and(|echoed| echoed != attempt.as_bytes()) {
             return Err(TargetError::Mismatch);
--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -18,6 +18,7 @@
 use prometheus::IntCounter;
 use sesamewall_adapters::http_client::EVENT_STREAM;
 use sesamewall_adapters::http_client::describe;
+use sesamewall_adapters::http_client::is_final_status;
 use sesamewall_adapters::request_body::RequestBody;
 use sesamewall_adapters::request_body::UnsentBytes;
 use sesamewall_adapters::request_body::is_complete;
@@ -521,6 +522,9 @@
         Ok(Ok(response)) => response,
     };
     let (head, body) = response.into_parts();
+    if !is_final_status(head.status) {
+        return Err(AttemptError::InvalidResponse(format!("status {}", head.status.as_u16())));
+    }
     let response_id = head.headers.get(REQUEST_ID);
     let same = response_id == id;
     // Without the request's id, a refusal on a reused connection may be a repeated one.
--- a/crates/sesamewall-ports/src/target.rs
+++ b/crates/sesamewall-ports/src/target.rs
@@ -44,6 +44,12 @@
         /// Cause of the failure.
         detail: String,
     },
+    /// The target sent what is no response to a request.
+    #[display("no valid answer: {detail}")]
+    Invalid {
+        /// What was wrong with it.
+        detail: String,
+    },
     /// The response carries the identifier of another attempt.
     #[display("the answer belongs to another request")]
     Mismatch,
--- a/crates/sesamewall-server/src/execute/attempt.rs
+++ b/crates/sesamewall-server/src/execute/attempt.rs
@@ -49,6 +49,7 @@
                 end: SlotResult::Crashed,
                 not_run: false,
             },
+            TargetError::Invalid { detail } => Self::incomplete(&target, detail),
             TargetError::Mismatch => Self {
                 error: Error::AnswerMismatch { target },
                 end: SlotResult::Failed,
--- a/crates/sesamewall-server/tests/path/answers.rs
+++ b/crates/sesamewall-server/tests/path/answers.rs
@@ -135,6 +135,29 @@
     }
 }
 
+/// Guards against an answer whose status is none, which reaches the caller as an answer.
+#[tokio::test]
+async fn a_response_without_a_valid_status_reaches_no_caller() {
+    for status in ["000", "099", "101", "600", "999"] {
+        let fleet = Fleet::start(&["d1"]).await;
+        let target = ScriptedTarget::start(move |_, request| {
+            let text = String::from_utf8(response_bytes(request, "application/json", "{}"));
+            let line = format!("HTTP/1.1 {status}");
+            let bytes = text.unwrap().replacen("HTTP/1.1 200", &line, 1).into_bytes();
+            ScriptedReply { bytes, close: true }
+        })
+        .await;
+        fleet.put(vec![group("e", true, &[("d1", &target.address)])]).await;
+        for stream in [false, true] {
+            let response = fleet.chat(0, "status", 9, stream).await;
+            let is_error = response.status == 502 || response.text.contains("\"code\":5002");
+            assert!(is_error, "{status}, {stream}: {} {}", response.status, response.text);
+            assert!(!response.text.contains("[DONE]"), "{status}: {}", response.text);
+        }
+        assert!(!target.received().is_empty(), "{status}");
+    }
+}
+
 /// Guards against returning a response that belongs to another request.
 #[tokio::test]
 async fn response_to_another_request_is_rejected() {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -52,6 +52,8 @@
 mod soak;
 #[path = "platform/soak_streams.rs"]
 mod soak_streams;
+#[path = "platform/status_lines.rs"]
+mod status_lines;
 #[path = "platform/stream_load.rs"]
 mod stream_load;
 #[path = "platform/stream_versions.rs"]
