Show a sole version from each change, not from states of the table

A front without a record of a stream took it up at the only version that it knew, although the stream could have begun at another one (ORDER): a target that joined and left between two looks at the store was never seen, and a confirmation that was late on its way counted as complete as of its receipt.

Cause: an absence was concluded from states of the table and from the age of datagrams.

Change: the history of versions is that of a watch. It takes each change and names the revision up to which nothing is missing. A take-up without a record asks an instance that watches, then the store for the changes since that revision, both after it has arrived. Requests that wait share the result.

--- a/crates/sesamewall-edge/src/instance_context.rs
+++ b/crates/sesamewall-edge/src/instance_context.rs
@@ -65,6 +65,7 @@
 use crate::log_limit::LogLimit;
 use crate::peer_client::PeerClient;
 use crate::peer_updates::table_revision;
+use crate::sole_version::SoleVersions;
 use crate::state_exchange::VersionLookups;
 use crate::store_access::StoreAccess;
 use crate::target_pool::TargetPool;
@@ -219,6 +220,8 @@
     pub pool: TargetPool,
     /// Lookups of the versions that began streams.
     pub version_lookups: VersionLookups,
+    /// Sole versions of services that were asked for.
+    pub sole_versions: SoleVersions,
     /// Budget of the bytes that are held for requests and responses.
     pub buffers: Arc<ByteBudget>,
     /// Open connections of clients.
@@ -286,6 +289,7 @@
             peer_client: PeerClient::new(port),
             pool: TargetPool::default(),
             version_lookups: VersionLookups::default(),
+            sole_versions: SoleVersions::default(),
             draining: AtomicBool::new(false),
             retirements_changed: Notify::new(),
             state_changed: Notify::new(),
--- a/crates/sesamewall-edge/src/internal_server.rs
+++ b/crates/sesamewall-edge/src/internal_server.rs
@@ -32,6 +32,8 @@
 use crate::response::empty;
 use crate::response::full;
 use crate::run::bind;
+use crate::sole_version;
+use crate::sole_version::SOLE_VERSION_PATH;
 use crate::store_relay;
 use crate::store_relay::RELAY_PATH;
 use crate::worker::Worker;
@@ -91,7 +93,7 @@
         let context = &self.context;
         let path = request.uri().path().to_owned();
         match path.as_str() {
-            RELAY_PATH | UPDATES_PATH | JOB_PATH if peers => {
+            RELAY_PATH | UPDATES_PATH | SOLE_VERSION_PATH | JOB_PATH if peers => {
                 let reply = self.serve_peer(&path, request.into_body()).await;
                 let mut response = empty(StatusCode::BAD_REQUEST);
                 if let Some(bytes) = reply {
@@ -136,6 +138,10 @@
                 peer_client::handle_call(body, async |known| peer_updates::serve(context, &known))
                     .await
             }
+            SOLE_VERSION_PATH => {
+                peer_client::handle_call(body, async |query| sole_version::serve(context, &query))
+                    .await
+            }
             _ => peer_client::handle_call(body, |request| self.handle_job_request(request)).await,
         }
     }
--- a/crates/sesamewall-edge/src/lib.rs
+++ b/crates/sesamewall-edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod response;
 mod retirement;
 mod run;
+mod sole_version;
 mod state_exchange;
 mod store_access;
 mod store_relay;
--- a/crates/sesamewall-edge/src/peer_updates.rs
+++ b/crates/sesamewall-edge/src/peer_updates.rs
@@ -156,7 +156,7 @@
 
 /// Returns the addresses of the hubs, live ones if there are any, and those of the local failure
 /// domain first.
-fn hub_addresses(context: &InstanceContext, state: &State, now: Time) -> Vec<IpAddr> {
+pub fn hub_addresses(context: &InstanceContext, state: &State, now: Time) -> Vec<IpAddr> {
     let settings = &context.settings;
     let mut hubs = state.peers.hubs(now);
     if hubs.is_empty() {
--- a/crates/sesamewall-edge/src/store_watch.rs
+++ b/crates/sesamewall-edge/src/store_watch.rs
@@ -21,6 +21,7 @@
 use sesamewall_ports::StoreError;
 use sesamewall_ports::StoredItem;
 use sesamewall_ports::WatchResult;
+use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
 use slog::info;
 use slog::warn;
@@ -53,6 +54,11 @@
     fn is_needed(&self) -> bool;
     /// Called when the watch has stopped; a complete read precedes the next changes.
     fn on_stopped(&mut self) {}
+    /// Called when a watch begins, after a complete read at this revision. Changes before it may not
+    /// have been seen.
+    fn on_started(&mut self, _revision: u64) {}
+    /// Called when the watch has returned all changes up to this revision.
+    fn on_watched(&mut self, _revision: u64) {}
     /// Applies a complete read.
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64);
     /// Applies changes.
@@ -118,6 +124,7 @@
         let result = match revision {
             None => read_all(&context, prefix).await.map(|(items, at)| {
                 handler.replace(items, at);
+                handler.on_started(at);
                 WatchStep::Current(at)
             }),
             Some(at) => {
@@ -154,7 +161,8 @@
         match result {
             Ok(step) => {
                 context.on_store_result(true, &"");
-                if let WatchStep::Current(_) = step {
+                if let WatchStep::Current(at) = step {
+                    handler.on_watched(at);
                     handler.on_current(sent_at);
                 }
                 revision = match step {
@@ -330,8 +338,8 @@
     }
 }
 
-fn name_of(key: &str) -> sesamewall_protocol::TargetName {
-    sesamewall_protocol::TargetName::from(key.strip_prefix(TARGET_PREFIX).unwrap_or(key))
+fn name_of(key: &str) -> TargetName {
+    TargetName::from(key.strip_prefix(TARGET_PREFIX).unwrap_or(key))
 }
 
 /// Decodes a target's entry. An unreadable one is logged when it becomes so, or for another reason,
@@ -476,11 +484,32 @@
     revision < peer_updates::table_revision(state.versions.table)
 }
 
+/// Records the version of a target whose entry is about to change.
+fn observe(state: &mut State, name: &TargetName, now: Time) {
+    if let Some(target) = state.targets.get(name) {
+        state.version_history.on_entry(&target.entry, now);
+    }
+}
+
 impl WatchHandler for TargetWatch {
     fn is_needed(&self) -> bool {
         self.context.watches_store()
     }
 
+    fn on_stopped(&mut self) {
+        self.context.state().version_history.on_watch_ended();
+    }
+
+    fn on_started(&mut self, revision: u64) {
+        let now = self.context.now();
+        let state = &mut *self.context.state();
+        state.version_history.on_watch_started(&state.targets, revision, now);
+    }
+
+    fn on_watched(&mut self, revision: u64) {
+        self.context.state().version_history.on_watched(revision);
+    }
+
     fn replace(&mut self, items: Vec<StoredItem>, revision: u64) {
         let entries = decode_entries(&self.context, &items);
         let now = self.context.now();
@@ -516,7 +545,9 @@
                     highest = highest.max(item.revision);
                     match decode_entry(&self.context, &item) {
                         Some(entry) => {
-                            let mut state = self.context.state();
+                            let state = &mut *self.context.state();
+                            observe(state, &entry.name, now);
+                            state.version_history.on_entry(&entry, now);
                             let known = state.targets.get(&entry.name).map(|known| &known.entry);
                             if known != Some(&entry) {
                                 info!(self.context.log, "target changed"; "target" => %entry.name,
@@ -525,17 +556,21 @@
                             state.targets.upsert(entry, item.revision, now);
                         }
                         None => {
-                            self.context.state().targets.remove(&name_of(&item.key), now);
+                            let state = &mut *self.context.state();
+                            observe(state, &name_of(&item.key), now);
+                            state.targets.remove(&name_of(&item.key), now);
                         }
                     }
                 }
                 StoreChange::Removed { key, revision: at } => {
                     highest = highest.max(at);
                     let name = name_of(&key);
-                    let mut state = self.context.state();
+                    let mut guard = self.context.state();
+                    let state = &mut *guard;
+                    observe(state, &name, now);
                     state.unreadable.on_readable(&key);
                     let expired = state.targets.remove_at(&name, at, now);
-                    drop(state);
+                    drop(guard);
                     info!(self.context.log, "target entry gone"; "target" => %name,
                         "revision" => revision, "lapsed" => expired);
                 }
--- a/crates/sesamewall-edge/src/take_up.rs
+++ b/crates/sesamewall-edge/src/take_up.rs
@@ -11,7 +11,6 @@
 use sesamewall_fleet::TargetState;
 use sesamewall_fleet::VersionFilter;
 use sesamewall_fleet::is_comparable;
-use sesamewall_fleet::record_ttl;
 use sesamewall_fleet::stream_key;
 use sesamewall_fleet::version_key;
 use sesamewall_protocol::Error;
@@ -23,6 +22,7 @@
 use crate::State;
 use crate::caller_request::CallerRequest;
 use crate::refusal::Refusal;
+use crate::sole_version;
 use crate::state_exchange;
 use crate::version_run::ChosenTarget;
 
@@ -34,16 +34,6 @@
 /// Interval between two tries to get a place or a token.
 pub const PLACE_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Longest wait for a confirmation that the target table was complete when the request arrived.
-const CONFIRMATION_WAIT: Duration = Duration::from_millis(1000);
-
-/// Age of the target table above which no confirmation is expected soon: confirmations come more
-/// often while the store serves the fleet.
-const MAX_TABLE_AGE: Duration = Duration::from_millis(1500);
-
-/// Interval between two looks at the age of the target table.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Retry time sent to a client when a holder of the version's record was silent: it may be back by
 /// then.
 const SILENT_RETRY: Duration = Duration::from_millis(500);
@@ -129,7 +119,7 @@
         }
         (LookupEnd::Unknown { silent }, _) => silent,
     };
-    match sole_version(context, request).await {
+    match sole_version::find(context, request).await {
         Some(version) => {
             Origin { version: Some(version_key(&version)), source: VersionSource::Sole, silent }
         }
@@ -156,36 +146,6 @@
     }
 }
 
-/// Returns the version at which the stream must have begun because its service had no other one. A
-/// version that another instance has used before the request arrived is in a table that was complete
-/// at that time, so it waits for the confirmation of such a table.
-async fn sole_version(context: &InstanceContext, request: &CallerRequest) -> Option<Arc<str>> {
-    let route = &request.route;
-    if route.timeout.is_zero() {
-        return None;
-    }
-    let life = record_ttl(route.timeout);
-    let until = request.deadline.min(context.now() + CONFIRMATION_WAIT);
-    loop {
-        let now = context.now();
-        {
-            let state = &mut *context.state();
-            let age = state.freshness.targets_age(now);
-            state.version_history.on_table(&state.targets, age, now);
-            let sole = state.version_history.sole_version(route, life, now)?;
-            let age = age.filter(|age| *age <= MAX_TABLE_AGE)?;
-            let (table, newest) = state.table_revisions(now);
-            if table >= newest && now - age >= request.arrived {
-                return Some(sole);
-            }
-        }
-        if now >= until {
-            return None;
-        }
-        tokio::time::sleep(CONFIRMATION_INTERVAL).await;
-    }
-}
-
 /// Restricts the request to the version of `origin`, at a service of its route that has it.
 fn restrict(
     context: &InstanceContext,
--- a/crates/sesamewall-fleet/src/lib.rs
+++ b/crates/sesamewall-fleet/src/lib.rs
@@ -229,6 +229,7 @@
 pub use update_sources::UpdateSources;
 pub use version_history::VersionHistory;
 pub use version_history::VersionHistorySettings;
+pub use version_history::service_names;
 pub use version_lookup::LookupEnd;
 pub use version_lookup::LookupStep;
 pub use version_lookup::VersionLookup;
--- a/crates/sesamewall-fleet/src/version_history.rs
+++ b/crates/sesamewall-fleet/src/version_history.rs
@@ -1,4 +1,5 @@
-//! Which versions the targets of a service had lately, as one instance has seen it.
+//! Which versions the targets of a service had lately, as an instance that watches their entries has
+//! seen it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 
 use crate::Catalog;
 use crate::RouteSpec;
+use crate::TargetEntry;
 use crate::TargetTable;
 
 /// Settings of the history.
@@ -32,6 +34,11 @@
     }
 }
 
+/// Returns the names of a route's services.
+pub fn service_names(route: &RouteSpec) -> Vec<Arc<str>> {
+    route.services.iter().map(|(service, _)| service.clone()).collect()
+}
+
 /// The services of a route, and since when it has them.
 #[derive(Clone, Debug)]
 struct RouteServices {
@@ -42,10 +49,14 @@
 /// The versions that targets had, by service, without gaps since a known time.
 ///
 /// It shows that a stream without a record began at the one version of its service: the service had
-/// no other one for as long as the stream can have run.
+/// no other one for as long as the stream can have run. Only an instance that watches the entries sees
+/// a version whose targets come and go between two states of the table.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
     settings: VersionHistorySettings,
+    /// Revision of the store up to which all changes of entries were seen; `None` while the instance
+    /// does not watch them.
+    revision: Option<u64>,
     /// Time from which all versions were seen.
     since: Option<Time>,
     observed_at: Option<Time>,
@@ -61,6 +72,36 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Begins a watch of the entries after a complete read at `revision`. Versions that came and went
+    /// before it are not known.
+    pub fn on_watch_started(&mut self, table: &TargetTable, revision: u64, now: Time) {
+        self.revision = Some(revision);
+        self.since = Some(now);
+        self.observe(table, now);
+    }
+
+    /// Records that the watch has returned all changes up to `revision`.
+    pub fn on_watched(&mut self, revision: u64) {
+        self.revision = self.revision.map(|known| known.max(revision));
+    }
+
+    /// Records that the watch has ended.
+    pub fn on_watch_ended(&mut self) {
+        self.revision = None;
+        self.since = None;
+    }
+
+    /// Records that a target has this version, or had it until now.
+    pub fn on_entry(&mut self, entry: &TargetEntry, now: Time) {
+        self.seen.insert((entry.service.clone(), entry.version.clone()), now);
+    }
+
+    /// Returns the revision of the store up to which all changes of entries were seen; `None` while
+    /// the instance does not watch them.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
     /// Observes the versions of all targets. `age` is the age of the table; `None` if it was never
     /// read.
     pub fn on_table(&mut self, table: &TargetTable, age: Option<Duration>, now: Time) {
@@ -70,18 +111,21 @@
         if has_gap || is_old {
             self.since = None;
         }
-        self.observed_at = Some(now);
-        if !is_old {
+        if !is_old && self.revision.is_some() {
             self.since.get_or_insert(now);
         }
-        for target in table.iter() {
-            let key = (target.entry.service.clone(), target.entry.version.clone());
-            self.seen.insert(key, now);
-        }
+        self.observe(table, now);
         let retention = self.settings.retention;
         self.seen.retain(|_, seen_at| now.since(*seen_at) <= retention);
     }
 
+    fn observe(&mut self, table: &TargetTable, now: Time) {
+        self.observed_at = Some(now);
+        for target in table.iter() {
+            self.on_entry(&target.entry, now);
+        }
+    }
+
     /// Observes the services of all routes.
     pub fn on_catalog(&mut self, catalog: &Catalog, now: Time) {
         if catalog.version == self.catalog_version {
@@ -90,25 +134,30 @@
         self.catalog_version = catalog.version;
         let mut before = std::mem::take(&mut self.routes);
         for route in catalog.routes() {
-            let services: Vec<Arc<str>> =
-                route.services.iter().map(|(service, _)| service.clone()).collect();
+            let services = service_names(route);
             let known = before.remove(&route.name).filter(|known| known.services == services);
             let entry = known.unwrap_or(RouteServices { services, since: now });
             self.routes.insert(route.name.clone(), entry);
         }
     }
 
-    /// Returns the only version at which a stream of the route can have begun within `life`; `None`
-    /// if there was another one, or could have been.
-    pub fn sole_version(&self, route: &RouteSpec, life: Duration, now: Time) -> Option<Arc<str>> {
+    /// Returns the only version at which a stream of the route with these services can have begun
+    /// within `life`; `None` if there was another one, or could have been.
+    pub fn sole_version(
+        &self,
+        route: &str,
+        services: &[Arc<str>],
+        life: Duration,
+        now: Time,
+    ) -> Option<Arc<str>> {
         let covers = |since: Time| now.since(since) >= life && life <= self.settings.retention;
         let is_observed = self.observed_at.is_some_and(|at| now.since(at) <= self.settings.max_gap);
-        let services = self.routes.get(&route.name).filter(|known| covers(known.since));
-        if !is_observed || !self.since.is_some_and(covers) || services.is_none() {
+        let is_known = |known: &RouteServices| known.services == services && covers(known.since);
+        let has_services = self.routes.get(route).is_some_and(is_known);
+        if !is_observed || !self.since.is_some_and(covers) || !has_services {
             return None;
         }
-        let is_of_route =
-            |service: &Arc<str>| route.services.iter().any(|(name, _)| name == service);
+        let is_of_route = |service: &Arc<str>| services.contains(service);
         let lately = self.seen.iter().filter(|(_, seen_at)| now.since(**seen_at) <= life);
         let mut versions = lately.filter(|((service, _), _)| is_of_route(service));
         let ((_, first), _) = versions.next()?;
--- a/crates/sesamewall-fleet/tests/decisions/stream_version_play.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_version_play.rs
@@ -21,6 +21,7 @@
 use sesamewall_fleet::VersionLookup;
 use sesamewall_fleet::VersionLookupSettings;
 use sesamewall_fleet::WorkerStatus;
+use sesamewall_fleet::service_names;
 use sesamewall_fleet::version_key;
 use sesamewall_protocol::TargetName;
 
@@ -306,7 +307,9 @@
             // confirmed table.
             LookupEnd::Unknown { .. } => {
                 let life = LIFE + Duration::from_millis(TABLE_DELAY);
-                let sole = local.history.sole_version(&route(&["chat"]), life, at(self.now));
+                let route = route(&["chat"]);
+                let services = service_names(&route);
+                let sole = local.history.sole_version(&route.name, &services, life, at(self.now));
                 sole.filter(|_| local.pending.is_empty()).map(|version| version_key(&version))
             }
         };
@@ -394,6 +397,9 @@
             for instance in self.instances.iter_mut().filter(|instance| instance.up_at <= now) {
                 instance.apply_changes(now);
                 if now.is_multiple_of(OBSERVE_INTERVAL) {
+                    if instance.history.revision().is_none() {
+                        instance.history.on_watch_started(&instance.table, 1, at(now));
+                    }
                     instance.history.on_table(&instance.table, Some(Duration::ZERO), at(now));
                     instance.known.on_tick(at(now));
                 }
--- a/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
@@ -34,6 +34,7 @@
 use sesamewall_fleet::WorkerStatus;
 use sesamewall_fleet::record_ttl;
 use sesamewall_fleet::response_version;
+use sesamewall_fleet::service_names;
 use sesamewall_fleet::stream_key;
 use sesamewall_fleet::version_holders;
 use sesamewall_fleet::version_key;
@@ -442,6 +443,7 @@
 fn history() -> VersionHistory {
     let mut history = VersionHistory::new(VersionHistorySettings::default());
     history.on_catalog(&catalog(1, route(&["chat"])), at(0));
+    history.on_watch_started(&TargetTable::default(), 1, at(0));
     history
 }
 
@@ -449,7 +451,8 @@
 
 fn sole(history: &VersionHistory, now: u64) -> Option<Arc<str>> {
     let route = route(&["chat"]);
-    history.sole_version(&route, record_ttl(route.timeout), at(now))
+    let life = record_ttl(route.timeout);
+    history.sole_version(&route.name, &service_names(&route), life, at(now))
 }
 
 /// Guards against a stream that goes on at the only present version of a service that had another
@@ -494,6 +497,45 @@
     assert_eq!(sole(&unread, LIFE), None);
 }
 
+/// Guards against a version that counts as the only one because the targets of another one came and
+/// went between two states of the table.
+#[test]
+fn a_version_that_came_and_went_between_two_tables_is_seen() {
+    let mut history = history();
+    let one = table(&[("t1", "v1")]);
+    observe(&mut history, &one, 0, LIFE);
+    assert_eq!(sole(&history, LIFE).as_deref(), Some("v1"));
+    history.on_entry(&versioned("t2", "v2"), at(LIFE + 100));
+    history.on_watched(7);
+    observe(&mut history, &one, LIFE + 250, 2 * LIFE);
+    assert_eq!(history.revision(), Some(7));
+    assert_eq!(sole(&history, LIFE + 250), None);
+    assert_eq!(sole(&history, 2 * LIFE), None, "the last stream of the other version may live");
+}
+
+/// Guards against an instance that shows a version to be the only one from tables that others have
+/// read: it does not see what came and went between them.
+#[test]
+fn only_a_watch_without_a_gap_shows_a_version_to_be_the_only_one() {
+    let one = table(&[("t1", "v1")]);
+    let mut member = VersionHistory::new(VersionHistorySettings::default());
+    member.on_catalog(&catalog(1, route(&["chat"])), at(0));
+    observe(&mut member, &one, 0, LIFE);
+    assert_eq!((sole(&member, LIFE), member.revision()), (None, None));
+    let mut ended = history();
+    observe(&mut ended, &one, 0, LIFE);
+    ended.on_watch_ended();
+    observe(&mut ended, &one, LIFE + 250, LIFE + 250);
+    assert_eq!((sole(&ended, LIFE + 250), ended.revision()), (None, None));
+    let mut again = history();
+    observe(&mut again, &one, 0, LIFE);
+    again.on_watch_started(&one, 9, at(LIFE + 100));
+    observe(&mut again, &one, LIFE + 250, LIFE + 250);
+    assert_eq!(sole(&again, LIFE + 250), None, "the history of the store had a gap");
+    observe(&mut again, &one, LIFE + 500, 2 * LIFE + 250);
+    assert_eq!(sole(&again, 2 * LIFE + 250).as_deref(), Some("v1"));
+}
+
 /// Guards against a stream that began at a service that its route has left: the versions of the
 /// present service tell nothing about it.
 #[test]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -34,6 +34,8 @@
 mod odd_entries;
 #[path = "platform/online.rs"]
 mod online;
+#[path = "platform/out_of_step.rs"]
+mod out_of_step;
 #[path = "platform/public_jobs.rs"]
 mod public_jobs;
 #[path = "platform/removed_route.rs"]
--- a/tests/platform/hub.rs
+++ b/tests/platform/hub.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sesamewall_fleet::Confirmation;
 use sesamewall_fleet::Datagram;
 use sesamewall_fleet::Digest;
 use sesamewall_fleet::HubStatus;
@@ -54,6 +55,7 @@
 struct Shared {
     inner: Mutex<Inner>,
     hangs: AtomicBool,
+    confirms: AtomicBool,
     sequence: AtomicU64,
     hubs: Vec<HubStatus>,
 }
@@ -87,6 +89,7 @@
         let shared = Arc::new(Shared {
             inner: Mutex::default(),
             hangs: AtomicBool::new(false),
+            confirms: AtomicBool::new(false),
             sequence: AtomicU64::new(0),
             hubs: hubs.clone(),
         });
@@ -124,6 +127,12 @@
     pub fn set_hanging(&self, hangs: bool) {
         self.shared.hangs.store(hangs, Ordering::Relaxed);
     }
+
+    /// Sets whether the hubs confirm what they have read as complete, however old it is: to its
+    /// receiver, a confirmation that was late on its way looks the same.
+    pub fn set_confirming(&self, confirms: bool) {
+        self.shared.confirms.store(confirms, Ordering::Relaxed);
+    }
 }
 
 async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>, hub: HubStatus) {
@@ -151,6 +160,12 @@
         let members: Vec<_> = shared.inner().members.clone().into_iter().collect();
         for (address, member) in members {
             let _ = socket.send_to(&digest(&shared, &hub, member), address).await;
+            if shared.confirms.load(Ordering::Relaxed) {
+                let versions = shared.inner().versions;
+                let confirmation = Confirmation { versions, operators_age: 0, targets_age: 0 };
+                let datagram = Datagram::Confirmation(confirmation).encode();
+                let _ = socket.send_to(&datagram, address).await;
+            }
         }
     }
 }
