Compare begun streams until the table is newer than they are

A front that was cut off kept a wrong record of a stream's version: its target had started again with a new version, and the entry of that start could be read only after the cut.

Cause: streams were compared with new entries for 3 s after their first event, also while the table was older than the event.

Change: they are compared until the table is complete as of 3 s after the event, at most for the life of a record.

Evidence: the decision test failed with the comparison as it was (no stream in doubt) and passes.

--- a/crates/sesamewall-edge/src/state_exchange/stream_versions.rs
+++ b/crates/sesamewall-edge/src/state_exchange/stream_versions.rs
@@ -130,7 +130,8 @@
 pub fn withdraw_doubtful(context: &InstanceContext) {
     let now = context.now();
     let state = &mut *context.state();
-    let doubtful = state.stream_versions.take_doubtful(&state.targets, now);
+    let age = state.freshness.targets_age(now);
+    let doubtful = state.stream_versions.take_doubtful(&state.targets, age, now);
     for stream in doubtful {
         let ttl = state.stream_versions.get(stream, now).1.max(RECORD_TTL);
         warn!(context.log, "version of a stream withdrawn"; "stream" => format!("{stream:016x}"));
--- a/crates/sesamewall-fleet/src/stream_versions.rs
+++ b/crates/sesamewall-fleet/src/stream_versions.rs
@@ -101,7 +101,8 @@
     /// Largest number of begun streams whose targets' entries are compared once more. Beyond it the
     /// oldest one is not compared.
     pub max_compared: usize,
-    /// Longest time until the entry of a new start of a target has been read.
+    /// Longest time until a target has written the entry of a new start, and a table shows it that is
+    /// as new.
     pub compare_time: Duration,
     /// Largest difference between the clocks of this instance and of a target.
     pub clock_skew: Duration,
@@ -205,8 +206,13 @@
     }
 
     /// Returns the begun streams whose targets turn out to have started again before the first event.
-    /// Their versions are in doubt.
-    pub fn take_doubtful(&mut self, table: &TargetTable, now: Time) -> Vec<u64> {
+    /// Their versions are in doubt. `age` is the age of the table; `None` if it was never read.
+    pub fn take_doubtful(
+        &mut self,
+        table: &TargetTable,
+        age: Option<Duration>,
+        now: Time,
+    ) -> Vec<u64> {
         let StreamVersionSettings { compare_time, clock_skew, .. } = self.settings;
         let skew_ms = clock_skew.as_millis() as u64;
         let mut doubtful = Vec::new();
@@ -218,7 +224,10 @@
             if is_doubtful {
                 doubtful.push(begun.stream);
             }
-            !is_doubtful && now.since(begun.begun_at) < compare_time
+            let since_begun = now.since(begun.begun_at);
+            // What the table shows is as old as the table.
+            let shown = age.map_or(Duration::ZERO, |age| since_begun.saturating_sub(age));
+            !is_doubtful && shown < compare_time && since_begun < RECORD_TTL
         });
         doubtful
     }
--- a/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/stream_versions.rs
@@ -374,6 +374,9 @@
     assert_eq!(version(&table), Some(one.clone()), "a target without its entry serves on");
 }
 
+/// Age of a table that was read a moment ago.
+const AGE: Option<Duration> = Some(Duration::ZERO);
+
 /// Guards against a record of the version before a restart: the target began the stream after it had
 /// started again, before its new entry was read. A target that starts again later, after a crash,
 /// leaves the record as it is.
@@ -390,16 +393,41 @@
     known.on_begun(begun(7, 10_000));
     known.on_begun(begun(8, 3000));
     let mut table = table(&[("t1", "v1")]);
-    assert!(known.take_doubtful(&table, at(100)).is_empty());
+    assert!(known.take_doubtful(&table, AGE, at(100)).is_empty());
     table.upsert(TargetEntry { started_ms: 9500, ..versioned("t1", "v2") }, 2, at(200));
-    assert_eq!(known.take_doubtful(&table, at(200)), [7]);
-    assert!(known.take_doubtful(&table, at(300)).is_empty());
+    assert_eq!(known.take_doubtful(&table, AGE, at(200)), [7]);
+    assert!(known.take_doubtful(&table, AGE, at(300)).is_empty());
     known.on_begun(begun(10, 10_000));
     known.on_lost(10);
-    assert!(known.take_doubtful(&table, at(400)).is_empty(), "the former start has crashed");
+    assert!(known.take_doubtful(&table, AGE, at(400)).is_empty(), "the former start has crashed");
     known.on_begun(begun(9, 10_000));
-    assert!(known.take_doubtful(&TargetTable::default(), at(3000)).is_empty());
-    assert!(known.take_doubtful(&table, at(3000)).is_empty(), "compared for a limited time");
+    assert!(known.take_doubtful(&TargetTable::default(), AGE, at(3000)).is_empty());
+    assert!(known.take_doubtful(&table, AGE, at(3000)).is_empty(), "compared for a limited time");
+    known.on_begun(begun(11, 10_000));
+    let never = RECORD_TTL.as_millis() as u64;
+    assert!(known.take_doubtful(&TargetTable::default(), None, at(never)).is_empty());
+    assert!(known.take_doubtful(&table, AGE, at(never)).is_empty(), "the record has expired");
+}
+
+/// Guards against a wrong version that stays recorded because the instance could read the new entry of
+/// the target only long after the first event, when its cut was over.
+#[test]
+fn a_stream_is_compared_until_the_table_is_newer_than_it() {
+    let mut known = StreamVersions::default();
+    known.on_begun(BegunStream {
+        stream: 7,
+        target: TargetName::from("t1"),
+        started_ms: 1,
+        begun_ms: 10_000,
+        begun_at: at(1000),
+    });
+    let mut table = table(&[("t1", "v1")]);
+    // Cut off at 0: the table grows old.
+    for now in (1000..6000).step_by(250) {
+        assert!(known.take_doubtful(&table, Some(Duration::from_millis(now)), at(now)).is_empty());
+    }
+    table.upsert(TargetEntry { started_ms: 9500, ..versioned("t1", "v2") }, 2, at(6000));
+    assert_eq!(known.take_doubtful(&table, AGE, at(6000)), [7]);
 }
 
 /// Guards against memory that grows with the streams that begin within the time of the comparison.
@@ -419,7 +447,7 @@
     }
     let mut table = TargetTable::default();
     table.upsert(TargetEntry { started_ms: 2, ..versioned("t1", "v2") }, 2, at(1));
-    assert_eq!(known.take_doubtful(&table, at(1)), (90..100).collect::<Vec<_>>());
+    assert_eq!(known.take_doubtful(&table, AGE, at(1)), (90..100).collect::<Vec<_>>());
 }
 
 /// Guards against targets without a version that count as one version beside targets that name
