Keep a target in service that has other weights than a request names

Cause: each 421 was taken for the answer of another target at the address. It also means that the weights have another version than the request names.

Change: a 421 to a request that names weights counts against the target only if the answer names the same ones. Otherwise the request was not run and the target stays as it is.

--- a/crates/sesamewall-edge/src/attempt.rs
+++ b/crates/sesamewall-edge/src/attempt.rs
@@ -30,11 +30,13 @@
 use sesamewall_fleet::request_key;
 use sesamewall_fleet::response_version;
 use sesamewall_platform::EXPECT_TARGET;
+use sesamewall_platform::EXPECT_WEIGHTS;
 use sesamewall_platform::LAST_EVENT_ID;
 use sesamewall_platform::LEAVING;
 use sesamewall_platform::NOT_RUN;
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::SEAL;
+use sesamewall_platform::WEIGHTS;
 use sesamewall_platform::request_limit;
 use sesamewall_protocol::TargetName;
 use sesamewall_protocol::Time;
@@ -454,7 +456,10 @@
                 state.targets.on_refusal(&placement.name, REFUSAL_BACKOFF, now);
             }
             AttemptError::Misdirected => state.targets.on_misdirected(&placement.name),
-            AttemptError::Mismatch | AttemptError::Withdrawn | AttemptError::LeaseEnded => {}
+            AttemptError::Mismatch
+            | AttemptError::WeightsChanged
+            | AttemptError::Withdrawn
+            | AttemptError::LeaseEnded => {}
             AttemptError::ConnectFailed(_) => {
                 state.targets.on_failure(&placement.name, now);
                 state.targets.on_unreachable(&placement.name, now);
@@ -470,6 +475,16 @@
 /// of its slots becomes free.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(100);
 
+/// Returns whether a 421 may be for the version of the weights that the request names. It then says
+/// nothing about the target at the address.
+fn is_of_weights(request: &HeaderMap, response: &HeaderMap) -> bool {
+    let expected = request.get(EXPECT_WEIGHTS).map(HeaderValue::as_bytes);
+    let present = response.get(WEIGHTS).map(HeaderValue::as_bytes);
+    expected.is_some_and(|expected| {
+        present.is_none_or(|present| present.trim_ascii() != expected.trim_ascii())
+    })
+}
+
 async fn exchange(
     context: &Arc<InstanceContext>,
     placement: &Placement,
@@ -530,7 +545,10 @@
     // Without the request's id, a refusal on a reused connection may be a repeated one.
     let unnamed = !connection.reused && !head.headers.contains_key(REQUEST_ID);
     if head.status == StatusCode::MISDIRECTED_REQUEST && (same || unnamed) {
-        return Err(AttemptError::Misdirected);
+        return Err(match is_of_weights(&attempt_request.headers, &head.headers) {
+            true => AttemptError::WeightsChanged,
+            false => AttemptError::Misdirected,
+        });
     }
     if (same || unnamed) && head.headers.contains_key(LEAVING) {
         let now = context.now();
--- a/crates/sesamewall-edge/src/attempt_error.rs
+++ b/crates/sesamewall-edge/src/attempt_error.rs
@@ -24,6 +24,9 @@
     /// The target reported that it did not run the request.
     #[display("not run, status {_0}")]
     NotRun(u16),
+    /// The target's weights do not have the version that the request names; nothing was run.
+    #[display("another version of the weights")]
+    WeightsChanged,
     /// The address now belongs to another target.
     #[display("another target has the address")]
     Misdirected,
@@ -62,6 +65,7 @@
                 | Self::LeaseEnded
                 | Self::NotRun(_)
                 | Self::Misdirected
+                | Self::WeightsChanged
         )
     }
 
@@ -74,6 +78,7 @@
             Self::LeaseEnded => "lease-ended",
             Self::NotRun(_) => "not-run",
             Self::Misdirected => "misdirected",
+            Self::WeightsChanged => "weights-changed",
             Self::Mismatch => "mismatch",
             Self::Failed(_) => "failed",
             Self::VersionChanged => "version-changed",
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -6,6 +6,8 @@
 mod deadly_parts;
 #[path = "platform/early_response.rs"]
 mod early_response;
+#[path = "platform/expected_weights.rs"]
+mod expected_weights;
 #[path = "platform/faulty_targets.rs"]
 mod faulty_targets;
 #[path = "platform/fixture.rs"]
