Give up items that targets only refuse once their time is over

Cause: a refusal counted as nothing but a short delay, and the age of an item was looked at only for items with a poison part.

Change: refusals in a row are counted. From the sixth on the delay grows to 1 s, and an item past the time for which its route keeps items is given up after five. A run in between starts the count again.

--- a/crates/sesamewall-edge/src/item_attempt.rs
+++ b/crates/sesamewall-edge/src/item_attempt.rs
@@ -34,6 +34,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::InstanceContext;
+use crate::attempt::AttemptError;
 use crate::attempt::AttemptRequest;
 use crate::attempt::AttemptResponse;
 use crate::attempt::InFlightGuard;
@@ -235,6 +236,9 @@
         let mut response =
             match attempt_guarded(context, target, &attempt_request, STALL_TIMEOUT, guard).await {
                 Ok(response) => response,
+                Err(AttemptError::NotRun(_) | AttemptError::WeightsChanged) => {
+                    return ItemEnd::Refused;
+                }
                 Err(error) if error.is_not_run() => return ItemEnd::NotRun,
                 Err(_) => return ItemEnd::Broken,
             };
--- a/crates/sesamewall-edge/src/item_start.rs
+++ b/crates/sesamewall-edge/src/item_start.rs
@@ -53,6 +53,10 @@
 /// Time between two checks of an item whose route the worker does not know.
 const ROUTE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Largest difference between the time of day of the instance that accepted a job and the local one,
+/// from which the job's age follows.
+const CLOCK_MARGIN: Duration = Duration::from_secs(1);
+
 /// Targets at which new items may start.
 #[derive(Default)]
 struct StartTargets {
@@ -447,7 +451,16 @@
         {
             self.run_times().on_complete(now.since(running.started), progress.events());
         }
-        match progress.on_end(&self.item_settings, result, attempt.max_attempts(), now) {
+        let keep = attempt.keep();
+        let is_over = !keep.is_zero() && now.since(job.accepted_at) > keep + CLOCK_MARGIN;
+        let state = progress.on_end(&self.item_settings, result, attempt.max_attempts(), now);
+        let is_refused = state.is_none() && is_over && progress.is_refused(&self.item_settings);
+        if is_refused {
+            info!(self.context.log, "item given up after refusals"; "job" => %name,
+                "item" => %attempt.item().id, "tokens" => attempt.item().tokens,
+                "age_ms" => now.since(job.accepted_at).as_millis() as u64);
+        }
+        match state.or(is_refused.then_some(ResultState::GivenUp)) {
             Some(state) => {
                 let output = match state {
                     ResultState::Completed => progress.into_output(),
--- a/crates/sesamewall-fleet/src/item_progress.rs
+++ b/crates/sesamewall-fleet/src/item_progress.rs
@@ -22,6 +22,8 @@
     pub backoff: Duration,
     /// Longest backoff.
     pub max_backoff: Duration,
+    /// Refusals in a row after which the backoff grows, and an item whose time is over is given up.
+    pub refusal_limit: u32,
     /// Longest wait of an item with an output for a place at a target of the version that wrote it,
     /// while targets of other versions have a place.
     pub version_wait: Duration,
@@ -32,6 +34,7 @@
         Self {
             backoff: Duration::from_millis(100),
             max_backoff: Duration::from_secs(1),
+            refusal_limit: 5,
             version_wait: Duration::from_secs(2),
         }
     }
@@ -46,7 +49,10 @@
     Impossible,
     /// The target ran the item and failed.
     Failed,
-    /// The target did not run the item.
+    /// The target refused the item, because it is full or cannot take it. Nothing distinguishes an item
+    /// that is larger than the target's memory from one that comes at a bad time.
+    Refused,
+    /// The item did not reach a target.
     NotRun,
     /// The stream broke off, or the outcome is unknown.
     Broken,
@@ -95,6 +101,8 @@
     no_place_since: Option<Time>,
     failures: u32,
     breaks: u32,
+    /// Refusals since the last run.
+    refusals: u32,
     not_before: Time,
 }
 
@@ -220,9 +228,15 @@
         now: Time,
     ) -> Option<ResultState> {
         let is_unheard = self.begun_after.take().is_none();
-        if is_unheard && self.events > 0 && matches!(end, ItemEnd::NotRun | ItemEnd::Broken) {
+        let lost_place = matches!(end, ItemEnd::Refused | ItemEnd::NotRun | ItemEnd::Broken);
+        if is_unheard && self.events > 0 && lost_place {
             self.on_no_place(now);
         }
+        self.refusals = match end {
+            ItemEnd::Refused => self.refusals.saturating_add(1),
+            ItemEnd::NotRun => self.refusals,
+            _ => 0,
+        };
         let backoff = (settings.backoff * (1 << self.breaks.min(4))).min(settings.max_backoff);
         match end {
             ItemEnd::Whole => return Some(ResultState::Completed),
@@ -237,6 +251,11 @@
                     return Some(ResultState::GivenUp);
                 }
             }
+            ItemEnd::Refused => {
+                let further = self.refusals.saturating_sub(settings.refusal_limit).min(4);
+                self.not_before =
+                    now + (settings.backoff * (1 << further)).min(settings.max_backoff);
+            }
             ItemEnd::NotRun => self.not_before = now + settings.backoff,
             ItemEnd::Broken => {
                 self.breaks += 1;
@@ -247,6 +266,11 @@
         None
     }
 
+    /// Returns whether targets only refuse the item, so that it is given up once its time is over.
+    pub fn is_refused(&self, settings: &ItemSettings) -> bool {
+        self.refusals >= settings.refusal_limit
+    }
+
     /// Delays the next attempt.
     pub fn hold(&mut self, until: Time) {
         self.not_before = self.not_before.max(until);
--- a/crates/sesamewall-fleet/tests/decisions/item_versions.rs
+++ b/crates/sesamewall-fleet/tests/decisions/item_versions.rs
@@ -129,7 +129,7 @@
     progress.on_no_place(at(1500));
     assert_eq!(next_run(&progress, &targets, at(1001)), goes_on);
     assert_eq!(next_run(&progress, &targets, over), no_place);
-    for end in [ItemEnd::NotRun, ItemEnd::Broken] {
+    for end in [ItemEnd::Refused, ItemEnd::NotRun, ItemEnd::Broken] {
         let mut refused = broken_off(version("v1"));
         refused.on_end(&settings, end, 3, at(1000));
         refused.on_end(&settings, end, 3, at(1500));
--- a/crates/sesamewall-fleet/tests/decisions/streams.rs
+++ b/crates/sesamewall-fleet/tests/decisions/streams.rs
@@ -57,7 +57,7 @@
 fn only_failed_runs_count_toward_giving_up() {
     let settings = ItemSettings::default();
     let mut progress = ItemProgress::default();
-    for end in [ItemEnd::Broken, ItemEnd::NotRun, ItemEnd::MadeWay].repeat(10) {
+    for end in [ItemEnd::Broken, ItemEnd::Refused, ItemEnd::NotRun, ItemEnd::MadeWay].repeat(10) {
         assert_eq!(progress.on_end(&settings, end, 3, at(0)), None);
     }
     assert_eq!(progress.on_end(&settings, ItemEnd::Failed, 3, at(0)), None);
@@ -66,6 +66,31 @@
     assert_eq!(end, Some(ResultState::GivenUp));
 }
 
+/// Guards against an item that no target can take and that is sent ten times a second for good, and
+/// against one that is given up because targets were full for a moment.
+#[test]
+fn refusals_in_a_row_delay_an_item_and_show_it_to_be_refused() {
+    let settings = ItemSettings::default();
+    let mut progress = ItemProgress::default();
+    let mut now = at(0);
+    let mut delays = Vec::new();
+    for _ in 0..settings.refusal_limit * 3 {
+        assert_eq!(progress.on_end(&settings, ItemEnd::Refused, 3, now), None);
+        delays.push(progress.not_before().since(now));
+        now = progress.not_before();
+    }
+    let limit = settings.refusal_limit as usize;
+    assert!(delays[..limit].iter().all(|delay| *delay == settings.backoff), "{delays:?}");
+    assert_eq!(delays.last(), Some(&settings.max_backoff));
+    assert!(progress.is_refused(&settings));
+    progress.on_end(&settings, ItemEnd::NotRun, 3, now);
+    assert!(progress.is_refused(&settings), "it reached no target");
+    progress.on_end(&settings, ItemEnd::Broken, 3, now);
+    assert!(!progress.is_refused(&settings), "a target has run it");
+    progress.on_end(&settings, ItemEnd::Refused, 3, now);
+    assert!(!progress.is_refused(&settings));
+}
+
 /// Guards against an output that joins parts of a failed run and of the next one.
 #[test]
 fn a_failed_run_restarts_the_output() {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -40,6 +40,8 @@
 mod out_of_step;
 #[path = "platform/public_jobs.rs"]
 mod public_jobs;
+#[path = "platform/refused_items.rs"]
+mod refused_items;
 #[path = "platform/removed_route.rs"]
 mod removed_route;
 #[path = "platform/response_copies.rs"]
