Bound the results that a front keeps by its memory

Cause: the cache of results was bounded by 64 jobs, whatever their size.

Change: it is bounded by a share of the memory, too. The least recently read jobs give way and are read again; eight jobs at most are read whole at a time.

The stand-in gets two common responses, which the new tests had each.

--- a/crates/sesamewall-edge/src/job_api.rs
+++ b/crates/sesamewall-edge/src/job_api.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use sesamewall_fleet::ResultList;
 use sesamewall_fleet::RouteSpec;
 use sesamewall_fleet::job_owners;
+use sesamewall_platform::ClientLimits;
 use sesamewall_platform::JobCall;
 use sesamewall_platform::REQUEST_ID;
 use sesamewall_platform::WAIT_MS;
@@ -51,7 +54,8 @@
 /// escaped.
 const PAGE_BYTES: usize = 400 << 10;
 
-/// Number of jobs whose results are cached; the least recently read one is evicted first.
+/// Number of jobs whose results are cached; the least recently read one is evicted first. Their bytes
+/// are limited by a share of the memory.
 const MAX_VIEWS: usize = 64;
 
 /// Time limit for accepting or ending a job. Clients wait for about the objective of the route,
@@ -75,6 +79,10 @@
 /// Retry time sent to a caller when no better estimate exists.
 const DEFAULT_RETRY: Duration = Duration::from_millis(500);
 
+/// Jobs whose results are read whole from a worker or the store at the same time. Their size is known
+/// only when they have arrived.
+const VIEW_READS: usize = 8;
+
 /// Bodies of items that are read from workers or the store at the same time. Their size is known
 /// only when they have arrived.
 const BODY_READS: usize = 8;
@@ -82,6 +90,19 @@
 struct JobView {
     head: JobHead,
     results: Mutex<ResultList>,
+    /// Bytes of the results when they were last read.
+    bytes: AtomicUsize,
+}
+
+impl JobView {
+    fn new(head: JobHead, results: ResultList) -> Self {
+        let bytes = AtomicUsize::new(results.bytes());
+        Self { head, results: Mutex::new(results), bytes }
+    }
+
+    fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
 }
 
 struct CachedView {
@@ -106,6 +127,9 @@
     context: Arc<InstanceContext>,
     views: std::sync::Mutex<HashMap<JobName, CachedView>>,
     body_reads: Semaphore,
+    view_reads: Semaphore,
+    /// Most bytes of cached results.
+    view_bytes: usize,
 }
 
 fn store_failed(error: &StoreError) -> Error {
@@ -127,7 +151,16 @@
 impl JobApi {
     /// Creates the interface.
     pub fn new(context: Arc<InstanceContext>) -> Self {
-        Self { context, views: std::sync::Mutex::default(), body_reads: Semaphore::new(BODY_READS) }
+        let settings = &context.settings;
+        let share = settings.client_limits.result_share;
+        let view_bytes = ClientLimits::memory_part(settings.memory_mb, share);
+        Self {
+            context,
+            views: std::sync::Mutex::default(),
+            body_reads: Semaphore::new(BODY_READS),
+            view_reads: Semaphore::new(VIEW_READS),
+            view_bytes,
+        }
     }
 
     /// Accepts a job.
@@ -377,15 +410,25 @@
     }
 
     fn cache_view(&self, job: &JobName, head: JobHead, results: ResultList) -> Arc<JobView> {
-        let view = Arc::new(JobView { head, results: Mutex::new(results) });
+        let view = Arc::new(JobView::new(head, results));
+        let cached = CachedView { view: view.clone(), used: self.context.now() };
+        let view = self.views().entry(job.clone()).or_insert(cached).view.clone();
+        self.evict_views();
+        view
+    }
+
+    /// Removes the least recently read jobs from the cache until it is within its limits. A job that
+    /// alone has more bytes than the limit is not kept either.
+    fn evict_views(&self) {
         let mut views = self.views();
-        if views.len() >= MAX_VIEWS {
+        let mut bytes: usize = views.values().map(|cached| cached.view.bytes()).sum();
+        while views.len() > MAX_VIEWS || bytes > self.view_bytes {
             let oldest =
                 views.iter().min_by_key(|(_, cached)| cached.used).map(|(job, _)| job.clone());
-            oldest.and_then(|job| views.remove(&job));
+            let Some(removed) = oldest.and_then(|job| views.remove(&job)) else { return };
+            // The results may have grown since they were added up.
+            bytes = bytes.saturating_sub(removed.view.bytes());
         }
-        let cached = CachedView { view: view.clone(), used: self.context.now() };
-        views.entry(job.clone()).or_insert(cached).view.clone()
     }
 
     fn views(&self) -> std::sync::MutexGuard<'_, HashMap<JobName, CachedView>> {
@@ -416,6 +459,12 @@
         job: &JobName,
         account: Option<&AccountName>,
     ) -> Result<Arc<JobView>, Error> {
+        if let Some(view) = self.cached_view(job) {
+            return Ok(view);
+        }
+        // A failure means that the semaphore was closed, which never happens.
+        let _permit = self.view_reads.acquire().await;
+        // Another call may have read the job meanwhile.
         if let Some(view) = self.cached_view(job) {
             return Ok(view);
         }
@@ -469,6 +518,8 @@
                     read.map_err(|error| store_failed(&error))?;
                 }
             }
+            view.bytes.store(view.results.lock().await.bytes(), Ordering::Relaxed);
+            self.evict_views();
             // A reply has a part of the results at most. Only a reply without a further one shows
             // that there is nothing at the position.
             if view.results.lock().await.groups() > groups {
--- a/crates/sesamewall-edge/src/online.rs
+++ b/crates/sesamewall-edge/src/online.rs
@@ -136,10 +136,9 @@
             .ok_or_else(|| Refusal::later(Error::Starting, DEFAULT_RETRY))?;
         let (head, body) = request.into_parts();
         let host = request_host(&head.headers, &head.uri).to_owned();
-        let about_job = parse_job_call(&head.method, &head.uri);
-        // A job stays readable after its route has gone, so its host need not have a route.
         let caller = Caller::of(&catalog, &head.headers);
-        if let Some(call) = about_job {
+        // A job stays readable after its route has gone, so its host need not have a route.
+        if let Some(call) = parse_job_call(&head.method, &head.uri) {
             let accounts = caller.job_accounts(&catalog).map_err(Refusal::new)?;
             self.check_job_time()?;
             self.read_body(body, &catalog, DEFAULT_TIMEOUT).await?;
@@ -156,6 +155,7 @@
         if route.kind == RouteKind::Batch && head.method == http::Method::POST {
             self.check_job_time()?;
             let _parsed = self.reserve_job(&body).await?;
+            // Builds that took no account on public routes may have accepted the job.
             if route.public && account.is_some() && self.was_accepted(&head, &[None]).await? {
                 return Ok(empty(StatusCode::ACCEPTED));
             }
--- a/crates/sesamewall-fleet/src/job.rs
+++ b/crates/sesamewall-fleet/src/job.rs
@@ -116,6 +116,12 @@
         self.results.len()
     }
 
+    /// Returns the bytes of all outputs and ids.
+    pub fn bytes(&self) -> usize {
+        let of_result = |result: &Arc<ItemResult>| result.output.len() + result.id.as_str().len();
+        self.results.iter().map(of_result).sum()
+    }
+
     /// Returns whether there is no result.
     pub fn is_empty(&self) -> bool {
         self.results.is_empty()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -48,6 +48,8 @@
 mod response_copies;
 #[path = "platform/responses.rs"]
 mod responses;
+#[path = "platform/result_memory.rs"]
+mod result_memory;
 #[path = "platform/result_pages.rs"]
 mod result_pages;
 #[path = "platform/retirement.rs"]
--- a/tests/platform/expected_weights.rs
+++ b/tests/platform/expected_weights.rs
@@ -7,6 +7,8 @@
 use serde_json::json;
 use sesamewall_platform_standin::RawTarget;
 use sesamewall_platform_standin::Step;
+use sesamewall_platform_standin::refusal;
+use sesamewall_platform_standin::stream_response;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -24,19 +26,10 @@
 async fn start(with_version: bool) -> RawTarget {
     RawTarget::start(move |_, id| {
         let version = if with_version { "sesamewall-weight-versions: 2\r\n" } else { "" };
-        if id.starts_with("earlier") {
-            return vec![Step::text(format!(
-                "HTTP/1.1 421 Misdirected Request\r\nsesamewall-request-id: {id}\r\n{version}\
-                 sesamewall-not-run: 1\r\ncontent-length: 0\r\n\r\n"
-            ))];
-        }
-        let body = format!("id: 1\ndata: {id}\n\n");
-        vec![Step::text(format!(
-            "HTTP/1.1 200 OK\r\nsesamewall-request-id: {id}\r\n{version}\
-             sesamewall-response-seal: seal-1\r\ncontent-type: text/event-stream\r\n\
-             content-length: {}\r\n\r\n{body}",
-            body.len()
-        ))]
+        vec![Step::Send(match id.starts_with("earlier") {
+            true => refusal("421 Misdirected Request", id, version),
+            false => stream_response(id, &[id.to_owned()]),
+        })]
     })
     .await
 }
--- a/tests/platform/refused_items.rs
+++ b/tests/platform/refused_items.rs
@@ -6,6 +6,8 @@
 use sesamewall_platform_standin::RawTarget;
 use sesamewall_platform_standin::Step;
 use sesamewall_platform_standin::configuration;
+use sesamewall_platform_standin::refusal;
+use sesamewall_platform_standin::stream_response;
 
 use crate::fixture::PROPAGATION_TIME;
 use crate::fixture::TestFleet;
@@ -24,19 +26,10 @@
     }
     fleet.store.put("op/config", &document);
     let target = RawTarget::start(|_, id| {
-        if id == "large" {
-            return vec![Step::text(format!(
-                "HTTP/1.1 503 Full\r\nsesamewall-request-id: {id}\r\nsesamewall-not-run: 1\r\n\
-                 content-length: 0\r\n\r\n"
-            ))];
-        }
-        let body = format!("id: 1\ndata: {id}\n\n");
-        vec![Step::text(format!(
-            "HTTP/1.1 200 OK\r\nsesamewall-request-id: {id}\r\n\
-             sesamewall-response-seal: seal-1\r\ncontent-type: text/event-stream\r\n\
-             content-length: {}\r\n\r\n{body}",
-            body.len()
-        ))]
+        vec![Step::Send(match id {
+            "large" => refusal("503 Full", id, ""),
+            _ => stream_response(id, &[id.to_owned()]),
+        })]
     })
     .await;
     fleet.replace_all(target.address).await;
--- a/tests/platform/response_copies.rs
+++ b/tests/platform/response_copies.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use sesamewall_platform_standin::RawTarget;
 use sesamewall_platform_standin::Step;
+use sesamewall_platform_standin::stream_response;
 
 use crate::fixture::TestFleet;
 
@@ -29,13 +30,8 @@
 
 /// Returns a complete stream whose data begin with `data`.
 fn stream(id: &str, data: &str) -> Bytes {
-    let body: String = (1..=EVENTS).map(|n| format!("id: {n}\ndata: {data} {n}\n\n")).collect();
-    let text = format!(
-        "HTTP/1.1 200 OK\r\nsesamewall-request-id: {id}\r\nsesamewall-response-seal: seal-1\r\n\
-         content-type: text/event-stream\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    text.into()
+    let events: Vec<String> = (1..=EVENTS).map(|number| format!("{data} {number}")).collect();
+    stream_response(id, &events)
 }
 
 /// Guards against an item that is given up too early, because a second copy of a failure is taken
