--- a/crates/sesamewall-fleet/src/job.rs
+++ b/crates/sesamewall-fleet/src/job.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct JobName {
-    /// Hash of the account's name; 0 on public routes.
+    /// Hash of the account's name; 0 for a job without an account.
     pub account: u32,
     /// The identifier.
     pub id: JobId,
@@ -57,7 +57,7 @@
 pub struct JobSpec {
     /// Identifier of the job.
     pub id: JobId,
-    /// The account that submitted it; `None` on public routes.
+    /// The account that submitted it; `None` if it came without a known key on a public route.
     pub account: Option<AccountName>,
     /// Host of the job's route.
     pub host: String,
