--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -6,6 +6,7 @@
 
 mod fleet;
 mod jobs;
+mod limit;
 mod memory;
 mod record;
 mod runner;
@@ -51,6 +52,7 @@
     record.say(&format!("case {name}, trouble {trouble}"));
     let run = async {
         match name.as_str() {
+            "limit" => limit::run(&case).await,
             "memory" => memory::run(&case).await,
             _ => None,
         }
