--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -5,10 +5,12 @@
 //! if it held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod fleet;
+mod items;
 mod jobs;
 mod limit;
 mod memory;
 mod record;
+mod restart;
 mod runner;
 
 use std::path::PathBuf;
@@ -52,6 +54,7 @@
     record.say(&format!("case {name}, trouble {trouble}"));
     let run = async {
         match name.as_str() {
+            "items" => items::run(&case).await,
             "limit" => limit::run(&case).await,
             "memory" => memory::run(&case).await,
             _ => None,
