--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod limit;
 mod memory;
+mod order;
 mod record;
 mod restart;
 mod runner;
@@ -56,6 +57,7 @@
         match name.as_str() {
             "items" => items::run(&case).await,
             "limit" => limit::run(&case).await,
+            "order" => order::run(&case).await,
             "memory" => memory::run(&case).await,
             _ => None,
         }
