review/15: a stream ends as a success with the head of a second answer

A target whose answers end with their connections sends a second copy after some of them. The relay passes the head of the copy on as an event without an id, drops the events of the copy, and ends the caller's answer as complete.

--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -4,12 +4,14 @@
 //! `review-harness-3 CASE FOLDER` writes `FOLDER/record.txt` and exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod extra;
 mod fleet;
 mod items;
 mod jobs;
 mod limit;
 mod memory;
 mod order;
+mod raw;
 mod record;
 mod restart;
 mod runner;
@@ -55,6 +57,7 @@
     record.say(&format!("case {name}, trouble {trouble}"));
     let run = async {
         match name.as_str() {
+            "extra" => extra::run(&case).await,
             "items" => items::run(&case).await,
             "limit" => limit::run(&case).await,
             "order" => order::run(&case).await,
