--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/11 to review/15 start, the project's own among them.
+# Builds the stand-ins that the scripts of review/11 to review/14 start, the project's own among them.
 # Run it in the repository root after the build of the deploy file; it needs no network.
 cd "$(dirname "$0")/.." || exit 1
 exec cargo build --release --offline --locked \
--- a/review/harness-3/src/fleet.rs
+++ b/review/harness-3/src/fleet.rs
@@ -52,8 +52,6 @@
 pub struct Process {
     pub name: String,
     pub front: Option<(SocketAddr, SocketAddr)>,
-    /// Memory of the machine in MB.
-    pub memory_mb: u64,
     settings: String,
     path: PathBuf,
     log: PathBuf,
@@ -62,9 +60,8 @@
 
 impl Process {
     /// Starts the process with the command of the deploy file, in the repository root.
-    fn start(&mut self, root: &Path, first: bool) {
-        let text = self.settings.replace("@bootstrap", if first { "true" } else { "false" });
-        std::fs::write(&self.path, text).expect("a temporary folder");
+    fn start(&mut self, root: &Path) {
+        std::fs::write(&self.path, &self.settings).expect("a temporary folder");
         let open = |path: &Path| {
             let file = std::fs::File::options().create(true).append(true).open(path);
             file.expect("a temporary folder")
@@ -81,30 +78,12 @@
         self.child = Some(child.expect("the program is built"));
     }
 
-    /// Ends the process with SIGKILL and starts it again after `delay`.
-    pub async fn kill_and_restart(&mut self, root: &Path, delay: Duration) {
-        self.kill();
-        tokio::time::sleep(delay).await;
-        self.start(root, false);
-    }
-
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
     }
-
-    /// Returns the resident memory of the process in kB; `None` if it does not run.
-    pub fn memory_kb(&mut self) -> Option<u64> {
-        let child = self.child.as_mut()?;
-        if child.try_wait().ok()?.is_some() {
-            return None;
-        }
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        line.trim().strip_suffix(" kB")?.parse().ok()
-    }
 }
 
 impl Drop for Process {
@@ -115,7 +94,6 @@
 
 /// The processes of a deployment and the store beside them.
 pub struct Fleet {
-    pub root: PathBuf,
     pub store: StandinStore,
     pub fronts: Vec<Process>,
     pub workers: Vec<Process>,
@@ -150,7 +128,7 @@
     format!(
         "nodeName = \"{name}\"\nrole = \"{class}\"\nmachineClass = \"{class}\"\n\
          serves = {serves}\nip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"nz-north\"\n\
-         portRange = [{port},{}]\nseeds = [\"{seed}:{}\"]\nbootstrap = @bootstrap\n\
+         portRange = [{port},{}]\nseeds = [\"{seed}:{}\"]\nbootstrap = true\n\
          lossCounts = {}\n{data}discovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n\
          contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\
          \"engine\",\"tenants\",\"quota\",\"places\",\"platform\"]\n\
@@ -206,19 +184,18 @@
             let settings = settings(&name, zone, ip(n), port, front, address, ip(0));
             let mut process = Process {
                 front,
-                memory_mb: if front.is_some() { FRONT_MB } else { STORE_MB },
                 settings,
                 path: folder.join(format!("{name}.toml")),
                 log: folder.join(format!("{name}.log")),
                 name,
                 child: None,
             };
-            process.start(&root, true);
+            process.start(&root);
             processes.push(process);
         }
         let workers = processes.split_off(FRONTS);
         let client = StandinClient::default();
-        let fleet = Self { root, store, fronts: processes, workers, client };
+        let fleet = Self { store, fronts: processes, workers, client };
         let deadline = Instant::now() + START_LIMIT;
         for front in &fleet.fronts {
             let ready = front.front?.1;
@@ -245,6 +222,11 @@
         self.fronts[n % self.fronts.len()].front.expect("a front").0
     }
 
+    /// Returns the callers' addresses of all fronts.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        (0..FRONTS).map(|front| self.caller(front)).collect()
+    }
+
     /// Returns the callers' addresses of two fronts, for the tries of a client.
     pub fn two_callers(&self, n: usize) -> [SocketAddr; 2] {
         [self.caller(n), self.caller(n + 1)]
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -9,7 +9,6 @@
 mod items;
 mod jobs;
 mod limit;
-mod memory;
 mod order;
 mod raw;
 mod record;
@@ -61,7 +60,6 @@
             "items" => items::run(&case).await,
             "limit" => limit::run(&case).await,
             "order" => order::run(&case).await,
-            "memory" => memory::run(&case).await,
             _ => None,
         }
     };
--- a/review/harness-3/src/order.rs
+++ b/review/harness-3/src/order.rs
@@ -10,7 +10,6 @@
 use crate::Case;
 use crate::Verdict;
 use crate::fleet::FIRST_VERSION;
-use crate::fleet::FRONTS;
 use crate::fleet::Fleet;
 use crate::fleet::start_runners;
 use crate::restart::crash_pair;
@@ -41,7 +40,7 @@
     let mut runners = start_runners(&behavior, &case.record).await;
     let config = configuration(1, 0.0, 0.0);
     let fleet = Fleet::start(&case.record, &case.folder, &runners, &config).await?;
-    let addresses: Vec<_> = (0..FRONTS).map(|front| fleet.caller(front)).collect();
+    let addresses = fleet.callers();
     let load = tokio::spawn({
         let record = case.record.clone();
         let end = CALM_TIME + PAIR_TIME * PAIRS.len() as u32;
