--- a/review/harness-3/src/extra.rs
+++ b/review/harness-3/src/extra.rs
@@ -2,6 +2,10 @@
 //! an event of their stream.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,10 +29,14 @@
 use crate::raw::RawRunner;
 use crate::runner::Behavior;
 
-/// Runners whose answers end with their connections: half of them, the share of `garble`, of which each
-/// spoils one answer in 50 (`x`).
-const RAW: usize = RUNNERS / 2;
-const EXTRA_EACH: usize = 50;
+/// Runners whose answers end with their connections. In the spans of a disruption, one in 41 of their
+/// answers is spoiled: below the share of 0.485 and the part `x` of 0.0248 of `garble` in the site file.
+const RAW: usize = 5;
+const EXTRA_EACH: usize = 41;
+
+/// Length of a span, below 6.14 s in the site file, and the time from one to the next.
+const SPOIL_TIME: Duration = Duration::from_secs(6);
+const SPOIL_INTERVAL: Duration = Duration::from_secs(12);
 
 const EVENTS: u64 = 28;
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
@@ -78,10 +86,15 @@
     let behavior = Behavior { interval: EVENT_INTERVAL, events: EVENTS, ..Behavior::default() };
     let mut runners = start_runners(&behavior, &case.record).await;
     let mut raw = Vec::new();
+    let answers = Answers {
+        events: EVENTS,
+        interval: EVENT_INTERVAL,
+        extra_each: EXTRA_EACH,
+        spoils: Arc::new(AtomicBool::new(false)),
+        count: Arc::new(AtomicUsize::new(0)),
+    };
     for number in 0..RAW {
-        let extra_each = if case.trouble { EXTRA_EACH } else { 0 };
-        let answers = Answers { events: EVENTS, interval: EVENT_INTERVAL, extra_each };
-        raw.push(RawRunner::start(&format!("u-{number:02}"), answers, &case.record).await);
+        raw.push(RawRunner::start(&format!("u-{number:02}"), answers.clone(), &case.record).await);
     }
     runners.truncate(RUNNERS - RAW);
     let fleet =
@@ -98,6 +111,9 @@
     let mut number = 0;
     while begun.elapsed() < LOAD_TIME {
         ticks.tick().await;
+        let since = begun.elapsed().as_millis() % SPOIL_INTERVAL.as_millis();
+        let spoils = case.trouble && since < SPOIL_TIME.as_millis();
+        answers.spoils.store(spoils, Ordering::Relaxed);
         let (client, front) = (client.clone(), fleet.caller(number));
         clients.spawn(async move { (number, send(client, front, number).await) });
         number += 1;
--- a/review/harness-3/src/raw.rs
+++ b/review/harness-3/src/raw.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,12 +16,15 @@
 use crate::record::Record;
 
 /// How such a runner answers.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub struct Answers {
     pub events: u64,
     pub interval: Duration,
-    /// One in so many answers is followed by a second one; 0 for none.
+    /// While `spoils` is set, one in so many answers of all such runners is followed by a second one.
     pub extra_each: usize,
+    pub spoils: Arc<AtomicBool>,
+    /// Answers of all such runners that began while `spoils` was set.
+    pub count: Arc<AtomicUsize>,
 }
 
 /// A runner without framing.
@@ -41,12 +45,12 @@
     pub async fn start(id: &str, answers: Answers, record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound address");
-        let (name, record, count) = (id.to_owned(), record.clone(), Arc::new(AtomicUsize::new(0)));
+        let (name, record) = (id.to_owned(), record.clone());
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (name, record, count) = (name.clone(), record.clone(), count.clone());
+                let (name, record, answers) = (name.clone(), record.clone(), answers.clone());
                 tokio::spawn(async move {
-                    let _ = serve(stream, &name, answers, &count, &record).await;
+                    let _ = serve(stream, &name, &answers, &record).await;
                 });
             }
         });
@@ -81,8 +85,7 @@
 async fn serve(
     mut stream: TcpStream,
     name: &str,
-    answers: Answers,
-    count: &AtomicUsize,
+    answers: &Answers,
     record: &Record,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -98,8 +101,10 @@
         stream.write_all(refusal.as_bytes()).await?;
         return stream.shutdown().await;
     }
-    let number = count.fetch_add(1, Ordering::Relaxed) + 1;
-    let has_extra = answers.extra_each > 0 && number.is_multiple_of(answers.extra_each);
+    let has_extra = answers.spoils.load(Ordering::Relaxed) && {
+        let number = answers.count.fetch_add(1, Ordering::Relaxed) + 1;
+        number.is_multiple_of(answers.extra_each)
+    };
     record.line(&format!("{name} runs {id} after {after}, second answer: {has_extra}"));
     let start = format!(
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nsesamewall-request-id: {id}\r\n\
